--- /dev/null
+++ b/internal/version/snapshot/snapshot.go
@@ -0,0 +1,235 @@
+// Package snapshot compiles the steering document and the members into an
+// immutable routing snapshot that is swapped as a whole.
+package snapshot
+
+import (
+	"sort"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"google.golang.org/protobuf/proto"
+)
+
+// Snapshot is one version of everything that routing depends on. It is
+// never changed after Build.
+type Snapshot struct {
+	Version  uint64
+	Services map[string]*Service
+	Shifts   map[string]document.Shift
+	Limits   document.Limits
+	Links    []document.Link
+	Blocks   *fescuepb.BlockTable
+
+	regionOf map[string]string   // data centre to region
+	dcsOf    map[string][]string // region to data centres
+	members  map[string]*fescuepb.Member
+	entries  map[string][]*fescuepb.Member // data centre to entries, by instance
+	drains   []document.Drain
+}
+
+// Service is a service with its defaults filled in.
+type Service struct {
+	document.Service
+	Team string
+	dcs  map[string]bool
+}
+
+// In reports whether the service runs in data centre dc.
+func (s *Service) In(dc string) bool { return s.dcs[dc] }
+
+// Route returns the route with the longest path that matches, or nil.
+func (s *Service) Route(method, path string) *document.Route {
+	var best *document.Route
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if !strings.HasPrefix(path, r.Path) || !allows(r, method) {
+			continue
+		}
+		if best == nil || len(r.Path) > len(best.Path) {
+			best = r
+		}
+	}
+	return best
+}
+
+func allows(r *document.Route, method string) bool {
+	if len(r.Methods) == 0 {
+		return true
+	}
+	for _, m := range r.Methods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// Build compiles a snapshot. It fails with InvalidDocument if a section does
+// not parse; the document as a whole was validated when it was accepted.
+func Build(version uint64, sections []*fescuepb.Section, members []*fescuepb.Member, blocks *fescuepb.BlockTable) (*Snapshot, error) {
+	s := &Snapshot{
+		Version:  version,
+		Services: map[string]*Service{},
+		Shifts:   map[string]document.Shift{},
+		Blocks:   blocks,
+		regionOf: map[string]string{},
+		dcsOf:    map[string][]string{},
+		members:  map[string]*fescuepb.Member{},
+		entries:  map[string][]*fescuepb.Member{},
+	}
+	s.Limits = (*document.Limits)(nil).WithDefaults()
+	for _, pb := range sections {
+		if pb.Deleted {
+			continue
+		}
+		src, problems := document.Parse(pb.Team, pb.Yaml)
+		if len(problems) > 0 {
+			return nil, errkind.New(errkind.InvalidDocument, "section of team %q: %s", pb.Team, problems[0])
+		}
+		s.add(src.Section)
+	}
+	for _, m := range members {
+		s.addMember(proto.Clone(m).(*fescuepb.Member))
+	}
+	return s, nil
+}
+
+func (s *Snapshot) add(sec *document.Section) {
+	if sec.Team == document.PlatformTeam {
+		s.Limits = sec.Limits.WithDefaults()
+		s.Links = sec.Links
+	}
+	for _, r := range sec.Regions {
+		s.dcsOf[r.Name] = r.DataCentres
+		for _, dc := range r.DataCentres {
+			s.regionOf[dc] = r.Name
+		}
+	}
+	for _, svc := range sec.Services {
+		c := &Service{Service: svc.WithDefaults(), Team: sec.Team, dcs: map[string]bool{}}
+		for _, dc := range svc.DataCentres {
+			c.dcs[dc] = true
+		}
+		s.Services[svc.Name] = c
+	}
+	for _, sh := range sec.Shifts {
+		s.Shifts[sh.Name] = sh
+	}
+	s.drains = append(s.drains, sec.Drains...)
+}
+
+func (s *Snapshot) addMember(m *fescuepb.Member) {
+	s.members[m.Instance] = m
+	if m.Role != fescuepb.Role_ROLE_ENTRY {
+		return
+	}
+	list := append(s.entries[m.DataCentre], m)
+	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
+	s.entries[m.DataCentre] = list
+}
+
+// Region returns the region of data centre dc, or "".
+func (s *Snapshot) Region(dc string) string { return s.regionOf[dc] }
+
+// DataCentres returns the data centres of a region.
+func (s *Snapshot) DataCentres(region string) []string { return s.dcsOf[region] }
+
+// Member returns the member with this instance name, or nil.
+func (s *Snapshot) Member(instance string) *fescuepb.Member { return s.members[instance] }
+
+// Members returns every member, ordered by instance.
+func (s *Snapshot) Members() []*fescuepb.Member {
+	out := make([]*fescuepb.Member, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
+	return out
+}
+
+// Entries returns the committed entry instances of a data centre, leaving
+// ones included, ordered by instance.
+func (s *Snapshot) Entries(dc string) []*fescuepb.Member { return s.entries[dc] }
+
+// EntryCount returns the number of committed entry instances.
+func (s *Snapshot) EntryCount() int {
+	n := 0
+	for _, list := range s.entries {
+		n += len(list)
+	}
+	return n
+}
+
+// DispatchOrder returns the entries of dc that may dispatch the service, in
+// order of preference by rendezvous hashing. Leaving and drained instances
+// are left out.
+func (s *Snapshot) DispatchOrder(service, dc string) []*fescuepb.Member {
+	var out []*fescuepb.Member
+	for _, m := range s.entries[dc] {
+		if !m.Leaving && !s.InstanceDrained(m.Instance) {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return rank(service, out[i].Instance) > rank(service, out[j].Instance)
+	})
+	return out
+}
+
+func rank(service, instance string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + instance)
+}
+
+// InstanceDrained reports whether the document drains an entry instance.
+func (s *Snapshot) InstanceDrained(instance string) bool {
+	for _, d := range s.drains {
+		if d.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// PlaceDrained reports whether the document drains the service in dc.
+func (s *Snapshot) PlaceDrained(service, dc string) bool {
+	return s.TargetDrained(service, dc, "")
+}
+
+// TargetDrained reports whether the document drains a target of the service
+// in dc, alone or with its place.
+func (s *Snapshot) TargetDrained(service, dc, target string) bool {
+	for _, d := range s.drains {
+		if d.Instance == "" && covers(d.Service, service) && covers(d.DataCentre, dc) && covers(d.Target, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether a drain field matches value; an empty field matches
+// everything.
+func covers(field, value string) bool { return field == "" || field == value }
+
+// Store holds the snapshot in force.
+type Store struct{ p atomic.Pointer[Snapshot] }
+
+// Load returns the snapshot in force, or nil before the first one.
+func (st *Store) Load() *Snapshot { return st.p.Load() }
+
+// Swap puts s in force if its version is higher than the present one's, and
+// reports whether it did. Versions only go up.
+func (st *Store) Swap(s *Snapshot) bool {
+	for {
+		old := st.p.Load()
+		if old != nil && old.Version >= s.Version {
+			return false
+		}
+		if st.p.CompareAndSwap(old, s) {
+			return true
+		}
+	}
+}
