--- /dev/null
+++ b/cmd/fescue-lab/main.go
@@ -0,0 +1,44 @@
+// Command fescue-lab runs the stand-ins for targets, the platform list and
+// network links, and the tools for load and checks.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+// command is one subcommand.
+type command struct {
+	parser *flaggy.Subcommand
+	run    func() error
+}
+
+func main() {
+	flaggy.SetName("fescue-lab")
+	flaggy.SetDescription("Stand-ins, load generator and checks for fescuejunction.")
+	flaggy.SetVersion(version)
+	commands := []command{targetCommand(), platformCommand()}
+	for _, c := range commands {
+		flaggy.AttachSubcommand(c.parser, 1)
+	}
+	flaggy.Parse()
+	for _, c := range commands {
+		if c.parser.Used {
+			exit(c.run())
+		}
+	}
+	flaggy.ShowHelpAndExit("A subcommand is required.")
+}
+
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fescue-lab:", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
--- /dev/null
+++ b/cmd/fescue-lab/target.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/lab/serve"
+	"github.com/fescuejunction/fescuejunction/internal/lab/target"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"github.com/fescuejunction/fescuejunction/internal/yamlpos"
+)
+
+// targetFlags describes one target without a settings file.
+type targetFlags struct {
+	file    string
+	spec    target.Spec
+	work    time.Duration
+	lag     time.Duration
+	admin   string
+	journal string
+}
+
+func targetCommand() command {
+	f := &targetFlags{}
+	f.spec = target.Spec{ID: "target-1", Service: "service", DataCentre: "dc", Slots: 3}
+	sub := flaggy.NewSubcommand("target")
+	sub.Description = "Serve one or more stand-in targets."
+	sub.String(&f.file, "c", "config", "settings file with any number of targets; the other flags describe a single one")
+	sub.String(&f.spec.ID, "", "id", "identifier of the target")
+	sub.String(&f.spec.Listen, "", "listen", "address host:port of the target")
+	sub.String(&f.spec.Service, "", "service", "service of the target")
+	sub.String(&f.spec.DataCentre, "", "dc", "data centre of the target")
+	sub.Int(&f.spec.Slots, "", "slots", "requests that may be in progress")
+	sub.Duration(&f.work, "", "work", "median service time")
+	sub.Duration(&f.lag, "", "report-lag", "age of the load reports")
+	sub.String(&f.admin, "", "admin", "address host:port of /metrics, /healthz and /status")
+	sub.String(&f.journal, "", "journal", "file to which the journal is appended")
+	return command{parser: sub, run: f.run}
+}
+
+func (f *targetFlags) run() error {
+	s, err := f.settings()
+	if err != nil {
+		return err
+	}
+	ctx, stop := serve.SignalContext()
+	defer stop()
+	return target.Run(ctx, s, logging.New(os.Stdout, s.Log.Level, "fescue-lab", "target"))
+}
+
+func (f *targetFlags) settings() (target.Settings, error) {
+	var s target.Settings
+	if f.file != "" {
+		err := settings.Load(f.file, &s)
+		return s, err
+	}
+	f.spec.Work = document.Duration(f.work)
+	f.spec.ReportLag = document.Duration(f.lag)
+	s = target.Settings{Admin: f.admin, Journal: f.journal, Targets: []target.Spec{f.spec}}
+	return s, checkFlags(&s)
+}
+
+// checkFlags checks settings that come from flags. The settings pass through
+// their YAML form, so that flags and files follow the same rules.
+func checkFlags(s settings.Checked) error {
+	data, err := yaml.Marshal(s)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "flags")
+	}
+	f, problems := yamlpos.Parse("flags", data, s)
+	if len(problems) == 0 {
+		c := &settings.Check{File: f}
+		s.Check(c)
+		problems = c.Problems
+	}
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.Field + ": " + p.Message
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return errkind.New(errkind.InvalidSettings, "%s", strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/lab/target/target.go
@@ -0,0 +1,197 @@
+package target
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/lab/journal"
+)
+
+// Target is one stand-in target.
+type Target struct {
+	spec    Spec
+	run     int64 // start time of the process, nanoseconds
+	journal *journal.Writer
+	swap    *swapper
+
+	mu          sync.Mutex
+	behaviour   Behaviour
+	inProgress  int
+	most        int // highest inProgress so far
+	seq         int64
+	served      int64
+	shed        int64
+	coldSince   time.Time
+	latencyMs   float64
+	history     []Report // oldest first, for reports that lag
+	connections int
+	refused     int64
+}
+
+// New returns a target that writes to j.
+func New(spec Spec, run int64, j *journal.Writer) *Target {
+	return &Target{
+		spec:      spec,
+		run:       run,
+		journal:   j,
+		swap:      newSwapper(),
+		coldSince: time.Now(),
+		behaviour: Behaviour{SlowFactor: 1, LagMs: spec.ReportLag.D().Milliseconds()},
+	}
+}
+
+// admit takes a slot. The journal record is written under the lock, so that
+// the records are in the order of the events.
+func (t *Target) admit(rec journal.Target) (journal.Target, Behaviour, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	rec.Seq = t.seq
+	rec.Fault = t.behaviour.faultName()
+	if t.inProgress >= t.spec.Slots {
+		t.shed++
+		t.write(rec, journal.Shed)
+		return rec, t.behaviour, false
+	}
+	t.inProgress++
+	t.most = max(t.most, t.inProgress)
+	t.sample()
+	t.write(rec, journal.Start)
+	return rec, t.behaviour, true
+}
+
+// release gives the slot back. It runs before the answer is written, so that
+// a caller that has the answer never finds the slot still taken.
+func (t *Target) release(rec journal.Target, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inProgress--
+	t.served++
+	t.average(took)
+	t.sample()
+	t.write(rec, journal.Finish)
+}
+
+func (t *Target) write(rec journal.Target, event journal.Event) {
+	rec.Event = event
+	rec.Time = journal.Now()
+	rec.Target = t.spec.ID
+	rec.Run = t.run
+	rec.InProgress = t.inProgress
+	rec.Slots = t.spec.Slots
+	t.journal.Append(rec)
+}
+
+// latencyWeight is the weight of a new sample in the moving average.
+const latencyWeight = 0.1
+
+func (t *Target) average(took time.Duration) {
+	ms := float64(took) / float64(time.Millisecond)
+	if t.latencyMs == 0 {
+		t.latencyMs = ms
+		return
+	}
+	t.latencyMs += latencyWeight * (ms - t.latencyMs)
+}
+
+// workTime returns the service time of a request that starts now. asked is
+// the time that the caller asked for, or negative.
+func (t *Target) workTime(asked time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	work := asked
+	if asked < 0 {
+		work = time.Duration(float64(t.spec.Work) * math.Exp(t.spec.WorkSigma*rand.NormFloat64()))
+	}
+	work = time.Duration(float64(work) * t.behaviour.SlowFactor)
+	return work + t.coldPenalty()
+}
+
+func (t *Target) coldPenalty() time.Duration {
+	left := t.spec.ColdFor.D() - time.Since(t.coldSince)
+	if left <= 0 {
+		return 0
+	}
+	return time.Duration(float64(t.spec.ColdPenalty) * float64(left) / float64(t.spec.ColdFor))
+}
+
+// historyLength bounds the samples kept for reports that lag.
+const historyLength = 4096
+
+// sample records the present state for reports that lag.
+func (t *Target) sample() {
+	if t.behaviour.LagMs == 0 {
+		return
+	}
+	if len(t.history) == historyLength {
+		t.history = append(t.history[:0], t.history[historyLength/2:]...)
+	}
+	t.history = append(t.history, t.present())
+}
+
+func (t *Target) present() Report {
+	return Report{
+		ID:         t.spec.ID,
+		Status:     t.status(),
+		InProgress: t.inProgress,
+		Slots:      t.spec.Slots,
+		LatencyMs:  t.latencyMs,
+		Time:       time.Now().UnixMilli(),
+	}
+}
+
+func (t *Target) status() string {
+	switch {
+	case t.behaviour.Leaving:
+		return "leaving"
+	case t.coldPenalty() > 0:
+		return "cold"
+	}
+	return "ok"
+}
+
+// report returns what /-/load answers: the latest state that is at least as
+// old as the lag, or the lie.
+func (t *Target) report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.behaviour.Lie != nil {
+		return *t.behaviour.Lie
+	}
+	if t.behaviour.LagMs == 0 {
+		return t.present()
+	}
+	limit := time.Now().UnixMilli() - t.behaviour.LagMs
+	out := Report{ID: t.spec.ID, Status: "ok", Slots: t.spec.Slots, Time: limit}
+	for i := len(t.history) - 1; i >= 0; i-- {
+		if t.history[i].Time <= limit {
+			return t.history[i]
+		}
+	}
+	return out
+}
+
+// apply changes the behaviour and returns the new one.
+func (t *Target) apply(c control) Behaviour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := c.Leaving && !t.behaviour.Leaving
+	t.behaviour = c.Behaviour
+	if c.Cold {
+		t.coldSince = time.Now()
+		t.write(journal.Target{}, journal.Cold)
+	}
+	if left || c.MarkLeaving {
+		t.write(journal.Target{}, journal.Leaving)
+	}
+	t.sample()
+	return t.behaviour
+}
+
+func (t *Target) current() Behaviour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.behaviour
+}
