--- /dev/null
+++ b/internal/request/proxy/handler.go
@@ -0,0 +1,322 @@
+// Package proxy serves the requests of callers: it parses and admits them,
+// has them dispatched here or forwards them to the entry that dispatches
+// them, and streams the answer back.
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+// Groups tells which entry dispatches a service in this data centre.
+type Groups interface {
+	// Dispatcher returns the dispatcher of the service if this instance
+	// dispatches it here, or nil.
+	Dispatcher(service string) *dispatch.Dispatcher
+	// Home returns the member that dispatches the service in this data
+	// centre, or nil if none is known to be alive.
+	Home(service string) *fescuepb.Member
+	// SlotsValid reports whether the shares of the targets' slots that the
+	// dispatcher of the service works with still hold.
+	SlotsValid(service string) bool
+}
+
+// Caps admits requests within the caps of the shifts.
+type Caps interface {
+	// Acquire takes one unit of the shift's cap, waiting for it within ctx.
+	// The error has kind ShiftCapReached.
+	Acquire(ctx context.Context, shift string) (Unit, error)
+}
+
+// Unit is one request in flight under a shift's cap.
+type Unit interface {
+	// Valid reports whether the budget that admitted the request still holds.
+	Valid() bool
+	Release()
+}
+
+// Links limits the bytes between regions.
+type Links interface {
+	// Allow takes bytes from the budget of the link between two regions.
+	Allow(from, to string, bytes int) bool
+}
+
+// Places chooses the data centres for a request that is not dispatched here.
+type Places interface {
+	// Choose returns data centres in order of preference.
+	Choose(now time.Time, snap *snapshot.Snapshot, service, dc string, deadline time.Time) []string
+	// Observe reports how a forwarded request ended.
+	Observe(now time.Time, dc, service string, o ForwardOutcome)
+}
+
+// ForwardOutcome is how a request that was forwarded to a data centre ended.
+type ForwardOutcome struct {
+	Refused      bool // it provably did not run
+	Failed       bool
+	Latency      time.Duration
+	Queued       int
+	FreeSlots    int
+	ExpectedWait time.Duration
+}
+
+// Ledger keeps the outcomes of at-most-once requests.
+type Ledger interface {
+	// Home returns the data centre that keeps the key, and whether this
+	// instance keeps it now.
+	Home(snap *snapshot.Snapshot, service, key string) (dc string, here bool)
+	// Start records the start of a key outside the process. A key that
+	// finished before gives its stored outcome instead.
+	Start(ctx context.Context, service, key string, digest []byte) (*Stored, error)
+	// Finish records the outcome. With notRun set, the key may start again.
+	Finish(ctx context.Context, service, key string, stored *Stored, notRun bool)
+}
+
+// Stored is the outcome of an at-most-once request.
+type Stored struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Config holds what the handler depends on.
+type Config struct {
+	Instance   string
+	DataCentre string
+	Store      *snapshot.Store
+	Ready      func() bool // a confirmed version is in force
+	Stopping   func() bool // the instance takes no new requests from callers
+	Groups     Groups
+	Caps       Caps
+	Links      Links
+	Places     Places
+	Ledger     Ledger
+	Retries    RetryBudget
+	Ramp       Ramp
+	Targets    http.RoundTripper
+	Peers      http.RoundTripper
+	PeerScheme string // "http" or "https"
+	Now        func() time.Time
+	Log        *logrus.Entry
+	Metrics    tally.Scope
+}
+
+// RetryBudget bounds retries to a share of the requests.
+type RetryBudget interface {
+	Request(service string)
+	Retry(service string, percent int) bool
+}
+
+// Ramp limits how fast requests from other data centres may grow.
+type Ramp interface {
+	Enter(service string, now time.Time) bool
+	Leave(service string, now time.Time, ok bool)
+}
+
+// Handler serves requests. Callers and other entries use separate handlers
+// because only the latter may set internal headers.
+type Handler struct {
+	Config
+	peer bool
+	m    handlerMetrics
+}
+
+type handlerMetrics struct {
+	requests, forwarded, hedged, retried tally.Counter
+	answers                              map[errkind.Kind]tally.Counter
+	latency                              tally.Histogram
+}
+
+// New returns the handler for callers, or for other entries if peer is set.
+func New(cfg Config, peer bool) *Handler {
+	scope := cfg.Metrics.SubScope("requests")
+	h := &Handler{Config: cfg, peer: peer}
+	h.m.requests = scope.Counter("received")
+	h.m.forwarded = scope.Counter("forwarded")
+	h.m.hedged = scope.Counter("hedged")
+	h.m.retried = scope.Counter("retried")
+	h.m.answers = map[errkind.Kind]tally.Counter{}
+	for _, k := range errkind.Kinds() {
+		h.m.answers[k] = scope.Tagged(map[string]string{"kind": string(k)}).Counter("errors")
+	}
+	h.m.latency = scope.Histogram("seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16))
+	return h
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := h.Now()
+	h.m.requests.Inc(1)
+	rep := h.answer(w, r, start)
+	rep.header.Set(HeaderInstance, h.Instance)
+	defer func() { h.m.latency.RecordDuration(h.Now().Sub(start)) }()
+	rep.write(w)
+}
+
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, now time.Time) *reply {
+	c, err := h.accept(w, r, now)
+	if err != nil {
+		return h.fail(c, err)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	rep, err := h.serve(ctx, c)
+	if err != nil {
+		cancel()
+		return h.fail(c, err)
+	}
+	end := rep.end
+	rep.end = func(err error) {
+		cancel()
+		if end != nil {
+			end(err)
+		}
+	}
+	return rep
+}
+
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
+	c := &call{id: requestID(r.Header.Get(HeaderRequestID))}
+	if !h.Ready() {
+		return c, errkind.New(errkind.NotReady, "no confirmed version of the steering document is in force yet")
+	}
+	if h.Stopping() && !h.peer {
+		return c, errkind.New(errkind.Stopping, "the instance is stopping")
+	}
+	c, err := parse(r, h.Store.Load(), h.peer, now)
+	if err != nil {
+		return c, err
+	}
+	return c, c.readBody(w, r)
+}
+
+// fail logs and counts an error and turns it into its answer.
+func (h *Handler) fail(c *call, err error) *reply {
+	kind := errkind.Of(err)
+	h.m.answers[kind].Inc(1)
+	fields := logrus.Fields{"request_id": c.id, "kind": kind, "did_run": kind.Answer().DidRun, "shift": c.shift, "error": err.Error()}
+	if c.service != nil {
+		fields["service"] = c.service.Name
+	}
+	h.Log.WithFields(fields).Info("request refused or failed")
+	rep := errorReply(c.id, err)
+	h.describeLoad(c, rep.header)
+	return rep
+}
+
+// describeLoad tells the entry that forwarded the request how busy the
+// group is, so that it can choose better next time.
+func (h *Handler) describeLoad(c *call, header http.Header) {
+	if !h.peer || c.service == nil {
+		return
+	}
+	if d := h.Groups.Dispatcher(c.service.Name); d != nil {
+		setLoad(header, d.Load())
+	}
+}
+
+// serve gets the answer of a parsed request.
+func (h *Handler) serve(ctx context.Context, c *call) (*reply, error) {
+	h.Retries.Request(c.service.Name)
+	if c.once() && !c.recorded {
+		return h.serveOnce(ctx, c)
+	}
+	return h.run(ctx, c)
+}
+
+// run has the request dispatched in the best place that admits it.
+func (h *Handler) run(ctx context.Context, c *call) (*reply, error) {
+	var refusal error = errkind.New(errkind.NoTarget, "no data centre takes requests of service %q", c.service.Name)
+	if h.servedHere(c) {
+		rep, err := h.runHere(ctx, c)
+		if err == nil || !maySpill(c, err) {
+			return rep, err
+		}
+		refusal = err
+	}
+	if c.remote {
+		return nil, refusal
+	}
+	return h.spill(ctx, c, refusal)
+}
+
+func (h *Handler) servedHere(c *call) bool {
+	return c.service.In(h.DataCentre) && !c.snap.PlaceDrained(c.service.Name, h.DataCentre)
+}
+
+// maySpill reports whether another place may be tried after err: only if
+// nothing ran, and if more capacity would help.
+func maySpill(c *call, err error) bool {
+	if c.remote {
+		return false
+	}
+	switch errkind.Of(err) {
+	case errkind.QueueFull, errkind.DeadlineUnmeetable, errkind.NoTarget, errkind.TargetShed,
+		errkind.TargetUnreachable, errkind.NotDispatcher, errkind.NotReady, errkind.Stopping:
+		return true
+	}
+	return false
+}
+
+// takeoverWait is how long a request waits for a new dispatcher; a failed
+// one is replaced within 3 s.
+const (
+	takeoverWait = 3 * time.Second
+	takeoverPoll = 25 * time.Millisecond
+)
+
+// takeover bounds the wait for a new dispatcher.
+type takeover struct{ giveUp time.Time }
+
+func newTakeoverWait(now time.Time, c *call) takeover {
+	return takeover{giveUp: now.Add(min(takeoverWait, c.left(now)))}
+}
+
+// next waits before another try and reports whether there is time for it.
+func (t takeover) next(ctx context.Context, now time.Time) bool {
+	if now.After(t.giveUp) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(takeoverPoll):
+		return true
+	}
+}
+
+// runHere dispatches in this data centre: on this instance, or on the
+// member that dispatches the service.
+func (h *Handler) runHere(ctx context.Context, c *call) (*reply, error) {
+	for wait := newTakeoverWait(h.Now(), c); ; {
+		rep, err := h.tryHere(ctx, c)
+		if err == nil || !homeMoved(err) || c.from != "" || !wait.next(ctx, h.Now()) {
+			return rep, err
+		}
+	}
+}
+
+// homeMoved reports whether err means that another member dispatches the
+// service, or will soon.
+func homeMoved(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.NotDispatcher || errors.Is(err, errPeerUnreachable)
+}
+
+func (h *Handler) tryHere(ctx context.Context, c *call) (*reply, error) {
+	if d := h.Groups.Dispatcher(c.service.Name); d != nil {
+		return h.dispatch(ctx, c, d)
+	}
+	home := h.Groups.Home(c.service.Name)
+	if home == nil || home.Instance == h.Instance || home.Instance == c.from {
+		return nil, errkind.New(errkind.NotDispatcher, "instance %q does not dispatch service %q", h.Instance, c.service.Name)
+	}
+	return h.forward(ctx, c, home, c.recorded)
+}
--- /dev/null
+++ b/internal/request/proxy/local.go
@@ -0,0 +1,224 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/sirupsen/logrus"
+)
+
+// dispatch admits the call on this instance and runs it at a local target.
+func (h *Handler) dispatch(ctx context.Context, c *call, d *dispatch.Dispatcher) (*reply, error) {
+	if c.remote {
+		if !h.Ramp.Enter(c.service.Name, h.Now()) {
+			return nil, errkind.New(errkind.QueueFull, "requests from other data centres are still ramping up")
+		}
+	}
+	unit, err := h.Caps.Acquire(ctx, c.shift)
+	if err != nil {
+		h.leaveRamp(c, false)
+		return nil, err
+	}
+	rep, err := h.attempts(ctx, c, d, unit)
+	if err != nil {
+		unit.Release()
+		h.leaveRamp(c, false)
+		return nil, err
+	}
+	end := rep.end
+	rep.end = func(err error) {
+		end(err)
+		unit.Release()
+		h.leaveRamp(c, err == nil)
+	}
+	return rep, nil
+}
+
+func (h *Handler) leaveRamp(c *call, ok bool) {
+	if c.remote {
+		h.Ramp.Leave(c.service.Name, h.Now(), ok)
+	}
+}
+
+// attempts sends the call to one target after another while each provably
+// did not run it, within the retry budget and the deadline.
+func (h *Handler) attempts(ctx context.Context, c *call, d *dispatch.Dispatcher, unit Unit) (*reply, error) {
+	w := dispatch.Work{
+		Class: c.route.Class, Route: c.route.Path, Deadline: c.deadline,
+		Safe: c.route.Safe, Once: c.once(), Remote: c.remote,
+	}
+	for attempt := 1; ; attempt++ {
+		t, err := d.Acquire(ctx, w)
+		if err != nil {
+			return nil, err
+		}
+		h.logDecision(c, t, attempt)
+		rep, err := h.hedged(ctx, c, t, unit)
+		if err == nil || !notRun(err) || attempt >= c.service.Retry.MaxAttempts {
+			return rep, err
+		}
+		if !h.Retries.Retry(c.service.Name, c.service.Retry.BudgetPercent) {
+			return nil, err
+		}
+		h.m.retried.Inc(1)
+		w.Exclude = append(w.Exclude, t.Target.ID)
+	}
+}
+
+// notRun reports whether err proves that the target did not run the request.
+func notRun(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.TargetShed || kind == errkind.TargetUnreachable
+}
+
+func (h *Handler) logDecision(c *call, t *dispatch.Ticket, attempt int) {
+	h.Log.WithFields(logrus.Fields{
+		"request_id": c.id, "service": c.service.Name, "route": c.route.Path, "shift": c.shift,
+		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
+		"queued_ms": float64(t.QueuedFor.Microseconds()) / 1000, "version": c.snap.Version,
+	}).Info("request dispatched")
+}
+
+// sent is the result of one attempt at one target.
+type sent struct {
+	rep    *reply
+	err    error
+	ticket *dispatch.Ticket
+	id     string // of the request
+	hedge  bool
+	cancel context.CancelCauseFunc
+	start  time.Time
+}
+
+// errHedgeLost cancels the attempt that lost against its hedge.
+var errHedgeLost = errkind.New(errkind.Cancelled, "the other attempt answered first")
+
+// hedged sends the call to the ticket's target and, if the route is safe and
+// the answer is late, to a second one. The first good answer wins.
+func (h *Handler) hedged(ctx context.Context, c *call, t *dispatch.Ticket, unit Unit) (*reply, error) {
+	delay := time.Duration(0)
+	if c.route.Safe {
+		delay = t.HedgeDelay()
+	}
+	if delay <= 0 {
+		s := h.send(ctx, c, t, unit)
+		return h.settle(s)
+	}
+	results := make(chan sent, 2)
+	cancelFirst := h.sendAsync(ctx, c, t, unit, false, results)
+	cancelHedge := func(error) {}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	running := 1
+	for {
+		select {
+		case <-timer.C:
+			if second, ok := t.Hedge(); ok {
+				h.m.hedged.Inc(1)
+				h.logDecision(c, second, 2)
+				cancelHedge = h.sendAsync(ctx, c, second, unit, true, results)
+				running++
+			}
+		case s := <-results:
+			running--
+			if s.err != nil && running > 0 {
+				_, _ = h.settle(s)
+				continue
+			}
+			if running > 0 {
+				cancelLoser := cancelHedge
+				if s.hedge {
+					cancelLoser = cancelFirst
+				}
+				cancelLoser(errHedgeLost)
+				go drop(results)
+			}
+			return h.settle(s)
+		}
+	}
+}
+
+// sendAsync runs one attempt in its own goroutine.
+func (h *Handler) sendAsync(ctx context.Context, c *call, t *dispatch.Ticket, unit Unit, hedge bool, results chan<- sent) context.CancelCauseFunc {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		s := h.send(ctx, c, t, unit)
+		s.hedge = hedge
+		inner := s.cancel
+		s.cancel = func(err error) { inner(err); cancel(err) }
+		results <- s
+	}()
+	return cancel
+}
+
+// drop waits for the attempt that lost and gives its slot back.
+func drop(results <-chan sent) {
+	loser := <-results
+	if loser.rep != nil {
+		loser.rep.finish(errHedgeLost)
+	}
+	loser.cancel(errHedgeLost)
+	loser.ticket.Done(dispatch.Outcome{Result: dispatch.CancelledByCaller})
+}
+
+// send makes one attempt at the ticket's target.
+func (h *Handler) send(ctx context.Context, c *call, t *dispatch.Ticket, unit Unit) sent {
+	s := sent{id: c.id, ticket: t, start: h.Now()}
+	ctx, s.cancel = context.WithCancelCause(ctx)
+	x := exchange{
+		transport: h.Targets, scheme: "http", addr: t.Target.Addr,
+		header: c.targetHeader(s.start), replay: c.route.Safe,
+		onWritten: func() {
+			if !unit.Valid() || !h.Groups.SlotsValid(c.service.Name) {
+				s.cancel(errLeaseLapsed)
+			}
+		},
+	}
+	s.rep, s.err = x.do(ctx, c)
+	if s.err == nil && shed(s.rep) {
+		s.rep.finish(nil)
+		s.rep, s.err = nil, errkind.New(errkind.TargetShed, "target %q shed the request", t.Target.ID)
+	}
+	return s
+}
+
+func shed(r *reply) bool {
+	return r.status == http.StatusServiceUnavailable && r.header.Get(HeaderNotRun) == "true"
+}
+
+// settle ends the ticket of an attempt that failed, or ties it to the end of
+// the answer's body.
+func (h *Handler) settle(s sent) (*reply, error) {
+	if s.err != nil {
+		s.cancel(nil)
+		s.ticket.Done(dispatch.Outcome{Result: result(s.err), Latency: h.Now().Sub(s.start)})
+		return nil, s.err
+	}
+	firstByte := h.Now().Sub(s.start)
+	s.rep.header.Set(HeaderTarget, s.ticket.Target.ID)
+	s.rep.header.Set(HeaderRequestID, s.id)
+	s.rep.end = func(err error) {
+		s.cancel(nil)
+		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte}
+		if err != nil {
+			o.Result = dispatch.CancelledByCaller
+		}
+		s.ticket.Done(o)
+	}
+	return s.rep, nil
+}
+
+func result(err error) dispatch.Result {
+	switch errkind.Of(err) {
+	case errkind.TargetShed:
+		return dispatch.Shed
+	case errkind.TargetUnreachable:
+		return dispatch.Unreachable
+	case errkind.Cancelled, errkind.DeadlineUnmeetable:
+		return dispatch.CancelledByCaller
+	}
+	return dispatch.Failed
+}
--- /dev/null
+++ b/internal/request/proxy/reply.go
@@ -0,0 +1,131 @@
+package proxy
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+)
+
+// bufferedBytes of an answer are read before its first byte goes to the
+// caller: an answer that breaks off within them becomes a clean error.
+const bufferedBytes = 64 << 10
+
+// reply is an answer on its way to the caller.
+type reply struct {
+	status int
+	header http.Header
+	head   []byte        // first bytes of the body
+	rest   io.ReadCloser // what follows head, or nil
+	length int64         // -1 if unknown
+	end    func(err error)
+}
+
+// finish releases what the reply holds; err is nil if the whole answer
+// was read. It may be called more than once.
+func (r *reply) finish(err error) {
+	if r.rest != nil {
+		_ = r.rest.Close()
+		r.rest = nil
+	}
+	if r.end != nil {
+		end := r.end
+		r.end = nil
+		end(err)
+	}
+}
+
+// hopByHop headers end at each proxy (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeader copies src without the headers that end here.
+func copyHeader(src http.Header) http.Header {
+	out := src.Clone()
+	for _, value := range src["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// write sends the reply to the caller. If the answer breaks off after the
+// first byte went out, the connection is aborted: the caller must never see
+// a clean end of a short answer.
+func (r *reply) write(w http.ResponseWriter) {
+	h := w.Header()
+	for name, values := range r.header {
+		h[name] = values
+	}
+	if r.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.length, 10))
+	}
+	w.WriteHeader(r.status)
+	if err := r.copyBody(w); err != nil {
+		r.finish(err)
+		panic(http.ErrAbortHandler)
+	}
+	r.finish(nil)
+}
+
+func (r *reply) copyBody(w http.ResponseWriter) error {
+	if _, err := w.Write(r.head); err != nil {
+		return err
+	}
+	if r.rest == nil {
+		return nil
+	}
+	_, err := io.Copy(w, r.rest)
+	return err
+}
+
+// errorBody is the JSON form of an error answer.
+type errorBody struct {
+	Kind      errkind.Kind   `json:"kind"`
+	Message   string         `json:"message"`
+	DidRun    errkind.DidRun `json:"did_run"`
+	RequestID string         `json:"request_id"`
+}
+
+// defaultRetryAfter is the hint on answers that may be tried again.
+const defaultRetryAfter = time.Second
+
+// errorReply turns err into the answer of its kind.
+func errorReply(id string, err error) *reply {
+	kind := errkind.Of(err)
+	a := kind.Answer()
+	body, _ := json.Marshal(errorBody{Kind: kind, Message: err.Error(), DidRun: a.DidRun, RequestID: id})
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequestID, id)
+	h.Set(headerKind, string(kind))
+	if a.DidRun == errkind.No {
+		h.Set(HeaderNotRun, "true")
+	}
+	if a.Retry {
+		h.Set("Retry-After", retryAfterSeconds(err))
+	}
+	body = append(body, '\n')
+	return &reply{status: a.Status, header: h, head: body, length: int64(len(body))}
+}
+
+func retryAfterSeconds(err error) string {
+	after, ok := dispatch.RetryAfter(err)
+	if !ok {
+		after = defaultRetryAfter
+	}
+	seconds := int64((after + time.Second - 1) / time.Second)
+	return strconv.FormatInt(max(seconds, 1), 10)
+}
--- /dev/null
+++ b/internal/request/proxy/roundtrip.go
@@ -0,0 +1,191 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+)
+
+// exchange is one request to a target or to another entry.
+type exchange struct {
+	transport http.RoundTripper
+	scheme    string
+	addr      string
+	header    http.Header
+	replay    bool // the transport may send the request again by itself
+	onWritten func()
+}
+
+// written records how far a request got onto the wire.
+type written struct{ head, all atomic.Bool }
+
+// do sends the call and reads the head of the answer. The error kind says
+// whether a byte was sent: TargetUnreachable proves that none was.
+func (x *exchange) do(ctx context.Context, c *call) (*reply, error) {
+	var sent written
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { sent.head.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			sent.all.Store(info.Err == nil)
+			if x.onWritten != nil {
+				x.onWritten()
+			}
+		},
+	})
+	req, err := x.request(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := x.transport.RoundTrip(req)
+	if err != nil {
+		return nil, sendError(ctx, err, sent.head.Load())
+	}
+	return readHead(ctx, c, resp)
+}
+
+func (x *exchange) request(ctx context.Context, c *call) (*http.Request, error) {
+	u, err := url.ParseRequestURI(c.path)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "request path")
+	}
+	u.Scheme, u.Host = x.scheme, x.addr
+	req, err := http.NewRequestWithContext(ctx, c.method, u.String(), x.body(c))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "request to %s", x.addr)
+	}
+	req.ContentLength = int64(len(c.body))
+	req.GetBody = nil
+	req.Header = x.header
+	return req, nil
+}
+
+// onceReader hides the body's type. net/http sends a request with a body
+// that it cannot rewind only once; it would repeat others by itself when a
+// reused connection fails, even after the target has read them.
+type onceReader struct{ io.Reader }
+
+func (x *exchange) body(c *call) io.Reader {
+	if x.replay && len(c.body) == 0 {
+		return nil
+	}
+	return onceReader{bytes.NewReader(c.body)}
+}
+
+func sendError(ctx context.Context, err error, headSent bool) error {
+	switch {
+	case !headSent && ctx.Err() == nil:
+		return errkind.Wrap(errkind.TargetUnreachable, err, "nothing was sent")
+	case !headSent:
+		return errkind.Wrap(errkind.DeadlineUnmeetable, err, "nothing was sent before the deadline")
+	case errors.Is(context.Cause(ctx), errLeaseLapsed):
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "the lease lapsed while the request was sent")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errkind.Wrap(errkind.DeadlineExceeded, err, "no answer before the deadline")
+	case ctx.Err() != nil:
+		return errkind.Wrap(errkind.Cancelled, err, "the request was cancelled")
+	}
+	return errkind.Wrap(errkind.TargetFailed, err, "no answer after the request was sent")
+}
+
+// errLeaseLapsed cancels a request that went out after the budget lease that
+// admitted it had expired.
+var errLeaseLapsed = errors.New("budget lease expired during the send")
+
+// readHead checks that the answer belongs to the call and that its end can
+// be recognised, and reads its first bytes.
+func readHead(ctx context.Context, c *call, resp *http.Response) (*reply, error) {
+	if echoed := resp.Header.Get(HeaderRequestID); echoed != "" && echoed != c.id {
+		resp.Body.Close()
+		return nil, errkind.New(errkind.AnswerMismatch, "the answer names request %q instead of %q", echoed, c.id)
+	}
+	if endsByClose(resp) {
+		resp.Body.Close()
+		return nil, errkind.New(errkind.AnswerBroken, "the answer has neither a length nor chunks, so it cannot be proved whole")
+	}
+	r := &reply{status: resp.StatusCode, header: copyHeader(resp.Header), length: resp.ContentLength, rest: resp.Body}
+	buf := make([]byte, headBuffer(resp.ContentLength))
+	n, err := io.ReadFull(resp.Body, buf)
+	r.head = buf[:n]
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && whole(resp, n):
+		resp.Body.Close()
+		r.rest, r.length = nil, int64(n)
+		if c.method == http.MethodHead {
+			r.length = resp.ContentLength
+		}
+	case err != nil:
+		resp.Body.Close()
+		return nil, readError(ctx, err)
+	case int64(n) == resp.ContentLength:
+		resp.Body.Close()
+		r.rest = nil
+	}
+	return r, nil
+}
+
+func readError(ctx context.Context, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errkind.Wrap(errkind.DeadlineExceeded, err, "the answer was not complete before the deadline")
+	}
+	return errkind.Wrap(errkind.AnswerBroken, err, "the answer broke off")
+}
+
+func headBuffer(length int64) int64 {
+	if length >= 0 && length < bufferedBytes {
+		return length
+	}
+	return bufferedBytes
+}
+
+// whole tells a short read of a chunked body that ended properly from one
+// that broke off: ReadFull reports both as io.ErrUnexpectedEOF.
+func whole(resp *http.Response, n int) bool {
+	if resp.ContentLength >= 0 {
+		return int64(n) == resp.ContentLength
+	}
+	_, err := resp.Body.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+func endsByClose(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && resp.ProtoMajor == 1
+}
+
+// targetHeader returns the header that goes to a target.
+func (c *call) targetHeader(now time.Time) http.Header {
+	h := copyHeader(c.header)
+	for _, name := range internalHeaders {
+		h.Del(name)
+	}
+	h.Set(HeaderRequestID, c.id)
+	h.Set(HeaderDeadline, millisLeft(c.left(now)))
+	return h
+}
+
+// peerHeader returns the header that goes to another entry.
+func (c *call) peerHeader(self string, remote, recorded bool, now time.Time) http.Header {
+	h := c.targetHeader(now)
+	h.Set(HeaderService, c.service.Name)
+	h.Set(headerForwardedBy, self)
+	h.Set(headerHops, strconv.Itoa(c.hops+1))
+	if remote {
+		h.Set(headerRemote, "1")
+	}
+	if recorded {
+		h.Set(headerRecorded, "1")
+	}
+	return h
+}
+
+func millisLeft(d time.Duration) string {
+	return strconv.FormatInt(max(d.Milliseconds(), 1), 10)
+}
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -59,6 +59,7 @@
 	QueueLimit      int          `yaml:"queue_limit,omitempty"`
 	DispatchShards  int          `yaml:"dispatch_shards,omitempty"`
 	DefaultDeadline Duration     `yaml:"default_deadline,omitempty"`
+	MaxDeadline     Duration     `yaml:"max_deadline,omitempty"` // longest admitted deadline; default: the global limit
 	MaxBodyBytes    int64        `yaml:"max_body_bytes,omitempty"`
 	Warmup          Duration     `yaml:"warmup,omitempty"`
 	LongShare       int          `yaml:"long_share_percent,omitempty"`
--- a/internal/version/document/validate.go
+++ b/internal/version/document/validate.go
@@ -194,6 +194,7 @@
 	inRange(v, full.LongShare, 1, 100, at("long_share_percent")...)
 	inRange(v, full.MaxBodyBytes, 1, maxBodyBytes, at("max_body_bytes")...)
 	v.duration(full.DefaultDeadline, minDeadline, maxDeadline, at("default_deadline")...)
+	v.duration(full.MaxDeadline, 0, maxDeadline, at("max_deadline")...)
 	v.duration(full.Warmup, 0, maxWarmup, at("warmup")...)
 	inRange(v, full.Retry.BudgetPercent, 0, 100, at("retry", "budget_percent")...)
 	inRange(v, full.Retry.MaxAttempts, 1, maxRetryAttempts, at("retry", "max_attempts")...)
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -68,6 +69,16 @@
 	return false
 }
 
+// LongestDeadline returns the longest deadline that requests of the service
+// are admitted with.
+func (s *Snapshot) LongestDeadline(svc *Service) time.Duration {
+	longest := s.Limits.LongestDeadline.D()
+	if own := svc.MaxDeadline.D(); own > 0 {
+		return min(own, longest)
+	}
+	return longest
+}
+
 // Build compiles a snapshot. It fails with InvalidDocument if a section does
 // not parse; the document as a whole was validated when it was accepted.
 func Build(version uint64, sections []*fescuepb.Section, members []*fescuepb.Member, blocks *fescuepb.BlockTable) (*Snapshot, error) {
