dispatch: count unmarked stragglers as long work

Cause: a history route that the document does not mark long took slots ahead of the queue, and short requests waited behind it.

Change: a running request that exceeds 8 times the median of the group's short work counts as long from then on. A route whose requests mostly do so (more than half of an average over about ten) is long from the start, and is short again when fewer than a fifth do. If 64 such requests in a row complete without a short one between them, the whole service became slower, and the classes are learned anew.

Ruled out: comparing a request with its own route only; a route that always runs long would look normal.

--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -18,22 +18,23 @@
 
 // Request is one piece of work in a Group.
 type Request struct {
-	work     Work
-	state    state
-	long     bool // counts as long now
-	seq      uint64
-	arrived  time.Duration
-	started  time.Duration
-	deadline time.Duration
-	pos      int // in its queue or in target.running
-	target   *target
-	info     TargetInfo // of target, at the start
-	route    *route
-	reason   string
-	refusal  *Refusal
-	hedge    bool // is a hedge of another request
-	hedged   bool // has had a hedge
-	ready    chan struct{}
+	work      Work
+	state     state
+	long      bool // counts as long now
+	straggled bool // became long while running
+	seq       uint64
+	arrived   time.Duration
+	started   time.Duration
+	deadline  time.Duration
+	pos       int // in its queue or in target.running
+	target    *target
+	info      TargetInfo // of target, at the start
+	route     *route
+	reason    string
+	refusal   *Refusal
+	hedge     bool // is a hedge of another request
+	hedged    bool // has had a hedge
+	ready     chan struct{}
 }
 
 // Group is the state of one dispatch group. It is not safe for concurrent
@@ -292,6 +293,7 @@
 	}
 	r.target.goodSince++
 	r.route.run.record(o.Latency)
+	g.judgeRoute(r, o.Latency)
 	g.routes.record(r.long, o.Latency)
 }
 
@@ -315,6 +317,7 @@
 // used.
 func (g *Group) Tick(now time.Time) {
 	at := g.at(now)
+	g.reclassify(at)
 	g.expire(at, &g.short)
 	g.expire(at, &g.long)
 	g.fill(at)
--- a/internal/request/dispatch/measure_test.go
+++ b/internal/request/dispatch/measure_test.go
@@ -64,7 +64,7 @@
 		bound       float64
 	}{
 		{"marked", "history", document.Long, false, 1.2},
-		{"unmarked", "history", document.Short, false, 0},
+		{"unmarked", "history", document.Short, false, 1.2},
 		{"same route", "short", document.Short, false, 0},
 		{"round robin", "history", document.Long, true, 0},
 	}
--- a/internal/request/dispatch/route.go
+++ b/internal/request/dispatch/route.go
@@ -65,6 +65,7 @@
 // route holds the estimates of one route.
 type route struct {
 	run    runTimes
+	share  mean          // of its requests that ran long
 	long   bool          // its requests mostly run long
 	probed time.Duration // last request that ran in spite of its estimate
 }
@@ -74,7 +75,9 @@
 type routes struct {
 	byKey    map[string]*route
 	overflow route
-	class    [2]mean // short, long
+	short    runTimes // of all short work
+	inferred int      // long requests in a row whose route is marked short
+	class    [2]mean  // short, long
 }
 
 func newRoutes() routes { return routes{byKey: map[string]*route{}} }
@@ -99,11 +102,14 @@
 }
 
 func (rs *routes) record(long bool, d time.Duration) {
-	rs.class[classIndex(long)].add(float64(d))
+	rs.class[classIndex(long)].add(float64(d), runWeight)
+	if !long {
+		rs.short.record(d)
+	}
 }
 
-// ewmaWeight is the weight of a new sample in the moving averages.
-const ewmaWeight = 0.05
+// runWeight is the weight of a new running time in the means of the classes.
+const runWeight = 0.05
 
 // mean is an exponentially weighted moving average.
 type mean struct {
@@ -111,9 +117,9 @@
 	n     int
 }
 
-func (m *mean) add(v float64) {
+func (m *mean) add(v, weight float64) {
 	m.n++
 	// The first samples are averaged plainly, so that the start value does
 	// not linger.
-	m.value += (v - m.value) * max(ewmaWeight, 1/float64(m.n))
+	m.value += (v - m.value) * max(weight, 1/float64(m.n))
 }
--- /dev/null
+++ b/internal/request/dispatch/straggler.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+)
+
+// Unmarked stragglers are requests of short routes that run long.
+const (
+	// With exponential running times 0.4 % of ordinary requests exceed 8
+	// times the median.
+	stragglerFactor  = 8
+	stragglerSamples = 4   // requests of a route before it may change class
+	mostlyLong       = 0.5 // share of stragglers that makes a route long
+	mostlyShort      = 0.2 // share below which it is short again
+	stragglerWeight  = 0.1 // of a new request in the share
+	// So many inferred long requests in a row, without a short one, mean that
+	// the whole service became slower.
+	shiftAfter = 64
+)
+
+// stragglerAfter returns the running time beyond which a request counts as
+// long, 0 while the typical time of short work is unknown.
+//
+// The typical time is that of all short work of the group: a route that
+// mostly runs long would hide in its own typical time.
+func (g *Group) stragglerAfter() time.Duration {
+	if g.routes.short.samples < stragglerSamples {
+		return 0
+	}
+	return stragglerFactor * g.routes.short.mid
+}
+
+// reclassify makes requests that have run for too long count as long work.
+func (g *Group) reclassify(at time.Duration) {
+	limit := g.stragglerAfter()
+	if limit == 0 {
+		return
+	}
+	for _, t := range g.targets {
+		for _, r := range t.running {
+			if r.long || at-r.started <= limit {
+				continue
+			}
+			r.long = true
+			r.straggled = true
+			g.longRun++
+			r.route.judge(true)
+		}
+	}
+}
+
+// judgeRoute lets a completed request count in the class of its route. A
+// reclassified one has counted already.
+func (g *Group) judgeRoute(r *Request, took time.Duration) {
+	limit := g.stragglerAfter()
+	if limit == 0 || r.work.Class == document.Long {
+		return
+	}
+	if !r.straggled {
+		r.route.judge(took > limit)
+	}
+	if took <= limit {
+		g.routes.inferred = 0
+		return
+	}
+	if g.routes.inferred++; g.routes.inferred >= shiftAfter {
+		g.routes.forgetClasses()
+	}
+}
+
+// forgetClasses makes every route short again and learns the typical time of
+// short work anew. Otherwise a service that became slower as a whole would
+// stay limited to the share of long work.
+func (rs *routes) forgetClasses() {
+	rs.inferred = 0
+	rs.short = runTimes{}
+	for _, rt := range rs.byKey {
+		rt.share, rt.long = mean{}, false
+	}
+	rs.overflow.share, rs.overflow.long = mean{}, false
+}
+
+// judge counts one request of the route and sets the class of later ones.
+func (rt *route) judge(straggled bool) {
+	v := 0.0
+	if straggled {
+		v = 1
+	}
+	rt.share.add(v, stragglerWeight)
+	switch {
+	case rt.share.n < stragglerSamples:
+	case rt.share.value > mostlyLong:
+		rt.long = true
+	case rt.share.value < mostlyShort:
+		rt.long = false
+	}
+}
