--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -18,22 +18,23 @@
 
 // Request is one piece of work in a Group.
 type Request struct {
-	work     Work
-	state    state
-	long     bool // counts as long now
-	seq      uint64
-	arrived  time.Duration
-	started  time.Duration
-	deadline time.Duration
-	pos      int // in its queue or in target.running
-	target   *target
-	info     TargetInfo // of target, at the start
-	route    *route
-	reason   string
-	refusal  *Refusal
-	hedge    bool // is a hedge of another request
-	hedged   bool // has had a hedge
-	ready    chan struct{}
+	work      Work
+	state     state
+	long      bool // counts as long now
+	straggled bool // became long while running
+	seq       uint64
+	arrived   time.Duration
+	started   time.Duration
+	deadline  time.Duration
+	pos       int // in its queue or in target.running
+	target    *target
+	info      TargetInfo // of target, at the start
+	route     *route
+	reason    string
+	refusal   *Refusal
+	hedge     bool // is a hedge of another request
+	hedged    bool // has had a hedge
+	ready     chan struct{}
 }
 
 // Group is the state of one dispatch group. It is not safe for concurrent
@@ -187,7 +188,7 @@
 		return ref
 	}
 	if g.mayPass(r) {
-		if ref := g.checkDeadline(at, r, 0); ref != nil {
+		if ref := g.checkDeadline(at, r, 0, r.route.run.low); ref != nil {
 			return ref
 		}
 		if t, reason := g.choose(at, r); t != nil {
@@ -215,7 +216,7 @@
 	if g.queuedCount() >= limit {
 		return refuse(errQueueFull, wait)
 	}
-	if ref := g.checkDeadline(at, r, wait); ref != nil {
+	if ref := g.checkDeadline(at, r, wait, r.route.run.high); ref != nil {
 		return ref
 	}
 	r.state = queued
@@ -291,7 +292,8 @@
 		o.Latency = at - r.started
 	}
 	r.target.goodSince++
-	r.route.record(o.Latency)
+	r.route.run.record(o.Latency)
+	g.judgeRoute(r, o.Latency)
 	g.routes.record(r.long, o.Latency)
 }
 
@@ -315,6 +317,7 @@
 // used.
 func (g *Group) Tick(now time.Time) {
 	at := g.at(now)
+	g.reclassify(at)
 	g.expire(at, &g.short)
 	g.expire(at, &g.long)
 	g.fill(at)
