--- /dev/null
+++ b/cmd/fescue-control/main.go
@@ -0,0 +1,40 @@
+// Command fescue-control runs a replica of the control plane.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/controlmain"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/integrii/flaggy"
+)
+
+var version = "dev" // set by the linker
+
+func main() {
+	config := "control.yaml"
+	flaggy.SetName("fescue-control")
+	flaggy.SetDescription("Replica of the fescuejunction control plane")
+	flaggy.SetVersion(version)
+	flaggy.String(&config, "c", "config", "settings file (YAML)")
+	flaggy.Parse()
+	if err := run(config); err != nil {
+		fmt.Fprintln(os.Stderr, "fescue-control:", err)
+		os.Exit(1)
+	}
+}
+
+func run(config string) error {
+	var s controlmain.Settings
+	if err := settings.Load(config, &s); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return controlmain.Run(ctx, &s, logging.New(os.Stderr, s.Log.Level, "fescue-control", s.Instance))
+}
--- /dev/null
+++ b/internal/process/control/auth.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"google.golang.org/grpc/metadata"
+)
+
+// Authenticator tells which team sent a call.
+type Authenticator interface {
+	// Team returns the team, or an error of kind Unauthenticated.
+	Team(ctx context.Context) (team string, err error)
+}
+
+// teamKey is the metadata key with the team on plaintext loopback links.
+const teamKey = "fescue-team"
+
+// LoopbackTeam takes the team from the metadata key fescue-team. It proves
+// nothing and is only for plaintext loopback; elsewhere it refuses.
+type LoopbackTeam struct{ Plaintext bool }
+
+// Team returns the team of the call.
+func (a LoopbackTeam) Team(ctx context.Context) (string, error) {
+	if !a.Plaintext {
+		return "", errkind.New(errkind.Unauthenticated, "no operator keys are configured")
+	}
+	values := metadata.ValueFromIncomingContext(ctx, teamKey)
+	if len(values) != 1 || values[0] == "" {
+		return "", errkind.New(errkind.Unauthenticated, "the call names no team")
+	}
+	return values[0], nil
+}
+
+// authorOf returns the calling team if it may change the section of team.
+func (s *Server) authorOf(ctx context.Context, team string) (string, error) {
+	caller, err := s.cfg.Auth.Team(ctx)
+	if err != nil {
+		return "", err
+	}
+	if caller != team {
+		return "", errkind.New(errkind.Forbidden, "team %q may not change the section of team %q", caller, team)
+	}
+	return caller, nil
+}
+
+// requirePlatform returns an error unless the platform team calls.
+func (s *Server) requirePlatform(ctx context.Context) error {
+	caller, err := s.cfg.Auth.Team(ctx)
+	if err != nil {
+		return err
+	}
+	if caller != document.PlatformTeam {
+		return errkind.New(errkind.Forbidden, "only team %q may do this, not team %q", document.PlatformTeam, caller)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/control/initial.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"context"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+)
+
+// InitialSection is a section to load into an empty state.
+type InitialSection struct {
+	Team string
+	YAML []byte
+}
+
+// LoadInitial creates the sections in order, unless a section that was not
+// loaded this way exists. The change identifiers are fixed, so replicas that
+// load at the same time create each section once. An invalid section fails
+// with InvalidDocument.
+func (s *Server) LoadInitial(ctx context.Context, sections []InitialSection) error {
+	if err := s.confirm(ctx); err != nil {
+		return err
+	}
+	if s.cfg.Machine.Edited(initialChangeID) {
+		return nil
+	}
+	for _, sec := range sections {
+		reply, err := s.change(ctx, &fescuepb.ApplyRequest{
+			Team: sec.Team, Yaml: sec.YAML, ChangeId: initialChangeID,
+		}, sec.Team)
+		if errkind.Of(err) == errkind.KeyReused {
+			continue // loaded before, from a file that has changed since
+		}
+		if err != nil {
+			return err
+		}
+		if len(reply.Problems) > 0 {
+			p := reply.Problems[0]
+			return errkind.New(errkind.InvalidDocument, "initial section of team %q, line %d: %s: %s", sec.Team, p.Line, p.Field, p.Message)
+		}
+	}
+	return nil
+}
+
+const initialChangeID = "initial-document"
--- /dev/null
+++ b/internal/process/control/operator.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
+)
+
+type operator struct {
+	fescuepb.UnimplementedOperatorServer
+	s *Server
+}
+
+// Apply changes the section of the calling team. Refusals by compare-and-set
+// and by validation are part of the reply.
+func (o *operator) Apply(ctx context.Context, r *fescuepb.ApplyRequest) (*fescuepb.ApplyReply, error) {
+	author, err := o.s.authorOf(ctx, r.Team)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	reply, err := o.s.change(ctx, r, author)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	o.s.logChange(r, author, reply)
+	return reply, nil
+}
+
+// change checks a request against the confirmed state, so that most refusals
+// need no log entry, and proposes it. The state machine checks it again.
+func (s *Server) change(ctx context.Context, r *fescuepb.ApplyRequest, author string) (*fescuepb.ApplyReply, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	if reply, err := s.cfg.Machine.Check(r); reply != nil || err != nil {
+		return reply, err
+	}
+	data, err := state.EncodeChange(r, author, time.Now().UnixMilli())
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "encode the change")
+	}
+	res, err := s.propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	return res.Apply, nil
+}
+
+func (s *Server) logChange(r *fescuepb.ApplyRequest, author string, reply *fescuepb.ApplyReply) {
+	s.cfg.Logger.WithFields(map[string]any{
+		"team": r.Team, "author": author, "change_id": r.ChangeId, "expected_revision": r.ExpectedRevision,
+		"revision": reply.Revision, "version": reply.Version, "repeated": reply.RepeatedChange,
+		"conflict": reply.Conflict != nil, "problems": len(reply.Problems),
+	}).Info("change decided")
+}
+
+// Validate checks the whole document with a proposed section.
+func (o *operator) Validate(ctx context.Context, r *fescuepb.ValidateRequest) (*fescuepb.ValidateReply, error) {
+	if _, err := o.s.cfg.Auth.Team(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := o.s.confirm(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	return &fescuepb.ValidateReply{Problems: o.s.cfg.Machine.Validate(r.Team, r.Yaml)}, nil
+}
+
+// Get returns sections as confirmed by a quorum.
+func (o *operator) Get(ctx context.Context, r *fescuepb.GetRequest) (*fescuepb.GetReply, error) {
+	if _, err := o.s.cfg.Auth.Team(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := o.s.confirm(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	version, sections := o.s.cfg.Machine.Sections(r.Team)
+	if r.Team != "" && len(sections) == 0 {
+		return nil, rpcError(errkind.New(errkind.NotFound, "team %q has no section", r.Team))
+	}
+	return &fescuepb.GetReply{Version: version, Sections: sections}, nil
+}
+
+// History returns the latest revisions of a section, newest first.
+func (o *operator) History(ctx context.Context, r *fescuepb.HistoryRequest) (*fescuepb.HistoryReply, error) {
+	if _, err := o.s.cfg.Auth.Team(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := o.s.confirm(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	return &fescuepb.HistoryReply{Revisions: o.s.cfg.Machine.History(r.Team, int(r.Limit))}, nil
+}
--- /dev/null
+++ b/internal/process/control/server.go
@@ -0,0 +1,158 @@
+// Package control is the server of the control plane: operator API, members
+// and watches, on top of the replicated state.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+)
+
+// proposeTimeout bounds a command whose caller set no earlier deadline.
+const proposeTimeout = 10 * time.Second
+
+// healthyFor is how long an advance of the counter proves contact with a
+// quorum.
+const healthyFor = 2 * time.Second
+
+// Config configures a server.
+type Config struct {
+	Instance string
+	Log      Log
+	Machine  *state.Machine
+	Auth     Authenticator
+	// Replicas returns the gRPC addresses of the other control replicas,
+	// which Status asks for their acknowledgements.
+	Replicas func() []string
+	Dial     func(addr string) (*grpc.ClientConn, error)
+	Logger   *logrus.Entry
+	Metrics  tally.Scope
+}
+
+// Server serves Operator, Members, Follow and ControlPeers.
+type Server struct {
+	cfg   Config
+	hub   *feed.Hub
+	peers *peerConns
+
+	mu       sync.Mutex
+	counter  uint64    // last one seen by Run
+	advanced time.Time // when it was seen first
+}
+
+// New returns a server; Run must be called for watches to be pushed.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	s.peers = newPeerConns(cfg.Dial)
+	s.hub = feed.NewHub(feed.Config{
+		Instance: cfg.Instance,
+		Source:   source{cfg.Machine, cfg.Log},
+	})
+	return s
+}
+
+// source is the content and counter that the hub serves.
+type source struct {
+	*state.Machine
+	log Log
+}
+
+func (s source) Counter() uint64 { return s.log.Counter() }
+
+// Register adds the services to a gRPC server.
+func (s *Server) Register(g *grpc.Server) {
+	fescuepb.RegisterOperatorServer(g, &operator{s: s})
+	fescuepb.RegisterMembersServer(g, &members{s: s})
+	fescuepb.RegisterFollowServer(g, &follow{s: s})
+	fescuepb.RegisterControlPeersServer(g, &controlPeers{s: s})
+}
+
+// Run pushes changes at once and the counter every feed.PushInterval, until
+// ctx ends. It then ends the watches.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.peers.close()
+	defer s.hub.Stop()
+	tick := time.NewTicker(feed.PushInterval)
+	defer tick.Stop()
+	pushed := uint64(0)
+	for {
+		changed := s.cfg.Log.Changed()
+		s.noteCounter(s.cfg.Log.Counter(), time.Now())
+		if v := s.cfg.Machine.Version(); v != pushed {
+			pushed = v
+			s.hub.Wake()
+		}
+		select {
+		case <-changed:
+		case <-tick.C:
+			s.hub.Wake()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Server) noteCounter(counter uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if counter > s.counter {
+		s.counter, s.advanced = counter, now
+	}
+}
+
+// Healthy reports whether the confirmed counter advanced recently.
+func (s *Server) Healthy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.advanced) < healthyFor
+}
+
+type follow struct {
+	fescuepb.UnimplementedFollowServer
+	s *Server
+}
+
+// Watch serves a follower.
+func (f *follow) Watch(stream grpc.BidiStreamingServer[fescuepb.WatchRequest, fescuepb.Update]) error {
+	return rpcError(f.s.hub.Watch(stream))
+}
+
+// propose runs a command and decodes its result.
+func (s *Server) propose(ctx context.Context, data []byte) (*fescuepb.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	out, _, err := s.cfg.Log.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	var res fescuepb.CommandResult
+	if err := proto.Unmarshal(out, &res); err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "decode the result of a command")
+	}
+	return &res, state.ResultError(&res)
+}
+
+// rpcError gives err the gRPC code of its kind.
+func rpcError(err error) error {
+	if err == nil {
+		return nil
+	}
+	if _, ok := status.FromError(err); ok {
+		return err
+	}
+	if ctxErr := status.FromContextError(err); ctxErr.Code() != 2 {
+		return ctxErr.Err()
+	}
+	kind := errkind.Of(err)
+	return status.Errorf(kind.Answer().Code, "%s: %s", kind, err)
+}
--- /dev/null
+++ b/internal/process/control/status.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+)
+
+// acksTimeout bounds how long Status waits for another replica.
+const acksTimeout = 500 * time.Millisecond
+
+type controlPeers struct {
+	fescuepb.UnimplementedControlPeersServer
+	s *Server
+}
+
+// Acks returns the acknowledgements that arrived at this replica.
+func (c *controlPeers) Acks(context.Context, *fescuepb.AcksRequest) (*fescuepb.AcksReply, error) {
+	reply := &fescuepb.AcksReply{}
+	for instance, ack := range c.s.hub.Acks.All() {
+		reply.Acks = append(reply.Acks, &fescuepb.Ack{
+			Instance: instance,
+			Version:  ack.Version,
+			AgeMs:    time.Since(ack.Heard).Milliseconds(),
+		})
+	}
+	return reply, nil
+}
+
+// Status returns the state of the control plane and of every member as
+// confirmed by a quorum, with the acknowledgements of all reachable replicas.
+func (o *operator) Status(ctx context.Context, _ *fescuepb.StatusRequest) (*fescuepb.StatusReply, error) {
+	if _, err := o.s.cfg.Auth.Team(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := o.s.confirm(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	return o.s.LocalStatus(ctx), nil
+}
+
+// LocalStatus returns the status as this replica knows it, which a quorum
+// need not have confirmed.
+func (s *Server) LocalStatus(ctx context.Context) *fescuepb.StatusReply {
+	acks := s.collectAcks(ctx)
+	reply := &fescuepb.StatusReply{
+		Version: s.cfg.Machine.Version(),
+		Counter: s.cfg.Log.Counter(),
+		Leader:  s.cfg.Log.LeaderAddr(),
+	}
+	for _, m := range s.cfg.Machine.Members() {
+		reply.Instances = append(reply.Instances, instanceStatus(m, acks))
+	}
+	return reply
+}
+
+func instanceStatus(m *fescuepb.Member, acks map[string]feed.Ack) *fescuepb.InstanceStatus {
+	ack, heard := acks[m.Instance]
+	st := &fescuepb.InstanceStatus{Member: m, LastHeardMs: -1}
+	if heard {
+		age := time.Since(ack.Heard)
+		st.VersionInForce = ack.Version
+		st.LastHeardMs = age.Milliseconds()
+		st.Alive = age < feed.AliveFor
+	}
+	return st
+}
+
+// collectAcks merges the acknowledgements of all replicas; the one heard
+// last wins. A replica that doesn't answer in time is left out.
+func (s *Server) collectAcks(ctx context.Context) map[string]feed.Ack {
+	ctx, cancel := context.WithTimeout(ctx, acksTimeout)
+	defer cancel()
+	all := s.hub.Acks.All()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, addr := range s.cfg.Replicas() {
+		wg.Go(func() {
+			reply, err := s.askAcks(ctx, addr)
+			if err != nil {
+				s.cfg.Logger.WithError(err).WithField("replica", addr).Warn("replica did not report its acknowledgements")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			mergeAcks(all, reply, time.Now())
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+func (s *Server) askAcks(ctx context.Context, addr string) (*fescuepb.AcksReply, error) {
+	conn, err := s.peers.get(addr)
+	if err != nil {
+		return nil, err
+	}
+	return fescuepb.NewControlPeersClient(conn).Acks(ctx, &fescuepb.AcksRequest{})
+}
+
+func mergeAcks(all map[string]feed.Ack, reply *fescuepb.AcksReply, now time.Time) {
+	for _, a := range reply.Acks {
+		heard := now.Add(-time.Duration(a.AgeMs) * time.Millisecond)
+		if old, ok := all[a.Instance]; !ok || heard.After(old.Heard) {
+			all[a.Instance] = feed.Ack{Version: a.Version, Heard: heard}
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/controlmain/admin.go
@@ -0,0 +1,46 @@
+package controlmain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/control"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+const adminTimeout = 10 * time.Second // of one admin request
+
+// serveAdmin serves /metrics, /healthz and /status until ctx ends.
+func serveAdmin(ctx context.Context, s *Settings, srv *control.Server, metricsHandler http.Handler) error {
+	lis, err := net.Listen("tcp", s.AdminAddr)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "listen on admin_addr")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metricsHandler)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
+		if !srv.Healthy() {
+			http.Error(w, "no quorum-confirmed counter", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) { writeStatus(w, r, srv) })
+	h := &http.Server{Handler: mux, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	return ignoreCancel(ctx, h.Serve(lis))
+}
+
+func writeStatus(w http.ResponseWriter, r *http.Request, srv *control.Server) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(srv.LocalStatus(r.Context()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/process/controlmain/initial.go
@@ -0,0 +1,61 @@
+package controlmain
+
+import (
+	"context"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/control"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"github.com/sirupsen/logrus"
+)
+
+const initialRetry = 500 * time.Millisecond
+
+// loadInitial loads the section files of initial_document once, if the state
+// has no section yet. Every replica may try: a section is only created, never
+// replaced.
+func loadInitial(ctx context.Context, s *Settings, srv *control.Server, log *logrus.Entry) error {
+	sections, err := readSections(s.InitialDocument)
+	if err != nil || len(sections) == 0 {
+		return err
+	}
+	for {
+		err := srv.LoadInitial(ctx, sections)
+		if err == nil || ctx.Err() != nil {
+			return nil
+		}
+		if errkind.Of(err) == errkind.InvalidDocument {
+			return err
+		}
+		log.WithError(err).Info("initial document not loaded yet")
+		select {
+		case <-time.After(initialRetry):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// readSections parses the section files. The platform section comes first,
+// because the others refer to it.
+func readSections(files []string) ([]control.InitialSection, error) {
+	var out []control.InitialSection
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.InvalidSettings, err, "initial_document")
+		}
+		src, problems := document.Parse(file, data)
+		if len(problems) > 0 {
+			return nil, errkind.New(errkind.InvalidDocument, "initial_document: %s", problems[0])
+		}
+		out = append(out, control.InitialSection{Team: src.Section.Team, YAML: data})
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		return out[i].Team == document.PlatformTeam && out[j].Team != document.PlatformTeam
+	})
+	return out, nil
+}
--- /dev/null
+++ b/internal/process/feed/acks.go
@@ -0,0 +1,109 @@
+package feed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+)
+
+const (
+	// AliveFor is how long an instance counts as alive after it was heard;
+	// followers acknowledge at least every two seconds.
+	AliveFor = 5 * time.Second
+	// forgetAfter bounds the acknowledgements that are kept.
+	forgetAfter = 10 * time.Minute
+)
+
+// Ack is the latest acknowledgement of an instance.
+type Ack struct {
+	Version uint64 // in force at the instance
+	Heard   time.Time
+	via     string // instance of the watch that it arrived on
+}
+
+// Acks collects the acknowledgements of followers and of instances behind
+// them.
+type Acks struct {
+	mu        sync.Mutex
+	latest    map[string]Ack
+	connected map[string]int // open watches by instance
+	swept     time.Time
+}
+
+// NewAcks returns an empty collection.
+func NewAcks() *Acks {
+	return &Acks{latest: map[string]Ack{}, connected: map[string]int{}}
+}
+
+// Connect notes an open watch of an instance until done is called.
+func (a *Acks) Connect(instance string) (done func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.connected[instance]++
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.connected[instance]--
+		if a.connected[instance] == 0 {
+			delete(a.connected, instance)
+		}
+	}
+}
+
+// Record takes the versions in force from a request and reports whether any
+// of them is news.
+func (a *Acks) Record(req *fescuepb.WatchRequest) bool {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	news := a.set(req.Instance, Ack{req.InForce, now, req.Instance})
+	for instance, version := range req.Behind {
+		news = a.set(instance, Ack{version, now, req.Instance}) || news
+	}
+	a.sweep(now)
+	return news
+}
+
+func (a *Acks) set(instance string, ack Ack) bool {
+	old, known := a.latest[instance]
+	a.latest[instance] = ack
+	return !known || old.Version != ack.Version
+}
+
+func (a *Acks) sweep(now time.Time) {
+	if now.Sub(a.swept) < forgetAfter {
+		return
+	}
+	a.swept = now
+	for instance, ack := range a.latest {
+		if now.Sub(ack.Heard) > forgetAfter {
+			delete(a.latest, instance)
+		}
+	}
+}
+
+// All returns every acknowledgement that is kept.
+func (a *Acks) All() map[string]Ack {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(map[string]Ack, len(a.latest))
+	for instance, ack := range a.latest {
+		out[instance] = ack
+	}
+	return out
+}
+
+// Behind returns the versions in force at instances that were heard within
+// AliveFor on a watch that is still open.
+func (a *Acks) Behind() map[string]uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]uint64{}
+	for instance, ack := range a.latest {
+		if a.connected[ack.via] > 0 && time.Since(ack.Heard) < AliveFor {
+			out[instance] = ack.Version
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/follow/watch.go
@@ -0,0 +1,111 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"google.golang.org/grpc"
+)
+
+const (
+	// ackInterval is how often versions in force are acknowledged when
+	// nothing changes.
+	ackInterval = 2 * time.Second
+	// ackDelay joins the acknowledgements of several instances into one.
+	ackDelay = 20 * time.Millisecond
+	// maxUpdateBytes bounds a full update.
+	maxUpdateBytes = 64 << 20
+)
+
+// watch is one stream from a source.
+type watch struct {
+	source
+	counters watchCounters
+	cancel   context.CancelFunc
+	acks     chan struct{}
+}
+
+// event is an update received on a watch, or the error that ended it.
+type event struct {
+	w   *watch
+	u   *fescuepb.Update
+	err error
+}
+
+// openWatch starts a watch that delivers to events until it is closed.
+func (f *Follower) openWatch(ctx context.Context, s source, events *ring.Ring[event]) *watch {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watch{source: s, cancel: cancel, acks: make(chan struct{}, 1)}
+	w.counters.progress = time.Now()
+	go func() {
+		err := f.receive(ctx, w, events)
+		_ = events.Put(ctx, event{w: w, err: err}) // fails only if the watch was closed
+	}()
+	return w
+}
+
+func (f *Follower) receive(ctx context.Context, w *watch, events *ring.Ring[event]) error {
+	stream, done, err := f.open(ctx, w.addr, f.request())
+	if err != nil {
+		return err
+	}
+	defer done()
+	go f.sendAcks(ctx, w, stream)
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := events.Put(ctx, event{w: w, u: u}); err != nil {
+			return err
+		}
+	}
+}
+
+// open dials a source and sends the first request. Each watch has its own
+// connection: gRPC would delay reconnecting a shared one after a failure.
+func (f *Follower) open(ctx context.Context, addr string, first *fescuepb.WatchRequest) (stream grpc.BidiStreamingClient[fescuepb.WatchRequest, fescuepb.Update], done func(), err error) {
+	conn, err := f.cfg.Dial(addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	done = func() { _ = conn.Close() }
+	stream, err = fescuepb.NewFollowClient(conn).Watch(ctx, grpc.MaxCallRecvMsgSize(maxUpdateBytes))
+	if err == nil {
+		err = stream.Send(first)
+	}
+	if err != nil {
+		done()
+		return nil, nil, err
+	}
+	return stream, done, nil
+}
+
+// sendAcks acknowledges changes soon after they happen, and everything at
+// least every ackInterval.
+func (f *Follower) sendAcks(ctx context.Context, w *watch, stream grpc.BidiStreamingClient[fescuepb.WatchRequest, fescuepb.Update]) {
+	tick := time.NewTicker(ackInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-w.acks:
+			time.Sleep(ackDelay)
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		if stream.Send(f.request()) != nil {
+			return
+		}
+	}
+}
+
+// acknowledge makes the watch send an acknowledgement.
+func (w *watch) acknowledge() {
+	select {
+	case w.acks <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/version/state/change.go
@@ -0,0 +1,243 @@
+package state
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"google.golang.org/protobuf/proto"
+)
+
+// CheckRequest returns an error of kind BadRequest if a change request is
+// malformed regardless of the state.
+func CheckRequest(r *fescuepb.ApplyRequest) error {
+	switch {
+	case r.Team == "" || len(r.Team) > maxNameBytes:
+		return errkind.New(errkind.BadRequest, "team: 1 to %d bytes are required", maxNameBytes)
+	case r.ChangeId == "" || len(r.ChangeId) > maxNameBytes:
+		return errkind.New(errkind.BadRequest, "change_id: 1 to %d bytes are required", maxNameBytes)
+	case len(r.Yaml) > MaxSectionBytes:
+		return errkind.New(errkind.BadRequest, "yaml: %d bytes exceed the limit of %d", len(r.Yaml), MaxSectionBytes)
+	case r.Delete && len(r.Yaml) > 0:
+		return errkind.New(errkind.BadRequest, "yaml: must be empty when a section is deleted")
+	}
+	return nil
+}
+
+// digest identifies the content of a change request.
+func digest(r *fescuepb.ApplyRequest) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	head := binary.BigEndian.AppendUint64(nil, r.ExpectedRevision)
+	if r.Delete {
+		head = append(head, 1)
+	}
+	_, _ = d.Write(head)
+	_, _ = d.Write(r.Yaml)
+	return d.Sum64()
+}
+
+// Check returns what Apply would answer to a change without changing
+// anything: a reply if the change is known, refused or invalid, otherwise
+// nil. The error kinds are those of CheckRequest and KeyReused.
+func (m *Machine) Check(r *fescuepb.ApplyRequest) (*fescuepb.ApplyReply, error) {
+	if err := CheckRequest(r); err != nil {
+		return nil, err
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	res, known := m.recall(r)
+	if !known {
+		_, res = m.judge(r)
+	}
+	if res == nil {
+		return nil, nil
+	}
+	return res.Apply, ResultError(res)
+}
+
+// Validate returns the findings on the whole document with the section of a
+// team replaced by yaml.
+func (m *Machine) Validate(team string, yaml []byte) []*fescuepb.FieldProblem {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, problems := m.validate(&fescuepb.ApplyRequest{Team: team, Yaml: yaml})
+	return problems
+}
+
+// ResultError returns the error in a command's result, if any.
+func ResultError(res *fescuepb.CommandResult) error {
+	if res.GetErrorKind() == "" {
+		return nil
+	}
+	return errkind.New(errkind.Kind(res.ErrorKind), "%s", res.Error)
+}
+
+// recall returns the first outcome of a change identifier.
+func (m *Machine) recall(r *fescuepb.ApplyRequest) (*fescuepb.CommandResult, bool) {
+	o := m.outcomes[outcomeKey{r.Team, r.ChangeId}]
+	if o == nil {
+		return nil, false
+	}
+	if o.Digest != digest(r) {
+		return refuse(errkind.KeyReused, fmt.Sprintf("change identifier %q was used for another change of team %q", r.ChangeId, r.Team)), true
+	}
+	return &fescuepb.CommandResult{Apply: &fescuepb.ApplyReply{
+		Revision:       o.Revision,
+		Version:        o.Version,
+		RepeatedChange: true,
+		Conflict:       o.Conflict,
+		Problems:       o.Problems,
+	}}, true
+}
+
+// judge decides on a change that is not known yet. A nil result means that
+// the change is acceptable; the source is nil for a deletion.
+func (m *Machine) judge(r *fescuepb.ApplyRequest) (*document.Source, *fescuepb.CommandResult) {
+	cur := m.view.Sections[r.Team]
+	if cur.GetRevision() != r.ExpectedRevision {
+		return nil, m.answer(r, &fescuepb.Conflict{
+			Revision: cur.GetRevision(),
+			Author:   cur.GetAuthor(),
+			ChangeId: cur.GetChangeId(),
+		}, nil)
+	}
+	if r.Delete && (cur == nil || cur.Deleted) {
+		return nil, refuse(errkind.NotFound, fmt.Sprintf("team %q has no section", r.Team))
+	}
+	src, problems := m.validate(r)
+	if len(problems) > 0 {
+		return nil, m.answer(r, nil, problems)
+	}
+	return src, nil
+}
+
+func (m *Machine) answer(r *fescuepb.ApplyRequest, c *fescuepb.Conflict, problems []*fescuepb.FieldProblem) *fescuepb.CommandResult {
+	return &fescuepb.CommandResult{Apply: &fescuepb.ApplyReply{
+		Revision: m.view.Sections[r.Team].GetRevision(),
+		Version:  m.view.Version,
+		Conflict: c,
+		Problems: problems,
+	}}
+}
+
+// validate checks the whole document as it would be after the change.
+func (m *Machine) validate(r *fescuepb.ApplyRequest) (*document.Source, []*fescuepb.FieldProblem) {
+	var src *document.Source
+	if !r.Delete {
+		var problems []document.Problem
+		src, problems = document.Parse(r.Team, r.Yaml)
+		if len(problems) == 0 && src.Section.Team != r.Team {
+			problems = append(problems, src.File.Problem([]any{"team"}, "%q is not the team %q that the change is for", src.Section.Team, r.Team))
+		}
+		if len(problems) > 0 {
+			return nil, pbProblems(problems)
+		}
+	}
+	var all []*document.Source
+	for _, team := range sortedKeys(m.sources) {
+		if team != r.Team {
+			all = append(all, m.sources[team])
+		}
+	}
+	if src != nil {
+		all = append(all, src)
+	}
+	return src, pbProblems(document.Validate(all))
+}
+
+func pbProblems(problems []document.Problem) []*fescuepb.FieldProblem {
+	var out []*fescuepb.FieldProblem
+	for _, p := range problems {
+		if len(out) == maxProblems {
+			break
+		}
+		out = append(out, &fescuepb.FieldProblem{File: p.File, Line: int32(p.Line), Field: p.Field, Message: strings.ToValidUTF8(p.Message, "?")})
+	}
+	return out
+}
+
+// applyChange decides on a change again, because other changes may have been
+// accepted since it was proposed.
+func (m *Machine) applyChange(index uint64, c *fescuepb.ApplyCommand) *fescuepb.CommandResult {
+	r := c.GetRequest()
+	if err := CheckRequest(r); err != nil {
+		return refuse(errkind.BadRequest, err.Error())
+	}
+	if res, known := m.recall(r); known {
+		return res
+	}
+	src, res := m.judge(r)
+	if res == nil {
+		res = m.accept(index, c, src)
+	}
+	if res.Apply != nil {
+		m.remember(&fescuepb.ChangeOutcome{
+			Team: r.Team, ChangeId: r.ChangeId, Digest: digest(r),
+			Revision: res.Apply.Revision, Version: res.Apply.Version,
+			Conflict: res.Apply.Conflict, Problems: res.Apply.Problems,
+		})
+	}
+	return res
+}
+
+func (m *Machine) accept(index uint64, c *fescuepb.ApplyCommand, src *document.Source) *fescuepb.CommandResult {
+	r := c.Request
+	s := &fescuepb.Section{
+		Team:           r.Team,
+		Revision:       r.ExpectedRevision + 1,
+		Yaml:           r.Yaml,
+		Author:         c.Author,
+		ChangeId:       r.ChangeId,
+		AcceptedUnixMs: c.AcceptedUnixMs,
+		Deleted:        r.Delete,
+		Version:        index,
+	}
+	m.view.SetSection(s)
+	m.history[r.Team] = append(m.history[r.Team], s)
+	if list := m.history[r.Team]; len(list) > maxHistory {
+		m.history[r.Team] = append([]*fescuepb.Section(nil), list[len(list)-maxHistory:]...)
+	}
+	if r.Delete {
+		delete(m.sources, r.Team)
+	} else {
+		m.sources[r.Team] = src
+	}
+	return &fescuepb.CommandResult{Apply: &fescuepb.ApplyReply{Revision: s.Revision, Version: index}}
+}
+
+// remember records the first outcome of a change identifier and forgets the
+// oldest beyond maxOutcomes.
+func (m *Machine) remember(o *fescuepb.ChangeOutcome) {
+	key := outcomeKey{o.Team, o.ChangeId}
+	m.outcomes[key] = o
+	m.order = append(m.order, key)
+	if len(m.order) > maxOutcomes {
+		delete(m.outcomes, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+// EncodeChange returns the command for a change request.
+func EncodeChange(r *fescuepb.ApplyRequest, author string, acceptedUnixMs int64) ([]byte, error) {
+	return proto.Marshal(&fescuepb.Command{Body: &fescuepb.Command_Apply{Apply: &fescuepb.ApplyCommand{
+		Request: r, Author: author, AcceptedUnixMs: acceptedUnixMs,
+	}}})
+}
+
+// Edited reports whether any change other than those with the given
+// identifier has been accepted.
+func (m *Machine) Edited(except string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, s := range m.view.Sections {
+		if s.ChangeId != except {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/version/state/machine.go
@@ -0,0 +1,232 @@
+// Package state is the replicated state machine of the control plane. It is
+// deterministic and does no I/O: replicas that apply the same commands hold
+// the same state and return the same results.
+package state
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"github.com/fescuejunction/fescuejunction/internal/version/view"
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds of the state.
+const (
+	maxHistory  = 100   // revisions kept per section
+	maxOutcomes = 16384 // change identifiers kept; two weeks at 1,100 changes a day
+	maxDeparted = 16384 // departed instance/incarnation pairs kept; four months at 120 a day
+	maxProblems = 50    // findings kept per refused change
+	// MaxSectionBytes bounds the YAML of one section.
+	MaxSectionBytes = 1 << 20
+	maxNameBytes    = 128 // of a change identifier, team or instance
+)
+
+// Machine is the replicated state. Its methods are safe for concurrent use;
+// one goroutine calls Apply and Restore.
+type Machine struct {
+	mu       sync.RWMutex
+	view     *view.View
+	history  map[string][]*fescuepb.Section // by team, oldest first
+	outcomes map[outcomeKey]*fescuepb.ChangeOutcome
+	order    []outcomeKey // of outcomes, oldest first
+	departed map[string]bool
+	left     []string // of departed, oldest first
+	sources  map[string]*document.Source
+}
+
+type outcomeKey struct{ team, changeID string }
+
+// New returns an empty machine at version 0.
+func New() *Machine {
+	return &Machine{
+		view:     view.New(),
+		history:  map[string][]*fescuepb.Section{},
+		outcomes: map[outcomeKey]*fescuepb.ChangeOutcome{},
+		departed: map[string]bool{},
+		sources:  map[string]*document.Source{},
+	}
+}
+
+// Apply executes the command in data, a fescuepb.Command, as log entry index
+// and returns an encoded fescuepb.CommandResult.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	res := m.apply(index, data)
+	res.Version = m.view.Version
+	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(res)
+	if err != nil {
+		return nil // only invalid UTF-8 fails, and commands with it do not decode
+	}
+	return out
+}
+
+func (m *Machine) apply(index uint64, data []byte) *fescuepb.CommandResult {
+	var cmd fescuepb.Command
+	if err := proto.Unmarshal(data, &cmd); err != nil {
+		return refuse(errkind.Internal, "the command does not decode")
+	}
+	switch body := cmd.Body.(type) {
+	case *fescuepb.Command_Apply:
+		return m.applyChange(index, body.Apply)
+	case *fescuepb.Command_Join:
+		return m.join(index, body.Join.GetMember())
+	case *fescuepb.Command_Leave:
+		return m.leave(index, body.Leave)
+	case *fescuepb.Command_BlockTable:
+		return m.setBlocks(index, body.BlockTable)
+	}
+	return refuse(errkind.Internal, "the command is not known")
+}
+
+func refuse(kind errkind.Kind, message string) *fescuepb.CommandResult {
+	return &fescuepb.CommandResult{ErrorKind: string(kind), Error: message}
+}
+
+func (m *Machine) setBlocks(index uint64, t *fescuepb.BlockTable) *fescuepb.CommandResult {
+	t.Version = index
+	m.view.SetBlocks(t, index)
+	return &fescuepb.CommandResult{}
+}
+
+// Version returns the index of the last command that changed the content.
+func (m *Machine) Version() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.Version
+}
+
+// Since returns the update from version base to the present one.
+func (m *Machine) Since(base uint64) *fescuepb.Update {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.Since(base)
+}
+
+// Sections returns the version and its sections, or only that of team if it
+// is not empty. Deleted sections are left out.
+func (m *Machine) Sections(team string) (uint64, []*fescuepb.Section) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if team == "" {
+		return m.view.Version, m.view.LiveSections()
+	}
+	s := m.view.Sections[team]
+	if s == nil || s.Deleted {
+		return m.view.Version, nil
+	}
+	return m.view.Version, []*fescuepb.Section{s}
+}
+
+// Members returns the members by instance.
+func (m *Machine) Members() []*fescuepb.Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.MemberList()
+}
+
+// History returns the newest revisions of a section, newest first. A limit
+// of 0 means all that are kept.
+func (m *Machine) History(team string, limit int) []*fescuepb.Section {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	list := m.history[team]
+	if limit <= 0 || limit > len(list) {
+		limit = len(list)
+	}
+	out := make([]*fescuepb.Section, 0, limit)
+	for i := len(list) - 1; len(out) < limit; i-- {
+		out = append(out, list[i])
+	}
+	return out
+}
+
+// Snapshot returns the encoded state, a fescuepb.StateImage. Equal states
+// have equal encodings.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	img := &fescuepb.StateImage{
+		Version:       m.view.Version,
+		Members:       m.view.MemberList(),
+		BlockTable:    m.view.Blocks,
+		BlocksChanged: m.view.BlocksChanged,
+		DeltaFloor:    m.view.Floor,
+		Departed:      m.left,
+	}
+	for _, team := range sortedKeys(m.view.Sections) {
+		img.Sections = append(img.Sections, m.view.Sections[team])
+		img.History = append(img.History, m.history[team]...)
+	}
+	for _, key := range m.order {
+		img.Outcomes = append(img.Outcomes, m.outcomes[key])
+	}
+	for _, instance := range sortedKeys(m.view.Removed) {
+		img.Removed = append(img.Removed, &fescuepb.RemovedMember{Instance: instance, Version: m.view.Removed[instance]})
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(img)
+}
+
+// Restore replaces the state by an encoded one.
+func (m *Machine) Restore(data []byte) error {
+	var img fescuepb.StateImage
+	if err := proto.Unmarshal(data, &img); err != nil {
+		return errkind.Wrap(errkind.CorruptLog, err, "decode the state snapshot")
+	}
+	fresh := New()
+	if err := fresh.load(&img); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view, m.history, m.sources = fresh.view, fresh.history, fresh.sources
+	m.outcomes, m.order = fresh.outcomes, fresh.order
+	m.departed, m.left = fresh.departed, fresh.left
+	return nil
+}
+
+func (m *Machine) load(img *fescuepb.StateImage) error {
+	for _, s := range img.Sections {
+		m.view.Sections[s.Team] = s
+		if s.Deleted {
+			continue
+		}
+		src, problems := document.Parse(s.Team, s.Yaml)
+		if len(problems) > 0 {
+			return errkind.New(errkind.CorruptLog, "section of team %q in the state snapshot: %s", s.Team, problems[0])
+		}
+		m.sources[s.Team] = src
+	}
+	for _, s := range img.History {
+		m.history[s.Team] = append(m.history[s.Team], s)
+	}
+	for _, member := range img.Members {
+		m.view.Members[member.Instance] = member
+	}
+	for _, r := range img.Removed {
+		m.view.Removed[r.Instance] = r.Version
+	}
+	for _, o := range img.Outcomes {
+		m.remember(o)
+	}
+	for _, pair := range img.Departed {
+		m.departed[pair] = true
+	}
+	m.left = img.Departed
+	m.view.Version, m.view.Floor = img.Version, img.DeltaFloor
+	m.view.Blocks, m.view.BlocksChanged = img.BlockTable, img.BlocksChanged
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/version/state/members.go
@@ -0,0 +1,101 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"google.golang.org/protobuf/proto"
+)
+
+// pairKey names one run of an instance.
+func pairKey(instance string, incarnation uint64) string {
+	return fmt.Sprintf("%s/%d", instance, incarnation)
+}
+
+// CheckMember returns an error of kind BadRequest if a member is malformed.
+func CheckMember(m *fescuepb.Member) error {
+	switch {
+	case m.GetInstance() == "" || len(m.GetInstance()) > maxNameBytes:
+		return errkind.New(errkind.BadRequest, "instance: 1 to %d bytes are required", maxNameBytes)
+	case m.Incarnation == 0:
+		return errkind.New(errkind.BadRequest, "incarnation: must not be 0")
+	case m.Role == fescuepb.Role_ROLE_UNSPECIFIED:
+		return errkind.New(errkind.BadRequest, "role: must be set")
+	}
+	return nil
+}
+
+// join admits a member. A new incarnation replaces the one before it; a
+// departed one is refused, and a leaving one stays leaving.
+func (m *Machine) join(index uint64, in *fescuepb.Member) *fescuepb.CommandResult {
+	if err := CheckMember(in); err != nil {
+		return refuse(errkind.BadRequest, err.Error())
+	}
+	if m.departed[pairKey(in.Instance, in.Incarnation)] {
+		return refuse(errkind.Conflict, fmt.Sprintf("incarnation %d of instance %q has left; a restarted process needs a new incarnation", in.Incarnation, in.Instance))
+	}
+	next := proto.Clone(in).(*fescuepb.Member)
+	next.JoinedVersion, next.ChangedVersion = index, index
+	if cur := m.view.Members[in.Instance]; cur != nil {
+		if cur.Incarnation == in.Incarnation {
+			next.JoinedVersion = cur.JoinedVersion
+			next.Leaving = next.Leaving || cur.Leaving
+			if sameMember(cur, next) {
+				return &fescuepb.CommandResult{}
+			}
+		} else {
+			m.depart(cur.Instance, cur.Incarnation)
+		}
+	}
+	m.view.SetMember(next)
+	return &fescuepb.CommandResult{}
+}
+
+func sameMember(a, b *fescuepb.Member) bool {
+	b = proto.Clone(b).(*fescuepb.Member)
+	b.ChangedVersion = a.ChangedVersion
+	return proto.Equal(a, b)
+}
+
+// leave marks a member as leaving or removes it. A leave that overtakes its
+// join still keeps the incarnation from coming back.
+func (m *Machine) leave(index uint64, r *fescuepb.LeaveRequest) *fescuepb.CommandResult {
+	if r.Instance == "" || len(r.Instance) > maxNameBytes || r.Incarnation == 0 {
+		return refuse(errkind.BadRequest, "instance and incarnation are required")
+	}
+	cur := m.view.Members[r.Instance]
+	present := cur != nil && cur.Incarnation == r.Incarnation
+	if r.Gone {
+		m.depart(r.Instance, r.Incarnation)
+		if present {
+			m.view.RemoveMember(r.Instance, index)
+		}
+		return &fescuepb.CommandResult{}
+	}
+	if !present {
+		return refuse(errkind.NotFound, fmt.Sprintf("incarnation %d of instance %q is not a member", r.Incarnation, r.Instance))
+	}
+	if !cur.Leaving {
+		next := proto.Clone(cur).(*fescuepb.Member)
+		next.Leaving, next.ChangedVersion = true, index
+		m.view.SetMember(next)
+	}
+	return &fescuepb.CommandResult{}
+}
+
+// depart records that an instance/incarnation pair never comes back and
+// forgets the oldest pairs beyond maxDeparted. A join that old cannot be
+// under way any more.
+func (m *Machine) depart(instance string, incarnation uint64) {
+	pair := pairKey(instance, incarnation)
+	if m.departed[pair] {
+		return
+	}
+	m.departed[pair] = true
+	m.left = append(m.left, pair)
+	if len(m.left) > maxDeparted {
+		delete(m.departed, m.left[0])
+		m.left = m.left[1:]
+	}
+}
--- /dev/null
+++ b/internal/version/view/view.go
@@ -0,0 +1,199 @@
+// Package view holds the replicated content that followers see (sections,
+// members, block table) at one version, and moves it between versions by
+// updates. Control replicas and relays use the same type, so a relay can
+// produce deltas as well.
+package view
+
+import (
+	"sort"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+)
+
+// maxRemoved bounds the removed members that a delta can name. With 120
+// replaced instances a day it covers a month; a follower that is further
+// behind gets a full update.
+const maxRemoved = 4096
+
+// View is the content at one version. Messages in it are shared with
+// updates and never changed in place. A View is not safe for concurrent use.
+type View struct {
+	Version       uint64
+	Sections      map[string]*fescuepb.Section // by team, deleted ones included
+	Members       map[string]*fescuepb.Member  // by instance
+	Blocks        *fescuepb.BlockTable
+	BlocksChanged uint64            // version that last changed Blocks
+	Removed       map[string]uint64 // instance to the version that removed it
+	Floor         uint64            // oldest version that a delta can start from
+}
+
+// New returns an empty view at version 0.
+func New() *View {
+	return &View{
+		Sections: map[string]*fescuepb.Section{},
+		Members:  map[string]*fescuepb.Member{},
+		Removed:  map[string]uint64{},
+	}
+}
+
+// SetSection puts s into the view; s.Version names the version.
+func (v *View) SetSection(s *fescuepb.Section) {
+	v.Sections[s.Team] = s
+	v.raise(s.Version)
+}
+
+// SetMember puts m into the view; m.ChangedVersion names the version.
+func (v *View) SetMember(m *fescuepb.Member) {
+	v.Members[m.Instance] = m
+	delete(v.Removed, m.Instance)
+	v.raise(m.ChangedVersion)
+}
+
+// RemoveMember takes an instance out of the view at a version.
+func (v *View) RemoveMember(instance string, version uint64) {
+	delete(v.Members, instance)
+	v.Removed[instance] = version
+	v.raise(version)
+	v.dropOldRemovals()
+}
+
+// SetBlocks puts a block table into the view at a version.
+func (v *View) SetBlocks(t *fescuepb.BlockTable, version uint64) {
+	v.Blocks = t
+	v.BlocksChanged = version
+	v.raise(version)
+}
+
+func (v *View) raise(version uint64) {
+	if version > v.Version {
+		v.Version = version
+	}
+}
+
+// dropOldRemovals forgets the oldest removals beyond maxRemoved. Deltas from
+// before a forgotten removal are not possible any more. Ties on the version
+// are forgotten together, so that the result does not depend on map order.
+func (v *View) dropOldRemovals() {
+	if len(v.Removed) <= maxRemoved {
+		return
+	}
+	versions := make([]uint64, 0, len(v.Removed))
+	for _, version := range v.Removed {
+		versions = append(versions, version)
+	}
+	sort.Slice(versions, func(i, j int) bool { return versions[i] < versions[j] })
+	v.Floor = max(v.Floor, versions[len(versions)-maxRemoved/2])
+	for instance, version := range v.Removed {
+		if version <= v.Floor {
+			delete(v.Removed, instance)
+		}
+	}
+}
+
+// Since returns the update that brings a follower from version base to the
+// view's version: a delta if possible, otherwise a full update. A follower
+// that is not behind gets an update without content.
+func (v *View) Since(base uint64) *fescuepb.Update {
+	if base >= v.Version {
+		return &fescuepb.Update{Base: v.Version, Version: v.Version}
+	}
+	if base < v.Floor {
+		base = 0
+	}
+	u := &fescuepb.Update{Base: base, Version: v.Version}
+	for _, s := range v.Sections {
+		if s.Version > base && (base > 0 || !s.Deleted) {
+			u.Sections = append(u.Sections, s)
+		}
+	}
+	for _, m := range v.Members {
+		if m.ChangedVersion > base {
+			u.Members = append(u.Members, m)
+		}
+	}
+	for instance, version := range v.Removed {
+		if base > 0 && version > base {
+			u.RemovedMembers = append(u.RemovedMembers, instance)
+		}
+	}
+	if v.Blocks != nil && v.BlocksChanged > base {
+		u.BlockTable = v.Blocks
+	}
+	sortUpdate(u)
+	return u
+}
+
+func sortUpdate(u *fescuepb.Update) {
+	sort.Slice(u.Sections, func(i, j int) bool { return u.Sections[i].Team < u.Sections[j].Team })
+	sort.Slice(u.Members, func(i, j int) bool { return u.Members[i].Instance < u.Members[j].Instance })
+	sort.Strings(u.RemovedMembers)
+}
+
+// Outcome says what an update did to a view.
+type Outcome int
+
+// The outcomes of Absorb.
+const (
+	Unchanged Outcome = iota // old, repeated or without content
+	Advanced                 // the view is at the update's version
+	Gap                      // the update starts beyond the view's version
+)
+
+// Absorb applies u. An update that does not lead to a higher version changes
+// nothing, so lost, repeated, reordered and old updates are harmless. A
+// delta may start below the view's version: it carries every object changed
+// since its base with the content at its version.
+func (v *View) Absorb(u *fescuepb.Update) Outcome {
+	if u.Version <= v.Version {
+		return Unchanged
+	}
+	if u.Base > v.Version {
+		return Gap
+	}
+	if u.Base == 0 {
+		v.reset(u.Version)
+	}
+	for _, s := range u.Sections {
+		v.SetSection(s)
+	}
+	for _, m := range u.Members {
+		v.SetMember(m)
+	}
+	for _, instance := range u.RemovedMembers {
+		v.RemoveMember(instance, u.Version)
+	}
+	if u.BlockTable != nil {
+		v.SetBlocks(u.BlockTable, u.Version)
+	}
+	v.Version = u.Version
+	return Advanced
+}
+
+// reset empties the view for a full update. Its removals are unknown, so
+// deltas can only start from the update's version.
+func (v *View) reset(version uint64) {
+	*v = *New()
+	v.Floor = version
+}
+
+// LiveSections returns the sections that are not deleted, by team.
+func (v *View) LiveSections() []*fescuepb.Section {
+	out := make([]*fescuepb.Section, 0, len(v.Sections))
+	for _, s := range v.Sections {
+		if !s.Deleted {
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Team < out[j].Team })
+	return out
+}
+
+// MemberList returns the members by instance.
+func (v *View) MemberList() []*fescuepb.Member {
+	out := make([]*fescuepb.Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
+	return out
+}
