Test the state, deltas and freshness of followers

Followers now drop counters that waited in the socket while the process was frozen, and a degraded watch is no acknowledgement.

Mutations tried, each made a test fail: no second decision in applyChange, no recall of change identifiers, conflicts not recorded, replaced incarnation not departed, Absorb without version check or gap check, reset without floor, first counter of a watch counted as an advance, relay passing on the highest counter, abandonAfter 2.2 s, install before confirmation, adopting from any peer, one advance confirming, an adopted version counting as uninterrupted.

--- a/internal/process/control/log.go
+++ b/internal/process/control/log.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 )
 
+// confirmTimeout bounds how long a call waits for a quorum before anything
+// was proposed. It covers the election of a leader.
+const confirmTimeout = 5 * time.Second
+
 // Log is the replicated log that the server proposes commands to; package
 // replica provides it.
 type Log interface {
@@ -28,9 +35,11 @@
 
 // confirm waits until everything accepted before the call is applied here.
 func (s *Server) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
 	index, err := s.cfg.Log.Read(ctx)
 	if err != nil {
-		return err
+		return errkind.Wrap(errkind.NotReady, err, "no quorum confirmed the state; nothing was changed")
 	}
 	for {
 		changed := s.cfg.Log.Changed()
@@ -40,7 +49,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return errkind.Wrap(errkind.NotReady, context.Cause(ctx), "the replica did not catch up; nothing was changed")
 		}
 	}
 }
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 )
@@ -147,12 +148,15 @@
 	if err == nil {
 		return nil
 	}
+	kind := errkind.Of(err)
+	if kind != errkind.Internal {
+		return status.Errorf(kind.Answer().Code, "%s: %s", kind, err)
+	}
+	if st := status.FromContextError(err); st.Code() != codes.Unknown {
+		return st.Err()
+	}
 	if _, ok := status.FromError(err); ok {
 		return err
 	}
-	if ctxErr := status.FromContextError(err); ctxErr.Code() != 2 {
-		return ctxErr.Err()
-	}
-	kind := errkind.Of(err)
-	return status.Errorf(kind.Answer().Code, "%s: %s", kind, err)
+	return status.Errorf(codes.Internal, "%s: %s", kind, err)
 }
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -17,9 +17,13 @@
 	s *Server
 }
 
-// Acks returns the acknowledgements that arrived at this replica.
+// Acks returns the acknowledgements that arrived at this replica, and its
+// own version.
 func (c *controlPeers) Acks(context.Context, *fescuepb.AcksRequest) (*fescuepb.AcksReply, error) {
-	reply := &fescuepb.AcksReply{}
+	reply := &fescuepb.AcksReply{Acks: []*fescuepb.Ack{{
+		Instance: c.s.cfg.Instance,
+		Version:  c.s.cfg.Machine.Version(),
+	}}}
 	for instance, ack := range c.s.hub.Acks.All() {
 		reply.Acks = append(reply.Acks, &fescuepb.Ack{
 			Instance: instance,
@@ -75,6 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, acksTimeout)
 	defer cancel()
 	all := s.hub.Acks.All()
+	all[s.cfg.Instance] = feed.Ack{Version: s.cfg.Machine.Version(), Heard: time.Now()}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, addr := range s.cfg.Replicas() {
--- a/internal/process/feed/hub.go
+++ b/internal/process/feed/hub.go
@@ -117,9 +117,11 @@
 	}
 	ctx, cancel := context.WithCancelCause(stream.Context())
 	defer cancel(nil)
-	h.acknowledge(first)
-	done := h.Acks.Connect(first.Instance)
-	defer done()
+	if !first.Degraded { // otherwise one answer is wanted and nothing is in force
+		h.acknowledge(first)
+		done := h.Acks.Connect(first.Instance)
+		defer done()
+	}
 	go func() {
 		for {
 			req, err := stream.Recv()
--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -1,86 +1,15 @@
 package follow
 
 import (
-	"context"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/memlog"
-	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
-	"github.com/fescuejunction/fescuejunction/internal/version/state"
-	"github.com/uber-go/tally/v4"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
-const platformYAML = `team: platform
-regions:
-  - name: south
-    data_centres: [dc1, dc2]
-`
-
-func dialPlain(addr string) (*grpc.ClientConn, error) {
-	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-}
-
-// serve starts a gRPC server with the registered services and returns its address.
-func serve(t *testing.T, register func(*grpc.Server)) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := grpc.NewServer()
-	register(g)
-	go func() { _ = g.Serve(lis) }()
-	t.Cleanup(g.Stop)
-	return lis.Addr().String()
-}
-
-func startControl(t *testing.T) (*control.Server, string) {
-	t.Helper()
-	machine := state.New()
-	log := memlog.New(machine, "")
-	srv := control.New(control.Config{
-		Instance: "control-1", Log: log, Machine: machine, Auth: control.LoopbackTeam{Plaintext: true},
-		Replicas: func() []string { return nil }, Dial: dialPlain, Logger: logging.Discard(), Metrics: tally.NoopScope,
-	})
-	go func() { _ = log.Run(t.Context()) }()
-	go func() { _ = srv.Run(t.Context()) }()
-	return srv, serve(t, srv.Register)
-}
-
-func newFollower(instance string, sources, peers []string) *Follower {
-	return New(Config{
-		Self:    &fescuepb.Member{Instance: instance, Region: "south", DataCentre: "dc1", Role: fescuepb.Role_ROLE_ENTRY, Incarnation: 1},
-		Sources: sources, Peers: peers, Dial: dialPlain, Store: new(snapshot.Store), Log: logging.Discard(), Metrics: tally.NoopScope,
-	})
-}
-
-func start(t *testing.T, f *Follower) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { defer close(done); _ = f.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
-}
-
-// eventually waits until cond holds.
-func eventually(t *testing.T, within time.Duration, what string, cond func() bool) {
-	t.Helper()
-	for end := time.Now().Add(within); !cond(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not within %v: %s", within, what)
-		}
-	}
-}
-
 // Guards against a follower that doesn't join or misses accepted changes.
 func TestFollowsControl(t *testing.T) {
+	t.Parallel()
 	srv, addr := startControl(t)
 	sections := []control.InitialSection{{Team: "platform", YAML: []byte(platformYAML)}}
 	if err := srv.LoadInitial(t.Context(), sections); err != nil {
@@ -97,3 +26,93 @@
 	}
 	eventually(t, time.Second, "no member after it left", func() bool { return f.cfg.Store.Load().Member("entry-1") == nil })
 }
+
+// Guards against a follower that a silently cut-off replica holds on an old
+// version: it must move within 1.5 s.
+func TestMovesFromCutOffSource(t *testing.T) {
+	t.Parallel()
+	a, b := newFakeSource(t, 10, 100), newFakeSource(t, 10, 100)
+	f := newFollower("entry-1", []string{a.addr, b.addr}, nil)
+	start(t, f)
+	eventually(t, 3*time.Second, "following", f.Confirmed)
+	if !a.watchedBy("entry-1") {
+		a, b = b, a
+	}
+	a.cutOff(true)
+	b.set(11)
+	eventually(t, 1500*time.Millisecond, "version of the other source", func() bool { return versionOf(f) == 11 })
+	eventually(t, time.Second, "confirmed by the other source", f.Confirmed)
+	eventually(t, 2*time.Second, "only one watch", func() bool { return !a.watchedBy("entry-1") })
+}
+
+// Guards against a restarted process that acts on the version of cut-off
+// replicas, alone, one after the other, or through a relay that moves
+// between them.
+func TestActsOnNothingUntilConfirmed(t *testing.T) {
+	t.Parallel()
+	var sources []*fakeSource
+	var addrs []string
+	for i := range uint64(3) {
+		s := newFakeSource(t, 10+i, 100*(i+1))
+		s.cutOff(true)
+		sources, addrs = append(sources, s), append(addrs, s.addr)
+	}
+	relay := newFollower("entry-1", addrs, nil)
+	start(t, relay)
+	behind := newFollower("entry-2", nil, []string{serve(t, relay.Register)})
+	start(t, behind)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if relay.Ready() || behind.Ready() || versionOf(relay) != 0 || versionOf(behind) != 0 {
+			t.Fatalf("acts on version %d, %d", versionOf(relay), versionOf(behind))
+		}
+	}
+	for _, s := range sources {
+		s.cutOff(false)
+	}
+	eventually(t, 4*time.Second, "ready", func() bool { return relay.Ready() && behind.Ready() })
+	if versionOf(relay) != 12 || versionOf(behind) != 12 {
+		t.Fatalf("versions %d, %d, want the highest one seen", versionOf(relay), versionOf(behind))
+	}
+}
+
+// Guards against a cut-off data centre in which a restarted entry can't
+// serve, and against a version that no uninterrupted process vouches for.
+func TestCutOffDataCentre(t *testing.T) {
+	t.Parallel()
+	src := newFakeSource(t, 10, 100)
+	peer := newFollower("entry-1", []string{src.addr}, nil)
+	start(t, peer)
+	eventually(t, 3*time.Second, "peer ready", peer.Ready)
+	src.stop()
+	restarted := newFollower("entry-2", []string{src.addr}, []string{serve(t, peer.Register)})
+	start(t, restarted)
+	eventually(t, degradedAfter+2*time.Second, "served by the peer", func() bool { return versionOf(restarted) == 10 })
+	if restarted.Confirmed() || restarted.uninterrupted() {
+		t.Fatal("a version taken from a peer counts as confirmed")
+	}
+	second := newFollower("entry-3", []string{src.addr}, []string{serve(t, restarted.Register)})
+	start(t, second)
+	time.Sleep(degradedAfter + 1500*time.Millisecond)
+	if second.Ready() {
+		t.Fatal("acts on the version of a peer that was itself restarted")
+	}
+}
+
+// Guards against entries behind a relay that miss changes or whose versions
+// in force don't reach control.
+func TestRelay(t *testing.T) {
+	t.Parallel()
+	src := newFakeSource(t, 10, 100)
+	relay := newFollower("entry-1", []string{src.addr}, nil)
+	start(t, relay)
+	behind := newFollower("entry-2", nil, []string{serve(t, relay.Register)})
+	start(t, behind)
+	eventually(t, 4*time.Second, "both ready", func() bool { return relay.Ready() && behind.Ready() })
+	src.set(11)
+	src.hub.Wake()
+	eventually(t, 500*time.Millisecond, "change at both", func() bool { return versionOf(relay) == 11 && versionOf(behind) == 11 })
+	eventually(t, time.Second, "acknowledgements at control", func() bool {
+		acks := src.hub.Acks.All()
+		return acks["entry-1"].Version == 11 && acks["entry-2"].Version == 11
+	})
+}
--- /dev/null
+++ b/internal/process/follow/helpers_test.go
@@ -0,0 +1,185 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/control"
+	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/memlog"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
+	"github.com/fescuejunction/fescuejunction/internal/version/view"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const platformYAML = `team: platform
+regions:
+  - name: south
+    data_centres: [dc1, dc2]
+`
+
+func dialPlain(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// serve starts a gRPC server with the registered services and returns its address.
+func serve(t *testing.T, register func(*grpc.Server)) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer()
+	register(g)
+	go func() { _ = g.Serve(lis) }()
+	t.Cleanup(g.Stop)
+	return lis.Addr().String()
+}
+
+func startControl(t *testing.T) (*control.Server, string) {
+	t.Helper()
+	machine := state.New()
+	log := memlog.New(machine, "")
+	srv := control.New(control.Config{
+		Instance: "control-1", Log: log, Machine: machine, Auth: control.LoopbackTeam{Plaintext: true},
+		Replicas: func() []string { return nil }, Dial: dialPlain, Logger: logging.Discard(), Metrics: tally.NoopScope,
+	})
+	go func() { _ = log.Run(t.Context()) }()
+	go func() { _ = srv.Run(t.Context()) }()
+	return srv, serve(t, srv.Register)
+}
+
+func newFollower(instance string, sources, peers []string) *Follower {
+	return New(Config{
+		Self:    &fescuepb.Member{Instance: instance, Region: "south", DataCentre: "dc1", Role: fescuepb.Role_ROLE_ENTRY, Incarnation: 1},
+		Sources: sources, Peers: peers, Dial: dialPlain, Store: new(snapshot.Store), Log: logging.Discard(), Metrics: tally.NoopScope,
+	})
+}
+
+func start(t *testing.T, f *Follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// eventually waits until cond holds.
+func eventually(t *testing.T, within time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// fakeSource is a source whose version and counter the test sets. It can be
+// cut off: it then serves what it has with a counter that stands still.
+type fakeSource struct {
+	fescuepb.UnimplementedFollowServer
+	fescuepb.UnimplementedMembersServer
+	hub  *feed.Hub
+	addr string
+	stop func()
+
+	mu      sync.Mutex
+	view    *view.View
+	counter uint64
+	cut     bool
+}
+
+func newFakeSource(t *testing.T, version, counter uint64) *fakeSource {
+	s := &fakeSource{view: view.New(), counter: counter}
+	s.hub = feed.NewHub(feed.Config{Instance: "fake", Source: s})
+	s.set(version)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer()
+	fescuepb.RegisterFollowServer(g, s)
+	fescuepb.RegisterMembersServer(g, s)
+	go func() { _ = g.Serve(lis) }()
+	s.addr, s.stop = lis.Addr().String(), g.Stop
+	t.Cleanup(g.Stop)
+	go s.run(t.Context())
+	return s
+}
+
+func (s *fakeSource) Watch(stream grpc.BidiStreamingServer[fescuepb.WatchRequest, fescuepb.Update]) error {
+	return s.hub.Watch(stream)
+}
+
+func (s *fakeSource) Join(context.Context, *fescuepb.JoinRequest) (*fescuepb.JoinReply, error) {
+	return &fescuepb.JoinReply{}, nil
+}
+
+func (s *fakeSource) run(ctx context.Context) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for range tick.C {
+		if ctx.Err() != nil {
+			return
+		}
+		s.mu.Lock()
+		if !s.cut {
+			s.counter++
+		}
+		s.mu.Unlock()
+		s.hub.Wake()
+	}
+}
+
+// set moves the source to a version.
+func (s *fakeSource) set(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetSection(&fescuepb.Section{Team: "platform", Yaml: []byte(platformYAML), Revision: version, Version: version})
+}
+
+func (s *fakeSource) cutOff(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+// watchedBy reports whether the instance has acknowledged on an open watch.
+func (s *fakeSource) watchedBy(instance string) bool {
+	_, ok := s.hub.Acks.Behind()[instance]
+	return ok
+}
+
+func (s *fakeSource) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Version
+}
+
+func (s *fakeSource) Counter() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counter
+}
+
+func (s *fakeSource) Since(base uint64) *fescuepb.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Since(base)
+}
+
+// versionOf returns the version in force at a follower.
+func versionOf(f *Follower) uint64 {
+	if s := f.cfg.Store.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
--- a/internal/process/follow/loop.go
+++ b/internal/process/follow/loop.go
@@ -61,13 +61,7 @@
 
 // step abandons watches whose counter stopped and opens the next one.
 func (l *loop) step(ctx context.Context, now time.Time) {
-	if l.current != nil && now.Sub(l.current.counters.progress) >= abandonAfter {
-		l.abandon(&l.current, "counter stopped", now)
-		l.openAt = now.Add(randomBetween(0, abandonJitter))
-	}
-	if l.candidate != nil && now.Sub(l.candidate.counters.progress) >= abandonAfter {
-		l.abandon(&l.candidate, "counter did not advance", now)
-	}
+	l.expire(now)
 	if l.candidate != nil || now.Before(l.openAt) {
 		return
 	}
@@ -78,6 +72,17 @@
 	}
 }
 
+// expire abandons watches whose counter stopped.
+func (l *loop) expire(now time.Time) {
+	if l.current != nil && now.Sub(l.current.counters.progress) >= abandonAfter {
+		l.abandon(&l.current, "counter stopped", now)
+		l.openAt = now.Add(randomBetween(0, abandonJitter))
+	}
+	if l.candidate != nil && now.Sub(l.candidate.counters.progress) >= abandonAfter {
+		l.abandon(&l.candidate, "counter did not advance", now)
+	}
+}
+
 // wakeAt returns when step must run again without an event.
 func (l *loop) wakeAt(now time.Time) time.Time {
 	at := now.Add(maxUpgrade)
@@ -130,7 +135,10 @@
 	l.candidate = l.f.openWatch(ctx, plan[rand.IntN(best)], l.events)
 }
 
+// handle takes an event. Watches expire first: after this process was
+// frozen, the counters that waited in its socket are old.
 func (l *loop) handle(ev event, now time.Time) {
+	l.expire(now)
 	slot := l.slotOf(ev.w)
 	if slot == nil {
 		return // the watch was closed
--- /dev/null
+++ b/internal/process/follow/pure_test.go
@@ -0,0 +1,149 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// Guards against a rule that cut-off replicas satisfy: whatever the order in
+// which watches are opened and counters arrive, directly or through a relay,
+// counters that stand still are no advance.
+func TestCutOffReplicasNeverConfirm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counters := rapid.SliceOfN(rapid.Uint64Range(0, 20), 1, 5).Draw(t, "counters")
+		relay := newFollower("relay", nil, nil)
+		var follower freshness
+		onRelay, direct, behind := &watchCounters{}, &watchCounters{}, &watchCounters{}
+		cut := rapid.SampledFrom(counters)
+		from := cut.Draw(t, "relay's source")
+		for range 50 {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				onRelay, from = &watchCounters{}, cut.Draw(t, "relay's source")
+			case 1:
+				direct = &watchCounters{}
+			case 2:
+				behind = &watchCounters{}
+			case 3:
+				relay.take(onRelay, &fescuepb.Update{Version: from, Counter: from}, time.Now())
+			case 4:
+				follower.observe(direct, cut.Draw(t, "counter of a new watch"), time.Now())
+				direct = &watchCounters{}
+			case 5:
+				follower.observe(behind, relaySource{relay}.Counter(), time.Now())
+			}
+			if follower.fresh(time.Now()) || direct.confirming() || behind.confirming() || relay.Ready() {
+				t.Fatal("confirmed by cut-off replicas")
+			}
+		}
+	})
+}
+
+// Guards against counters that count twice or again after a source switch.
+func TestFreshness(t *testing.T) {
+	now := time.Now()
+	var f freshness
+	first, second := &watchCounters{}, &watchCounters{}
+	for i, s := range []struct {
+		w       *watchCounters
+		counter uint64
+		advance bool
+	}{
+		{first, 0, false}, {first, 5, false}, {first, 5, false}, {first, 6, true}, {first, 4, false},
+		{second, 6, false}, {second, 6, false}, {first, 7, true}, {second, 7, false}, {second, 8, true},
+	} {
+		if got := f.observe(s.w, s.counter, now); got != s.advance {
+			t.Fatalf("step %d: advance %v", i, got)
+		}
+	}
+	if !first.confirming() || second.confirming() || !f.fresh(now.Add(confirmedFor-1)) || f.fresh(now.Add(confirmedFor)) {
+		t.Fatalf("advances %d, %d", first.advances, second.advances)
+	}
+}
+
+// Guards against versions that go down or content that differs from the
+// accepted one at a follower that switches between sources which lag, lose,
+// repeat and reorder updates.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := state.New()
+		f := newFollower("entry-1", nil, nil)
+		members := map[uint64]int{}
+		watches := []*watchCounters{{}, {}, {}}
+		var sent []*fescuepb.Update
+		for index := uint64(1); index < 40; index++ {
+			instance := fmt.Sprintf("e%d", rapid.IntRange(0, 4).Draw(t, "instance"))
+			cmd := &fescuepb.Command{Body: &fescuepb.Command_Join{Join: &fescuepb.JoinRequest{
+				Member: &fescuepb.Member{Instance: instance, Incarnation: index, Role: fescuepb.Role_ROLE_ENTRY},
+			}}}
+			if rapid.Bool().Draw(t, "leave") {
+				cmd.Body = &fescuepb.Command_Leave{Leave: &fescuepb.LeaveRequest{Instance: instance, Incarnation: m.Incarnation(instance), Gone: true}}
+			}
+			data, _ := proto.Marshal(cmd)
+			m.Apply(index, data)
+			members[m.Version()] = len(m.Members())
+			u := m.Since(f.request().Version)
+			u.Counter = index
+			sent = append(sent, u)
+			for range rapid.IntRange(0, 3).Draw(t, "deliveries") {
+				w := rapid.SampledFrom(watches).Draw(t, "watch")
+				before := versionOf(f)
+				f.take(w, rapid.SampledFrom(sent).Draw(t, "update"), time.Now())
+				now := versionOf(f)
+				if now < before || (now > 0 && !f.Ready()) {
+					t.Fatalf("version %d after %d", now, before)
+				}
+				if now > 0 && len(f.cfg.Store.Load().Members()) != members[now] {
+					t.Fatalf("version %d has %d members, want %d", now, len(f.cfg.Store.Load().Members()), members[now])
+				}
+			}
+		}
+	})
+}
+
+// Guards against a data centre without relays, with too many, or with
+// followers that have a single source.
+func TestPlanSources(t *testing.T) {
+	entry := func(i int, leaving bool) *fescuepb.Member {
+		return &fescuepb.Member{
+			Instance: fmt.Sprintf("e%d", i), DataCentre: "dc1", Role: fescuepb.Role_ROLE_ENTRY,
+			GrpcAddr: fmt.Sprintf("e%d:1", i), Leaving: leaving,
+		}
+	}
+	members := []*fescuepb.Member{
+		{Instance: "far", DataCentre: "dc2", Role: fescuepb.Role_ROLE_ENTRY, GrpcAddr: "far:1"},
+		{Instance: "c3", DataCentre: "dc1", Role: fescuepb.Role_ROLE_CONTROL, GrpcAddr: "c3:1"},
+	}
+	for i := range 6 {
+		members = append(members, entry(i, i >= 4))
+	}
+	direct := 0
+	for i := range 4 {
+		plan := planSources(entry(i, false), members, []string{"c1:1", "c2:1"}, []string{"old:1", "e1:1"})
+		if plan[0].kind == fromControl {
+			direct++
+		}
+		kinds := map[sourceKind]int{}
+		for _, s := range plan {
+			kinds[s.kind]++
+			if s.addr == fmt.Sprintf("e%d:1", i) || s.addr == "far:1" || s.addr == "e5:1" {
+				t.Errorf("entry %d plans to follow %v", i, s)
+			}
+		}
+		if kinds[fromControl] != 3 || len(plan) != 3+3+1 {
+			t.Errorf("entry %d: plan %v", i, plan)
+		}
+	}
+	if direct != relaysPerDataCentre {
+		t.Errorf("%d entries follow control directly", direct)
+	}
+	if plan := planSources(entry(0, false), nil, []string{"c1:1"}, []string{"e1:1"}); plan[0].kind != fromControl || len(plan) != 2 {
+		t.Errorf("plan without members: %v", plan)
+	}
+}
--- a/internal/version/state/members.go
+++ b/internal/version/state/members.go
@@ -99,3 +99,10 @@
 		m.left = m.left[1:]
 	}
 }
+
+// Incarnation returns the incarnation of a member, or 0.
+func (m *Machine) Incarnation(instance string) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.Members[instance].GetIncarnation()
+}
--- /dev/null
+++ b/internal/version/state/rapid_test.go
@@ -0,0 +1,138 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/view"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// drawCommand draws a command that often collides with earlier ones.
+func drawCommand(t *rapid.T, m *Machine) *fescuepb.Command {
+	instance := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(t, "instance"))
+	incarnation := uint64(rapid.IntRange(1, 4).Draw(t, "incarnation"))
+	switch rapid.IntRange(0, 4).Draw(t, "command") {
+	case 0:
+		return joinCmd(instance, incarnation)
+	case 1:
+		return leaveCmd(instance, incarnation, rapid.Bool().Draw(t, "gone"))
+	case 2:
+		return &fescuepb.Command{Body: &fescuepb.Command_BlockTable{BlockTable: &fescuepb.BlockTable{Blocks: incarnation}}}
+	}
+	team := rapid.SampledFrom([]string{"a", "b", "platform"}).Draw(t, "team")
+	revision := m.view.Sections[team].GetRevision()
+	if rapid.IntRange(0, 3).Draw(t, "stale") == 0 && revision > 0 {
+		revision--
+	}
+	id := fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(t, "id"))
+	yaml := shiftYAML(team, fmt.Sprintf("s%d", rapid.IntRange(0, 2).Draw(t, "shift")))
+	if team == "platform" {
+		yaml = platformYAML
+	}
+	if rapid.IntRange(0, 5).Draw(t, "delete") == 0 {
+		yaml = ""
+	}
+	return change(team, revision, id, yaml)
+}
+
+// Guards against replicas that diverge, in particular after one of them was
+// restored from a snapshot.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		for index := uint64(1); index < 25; index++ {
+			data, _ := proto.Marshal(drawCommand(t, a))
+			if !bytes.Equal(a.Apply(index, data), b.Apply(index, data)) {
+				t.Fatalf("results differ at index %d", index)
+			}
+			image, err := a.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				b = New()
+				if err := b.Restore(image); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if other, _ := b.Snapshot(); !bytes.Equal(image, other) {
+				t.Fatalf("states differ at index %d", index)
+			}
+		}
+	})
+}
+
+// Guards against a follower whose version goes down or whose content differs
+// from the full state at its version, when updates from several sources
+// (control and a relay) are lost, repeated, reordered and old.
+func TestDeltasEqualFullState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		full := map[uint64]*fescuepb.Update{}
+		relay, follower := view.New(), view.New()
+		var inFlight []*fescuepb.Update
+		for index := uint64(1); index < 40; index++ {
+			data, _ := proto.Marshal(drawCommand(t, m))
+			m.Apply(index, data)
+			full[m.Version()] = m.Since(0)
+			switch rapid.IntRange(0, 5).Draw(t, "relay") {
+			case 0, 1, 2:
+				relay.Absorb(m.Since(relay.Version))
+			case 3:
+				relay.Absorb(m.Since(0))
+			}
+			base := uint64(rapid.IntRange(0, int(m.Version())).Draw(t, "base"))
+			if rapid.Bool().Draw(t, "source") {
+				inFlight = append(inFlight, m.Since(base))
+			} else {
+				inFlight = append(inFlight, relay.Since(base))
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "deliveries") {
+				u := rapid.SampledFrom(inFlight).Draw(t, "update")
+				before := follower.Version
+				outcome := follower.Absorb(u)
+				if outcome == view.Gap && u.Base <= before {
+					t.Fatalf("update from %d refused at %d", u.Base, before)
+				}
+				if follower.Version < before || (outcome == view.Advanced) != (follower.Version > before) {
+					t.Fatalf("version %d after %d", follower.Version, before)
+				}
+				sameContent(t, follower, full)
+			}
+		}
+	})
+}
+
+func sameContent(t *rapid.T, v *view.View, full map[uint64]*fescuepb.Update) {
+	if v.Version == 0 {
+		return
+	}
+	want := full[v.Version]
+	got := &fescuepb.Update{Version: v.Version, Sections: v.LiveSections(), Members: v.MemberList(), BlockTable: v.Blocks}
+	if want == nil || !proto.Equal(got, want) {
+		t.Fatalf("version %d has other content:\n%v\n%v", v.Version, got, want)
+	}
+}
+
+// Guards against deltas that leave out a removal that was forgotten.
+func TestForgottenRemovalsGiveFullUpdates(t *testing.T) {
+	v, follower := view.New(), view.New()
+	for i := range uint64(6000) {
+		v.SetMember(&fescuepb.Member{Instance: fmt.Sprint(i), ChangedVersion: i + 1})
+	}
+	follower.Absorb(v.Since(0))
+	for i := range uint64(5000) {
+		v.RemoveMember(fmt.Sprint(i), 10_000+i)
+	}
+	if len(v.Removed) > 4096 {
+		t.Fatalf("%d removals kept", len(v.Removed))
+	}
+	follower.Absorb(v.Since(follower.Version))
+	if len(follower.Members) != 1000 {
+		t.Fatalf("%d members after the update", len(follower.Members))
+	}
+}
--- /dev/null
+++ b/internal/version/state/state_test.go
@@ -0,0 +1,204 @@
+package state
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"google.golang.org/protobuf/proto"
+)
+
+const platformYAML = "team: platform\nregions:\n  - name: south\n    data_centres: [dc1]\n  - name: north\n    data_centres: [dc2]\n"
+
+// shiftYAML is a section with one shift.
+func shiftYAML(team, shift string) string {
+	return fmt.Sprintf("team: %s\nshifts:\n  - {name: %s, cap: 5}\n", team, shift)
+}
+
+func run(t testing.TB, m *Machine, index uint64, cmd *fescuepb.Command) *fescuepb.CommandResult {
+	t.Helper()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var res fescuepb.CommandResult
+	if err := proto.Unmarshal(m.Apply(index, data), &res); err != nil {
+		t.Fatal(err)
+	}
+	return &res
+}
+
+func change(team string, revision uint64, id, yaml string) *fescuepb.Command {
+	return &fescuepb.Command{Body: &fescuepb.Command_Apply{Apply: &fescuepb.ApplyCommand{
+		Author: "author-of-" + id,
+		Request: &fescuepb.ApplyRequest{
+			Team: team, ExpectedRevision: revision, ChangeId: id, Yaml: []byte(yaml), Delete: yaml == "",
+		},
+	}}}
+}
+
+func joinCmd(instance string, incarnation uint64) *fescuepb.Command {
+	return &fescuepb.Command{Body: &fescuepb.Command_Join{Join: &fescuepb.JoinRequest{Member: &fescuepb.Member{
+		Instance: instance, Incarnation: incarnation, DataCentre: "dc1", Role: fescuepb.Role_ROLE_ENTRY,
+	}}}}
+}
+
+func leaveCmd(instance string, incarnation uint64, gone bool) *fescuepb.Command {
+	return &fescuepb.Command{Body: &fescuepb.Command_Leave{Leave: &fescuepb.LeaveRequest{
+		Instance: instance, Incarnation: incarnation, Gone: gone,
+	}}}
+}
+
+// Guards against a change that is applied twice, that overwrites the winner
+// of a race, or that makes the document invalid together with another one.
+func TestChanges(t *testing.T) {
+	type step struct {
+		cmd      *fescuepb.Command
+		revision uint64 // in the reply
+		repeated bool
+		conflict string // change identifier of the winner
+		problem  string
+		kind     errkind.Kind
+		advances bool
+	}
+	first := change("a", 0, "c1", shiftYAML("a", "s1"))
+	for name, steps := range map[string][]step{
+		"accepted in order": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("a", 1, "c2", shiftYAML("a", "s2")), revision: 2, advances: true},
+		},
+		"same revision twice: one winner, and the loser sees it": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("a", 0, "c2", shiftYAML("a", "s2")), revision: 1, conflict: "c1"},
+		},
+		"revision from the future": {
+			{cmd: change("a", 4, "c1", shiftYAML("a", "s1")), revision: 0, conflict: ""},
+		},
+		"resent change returns the first outcome after later changes": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("a", 1, "c2", shiftYAML("a", "s2")), revision: 2, advances: true},
+			{cmd: first, revision: 1, repeated: true},
+		},
+		"resent conflict stays a conflict with the first winner": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("a", 0, "c2", shiftYAML("a", "s2")), revision: 1, conflict: "c1"},
+			{cmd: change("a", 1, "c3", shiftYAML("a", "s3")), revision: 2, advances: true},
+			{cmd: change("a", 0, "c2", shiftYAML("a", "s2")), revision: 1, conflict: "c1", repeated: true},
+		},
+		"identifier reused for other content": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("a", 1, "c1", shiftYAML("a", "s2")), kind: errkind.KeyReused},
+		},
+		"same identifier of two teams": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("b", 0, "c1", shiftYAML("b", "s2")), revision: 1, advances: true},
+		},
+		"race between sections: the second would make the document invalid": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("b", 0, "c2", shiftYAML("b", "s1")), problem: "already exists"},
+			{cmd: change("a", 1, "c3", shiftYAML("a", "s9")), revision: 2, advances: true},
+			{cmd: change("b", 0, "c2", shiftYAML("b", "s1")), problem: "already exists", repeated: true},
+		},
+		"data centre in use by another team is removed": {
+			{cmd: change("a", 0, "c1", "team: a\nservices: [{name: x, data_centres: [dc2], slots_per_target: 1, routes: [{path: /}]}]\n"), revision: 1, advances: true},
+			{cmd: change("platform", 1, "c2", strings.Replace(platformYAML, "dc2", "dc3", 1)), revision: 1, problem: "does not exist"},
+		},
+		"section of another team in the YAML": {
+			{cmd: change("a", 0, "c1", shiftYAML("b", "s1")), problem: "is not the team"},
+		},
+		"deletion keeps the revision count": {
+			{cmd: first, revision: 1, advances: true},
+			{cmd: change("a", 1, "c2", ""), revision: 2, advances: true},
+			{cmd: change("a", 0, "c3", shiftYAML("a", "s1")), revision: 2, conflict: "c2"},
+			{cmd: change("a", 2, "c4", shiftYAML("a", "s1")), revision: 3, advances: true},
+		},
+		"no change identifier": {
+			{cmd: change("a", 0, "", shiftYAML("a", "s1")), kind: errkind.BadRequest},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			run(t, m, 1, change("platform", 0, "p", platformYAML))
+			for i, s := range steps {
+				index, before := uint64(10+i), m.Version()
+				res := run(t, m, index, s.cmd)
+				r := res.GetApply()
+				if errkind.Kind(res.ErrorKind) != s.kind || r.GetRevision() != s.revision || r.GetRepeatedChange() != s.repeated {
+					t.Fatalf("step %d: got %v", i, res)
+				}
+				if r.GetConflict().GetChangeId() != s.conflict || (s.conflict != "" && r.Conflict.Author != "author-of-"+s.conflict) {
+					t.Fatalf("step %d: conflict %v", i, r.Conflict)
+				}
+				if (s.problem != "") != (len(r.GetProblems()) > 0) || (s.problem != "" && !strings.Contains(r.Problems[0].Message, s.problem)) {
+					t.Fatalf("step %d: problems %v", i, r.GetProblems())
+				}
+				if want := map[bool]uint64{true: index, false: before}[s.advances]; m.Version() != want {
+					t.Fatalf("step %d: version %d, want %d", i, m.Version(), want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a departed process that comes back, and against leaves and
+// joins of one run that act on another.
+func TestMembers(t *testing.T) {
+	for name, c := range map[string]struct {
+		cmds []*fescuepb.Command
+		want string // instance/incarnation of the member, "leaving" added
+		last errkind.Kind
+	}{
+		"join":                         {[]*fescuepb.Command{joinCmd("e", 1)}, "e/1", ""},
+		"join again":                   {[]*fescuepb.Command{joinCmd("e", 1), joinCmd("e", 1)}, "e/1", ""},
+		"gone":                         {[]*fescuepb.Command{joinCmd("e", 1), leaveCmd("e", 1, true)}, "", ""},
+		"late join after gone":         {[]*fescuepb.Command{joinCmd("e", 1), leaveCmd("e", 1, true), joinCmd("e", 1)}, "", errkind.Conflict},
+		"leave overtakes join":         {[]*fescuepb.Command{leaveCmd("e", 1, true), joinCmd("e", 1)}, "", errkind.Conflict},
+		"replaced":                     {[]*fescuepb.Command{joinCmd("e", 1), joinCmd("e", 2)}, "e/2", ""},
+		"late join of a replaced run":  {[]*fescuepb.Command{joinCmd("e", 1), joinCmd("e", 2), joinCmd("e", 1)}, "e/2", errkind.Conflict},
+		"late leave of a replaced run": {[]*fescuepb.Command{joinCmd("e", 1), joinCmd("e", 2), leaveCmd("e", 1, true)}, "e/2", ""},
+		"leaving stays after a join":   {[]*fescuepb.Command{joinCmd("e", 1), leaveCmd("e", 1, false), joinCmd("e", 1)}, "e/1 leaving", ""},
+		"leaving of an unknown run":    {[]*fescuepb.Command{joinCmd("e", 1), leaveCmd("e", 2, false)}, "e/1", errkind.NotFound},
+		"no incarnation":               {[]*fescuepb.Command{joinCmd("e", 0)}, "", errkind.BadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			var last *fescuepb.CommandResult
+			for i, cmd := range c.cmds {
+				last = run(t, m, uint64(i+1), cmd)
+			}
+			got := ""
+			for _, member := range m.Members() {
+				got += pairKey(member.Instance, member.Incarnation)
+				if member.Leaving {
+					got += " leaving"
+				}
+			}
+			if got != c.want || errkind.Kind(last.ErrorKind) != c.last {
+				t.Fatalf("members %q, result %v", got, last)
+			}
+		})
+	}
+}
+
+// Guards against state that grows with the number of changes and restarts.
+func TestBounds(t *testing.T) {
+	m := New()
+	for i := range maxOutcomes + 10 {
+		m.remember(&fescuepb.ChangeOutcome{Team: "a", ChangeId: fmt.Sprint(i)})
+		m.depart("e", uint64(i))
+	}
+	if len(m.outcomes) != maxOutcomes || len(m.order) != maxOutcomes || m.outcomes[outcomeKey{"a", "9"}] != nil || m.outcomes[outcomeKey{"a", "10"}] == nil {
+		t.Fatalf("%d outcomes", len(m.outcomes))
+	}
+	if len(m.departed) != maxDeparted || len(m.left) != maxDeparted || m.departed["e/9"] || !m.departed["e/10"] {
+		t.Fatalf("%d departed", len(m.departed))
+	}
+	for i := range uint64(maxHistory + 5) {
+		run(t, m, i+1, change("a", i, fmt.Sprintf("h%d", i), shiftYAML("a", "s")))
+	}
+	if got := m.History("a", 0); len(got) != maxHistory || got[0].Revision != maxHistory+5 {
+		t.Fatalf("%d revisions, newest %d", len(got), got[0].Revision)
+	}
+}
