Add the replicated log: raft, storage and replica

Control replicas need a log that survives the loss of replicas and disks. Package raft is the pure state machine, storage the checksummed log and replica the driver with gRPC transport.

--- /dev/null
+++ b/internal/process/raft/errors.go
@@ -0,0 +1,11 @@
+package raft
+
+import "github.com/fescuejunction/fescuejunction/internal/errkind"
+
+// Errors of Propose, Read and AddLearner. Nothing was appended to the log.
+var (
+	ErrNotLeader    = errkind.New(errkind.NotLeader, "this replica is not the leader")
+	ErrUncommitted  = errkind.New(errkind.QueueFull, "too many proposals wait to be committed")
+	ErrConfigBusy   = errkind.New(errkind.NotReady, "another membership change is not committed yet")
+	ErrTooManyPeers = errkind.New(errkind.Conflict, "the configuration already has %d peers", maxPeers)
+)
--- /dev/null
+++ b/internal/process/raft/follower.go
@@ -0,0 +1,55 @@
+package raft
+
+import pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+
+// stepFromLeader handles a message of the leader of the current term.
+func (r *Raft) stepFromLeader(m *pb.RaftMessage) {
+	if r.role == Leader {
+		panic("raft: two leaders in one term")
+	}
+	if r.role != Follower {
+		r.becomeFollower(r.term, m.From)
+	}
+	r.leader = m.From
+	r.electionElapsed = 0
+	switch m.Type {
+	case pb.MessageType_MESSAGE_APPEND:
+		r.handleAppend(m)
+	case pb.MessageType_MESSAGE_HEARTBEAT:
+		r.handleHeartbeat(m)
+	case pb.MessageType_MESSAGE_SNAPSHOT:
+		r.handleSnapshot(m)
+	}
+}
+
+func (r *Raft) handleAppend(m *pb.RaftMessage) {
+	reply := &pb.RaftMessage{Type: pb.MessageType_MESSAGE_APPEND_REPLY, To: m.From, Term: r.term}
+	match, ok := r.log.merge(m.Index, m.LogTerm, m.Entries)
+	if ok {
+		r.log.commitTo(min(m.Commit, match))
+		reply.Index = match
+	} else {
+		reply.Reject = true
+		reply.Index = m.Index
+		reply.RejectHint, reply.LogTerm = r.log.conflict(m.Index, m.LogTerm)
+	}
+	r.send(reply)
+}
+
+// handleHeartbeat commits only what the leader knows to match here.
+func (r *Raft) handleHeartbeat(m *pb.RaftMessage) {
+	r.log.commitTo(m.Commit)
+	r.learnCounter(counterAt{m.Counter, m.Index})
+	r.send(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_HEARTBEAT_REPLY, To: m.From, Term: r.term, ReadSeq: m.ReadSeq})
+}
+
+func (r *Raft) handleSnapshot(m *pb.RaftMessage) {
+	s := &Snapshot{Meta: m.Snapshot, Data: m.SnapshotData}
+	if t, ok := r.log.term(s.Meta.Index); ok && t == s.Meta.Term {
+		r.log.commitTo(s.Meta.Index)
+	} else if s.Meta.Index > r.log.committed {
+		r.log.restore(s)
+		r.saveSnap = s
+	}
+	r.send(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_SNAPSHOT_REPLY, To: m.From, Term: r.term, Index: r.log.committed})
+}
--- /dev/null
+++ b/internal/process/replica/apply.go
@@ -0,0 +1,83 @@
+package replica
+
+import (
+	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+)
+
+// appliedBatch tells the loop that a batch is applied.
+type appliedBatch struct {
+	index    uint64
+	snapshot *machineImage // set if a snapshot is due
+	err      error
+}
+
+type machineImage struct{ data []byte }
+
+// applyLoop owns the state machine.
+func (r *Replica) applyLoop() {
+	defer r.wg.Done()
+	lastSnapshot := uint64(0)
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case b := <-r.batches:
+			done := r.applyBatch(b, &lastSnapshot)
+			select {
+			case r.applied <- done:
+			case <-r.ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (r *Replica) applyBatch(b *raft.Batch, lastSnapshot *uint64) appliedBatch {
+	if b.Snapshot != nil {
+		if err := r.restore(b.Snapshot); err != nil {
+			return appliedBatch{err: err}
+		}
+		*lastSnapshot = b.Snapshot.Meta.Index
+	}
+	for _, e := range b.Entries {
+		r.applyEntry(e)
+	}
+	if b.Counter > r.counter.Load() {
+		// After the entries: the counter vouches for the state applied here.
+		r.counter.Store(b.Counter)
+	}
+	r.changed.notify()
+	return r.snapshotIfDue(lastSnapshot)
+}
+
+func (r *Replica) restore(s *raft.Snapshot) error {
+	if err := r.cfg.Machine.Restore(s.Data); err != nil {
+		return errkind.Wrap(errkind.CorruptLog, err, "restore the snapshot at index %d", s.Meta.Index)
+	}
+	r.index.Store(s.Meta.Index)
+	return nil
+}
+
+func (r *Replica) applyEntry(e *pb.LogEntry) {
+	var result []byte
+	if e.Type == pb.EntryType_ENTRY_NORMAL {
+		result = r.cfg.Machine.Apply(e.Index, e.Data)
+	}
+	r.index.Store(e.Index)
+	r.waiters.complete(e.Index, e.Term, result)
+}
+
+func (r *Replica) snapshotIfDue(last *uint64) appliedBatch {
+	index := r.index.Load()
+	if index < *last+r.cfg.SnapshotEvery {
+		return appliedBatch{index: index}
+	}
+	data, err := r.cfg.Machine.Snapshot()
+	if err != nil {
+		return appliedBatch{err: errkind.Wrap(errkind.Internal, err, "take a snapshot at index %d", index)}
+	}
+	*last = index
+	return appliedBatch{index: index, snapshot: &machineImage{data}}
+}
--- /dev/null
+++ b/internal/process/replica/chunks.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+)
+
+const (
+	chunkSize       = 256 << 10 // bytes of snapshot data in one message
+	maxSnapshotSize = 1 << 30
+)
+
+// sendMessage sends m; a snapshot goes as consecutive parts on the stream. In
+// a part, Index is the offset of its data and Commit the size of the whole.
+func sendMessage(stream pb.Replica_SendClient, m *pb.RaftMessage) error {
+	if m.Type != pb.MessageType_MESSAGE_SNAPSHOT {
+		return stream.Send(m)
+	}
+	total := len(m.SnapshotData)
+	for offset := 0; offset == 0 || offset < total; offset += chunkSize {
+		part := &pb.RaftMessage{
+			Type: m.Type, From: m.From, To: m.To, Term: m.Term, Snapshot: m.Snapshot,
+			Index: uint64(offset), Commit: uint64(total),
+			SnapshotData: m.SnapshotData[offset:min(offset+chunkSize, total)],
+		}
+		if err := stream.Send(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// assembler joins the parts of a snapshot that arrive on one stream.
+type assembler struct{ data []byte }
+
+// add returns a complete message, or nil if parts are missing.
+func (a *assembler) add(m *pb.RaftMessage) (*pb.RaftMessage, error) {
+	if m.Type != pb.MessageType_MESSAGE_SNAPSHOT {
+		return m, nil
+	}
+	if m.Index == 0 {
+		a.data = nil
+	}
+	if m.Index != uint64(len(a.data)) || m.Commit > maxSnapshotSize {
+		return nil, errkind.New(errkind.BadRequest, "snapshot part at %d of %d does not follow byte %d", m.Index, m.Commit, len(a.data))
+	}
+	a.data = append(a.data, m.SnapshotData...)
+	if uint64(len(a.data)) < m.Commit {
+		return nil, nil
+	}
+	whole := proto.CloneOf(m)
+	whole.Index, whole.Commit, whole.SnapshotData = 0, 0, a.data
+	a.data = nil
+	return whole, nil
+}
--- /dev/null
+++ b/internal/process/replica/cluster_test.go
@@ -0,0 +1,213 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+)
+
+// journal is a state machine that records what was applied, in order.
+type journal struct {
+	mu     sync.Mutex
+	values []string
+}
+
+func (j *journal) Apply(_ uint64, data []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.values = append(j.values, string(data))
+	return append([]byte("applied "), data...)
+}
+
+func (j *journal) Snapshot() ([]byte, error) { return json.Marshal(j.list()) }
+
+func (j *journal) Restore(data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.values = nil
+	return json.Unmarshal(data, &j.values)
+}
+
+func (j *journal) list() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.values)
+}
+
+// node is one replica with its server, disk and clock.
+type node struct {
+	*Replica
+	t      *testing.T
+	cfg    Config
+	server *grpc.Server
+	j      *journal
+	frozen atomic.Bool
+}
+
+type cluster struct {
+	t     *testing.T
+	net   *network
+	nodes []*node
+}
+
+func newCluster(t *testing.T, size int, delay time.Duration) *cluster {
+	c := &cluster{t: t, net: newNetwork(delay)}
+	var addrs []string
+	for range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, l.Addr().String())
+		l.Close()
+	}
+	for i, addr := range addrs {
+		n := &node{t: t, cfg: Config{
+			DataDir: filepath.Join(t.TempDir(), "data"), Addr: addr, InitialPeers: addrs, Bootstrap: true,
+			Dial: c.net.dialer(addr), Log: logging.Discard(), SnapshotEvery: 100, Seed: uint64(i),
+		}}
+		if os.Getenv("REPLICA_TEST_LOG") != "" {
+			n.cfg.Log = logging.New(os.Stderr, "info", "test", addr)
+		}
+		c.nodes = append(c.nodes, n)
+		n.start()
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			c.net.hold(n.cfg.Addr, false)
+			n.kill()
+		}
+	})
+	return c
+}
+
+func (n *node) start() {
+	n.t.Helper()
+	n.j = &journal{}
+	n.cfg.Machine = n.j
+	n.cfg.ticks = n.ticks()
+	r, err := Start(n.cfg)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", n.cfg.Addr)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.Replica, n.server = r, grpc.NewServer()
+	r.Register(n.server)
+	go n.server.Serve(l)
+}
+
+// ticks is a clock that stands still while the node is frozen.
+func (n *node) ticks() <-chan time.Time {
+	out := make(chan time.Time)
+	ticker := time.NewTicker(defaultTick)
+	n.t.Cleanup(ticker.Stop)
+	go func() {
+		for now := range ticker.C {
+			if !n.frozen.Load() {
+				select {
+				case out <- now:
+				case <-time.After(defaultTick):
+				}
+			}
+		}
+	}()
+	return out
+}
+
+func (n *node) kill() {
+	if n.server != nil {
+		n.server.Stop()
+		n.Stop()
+		n.server = nil
+	}
+}
+
+// loseDisk kills the node and starts it again with an empty disk.
+func (n *node) loseDisk() {
+	n.kill()
+	if err := os.RemoveAll(n.cfg.DataDir); err != nil {
+		n.t.Fatal(err)
+	}
+	n.cfg.Bootstrap = false
+	n.start()
+}
+
+func (c *cluster) leader() *node {
+	c.t.Helper()
+	var found *node
+	eventually(c.t, 5*time.Second, "a leader that has a quorum", func() bool {
+		for _, n := range c.nodes {
+			if n.server != nil && n.IsLeader() {
+				ctx, cancel := context.WithTimeout(c.t.Context(), 300*time.Millisecond)
+				_, err := n.Read(ctx)
+				cancel()
+				if err == nil {
+					found = n
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// others returns the running nodes except n.
+func (c *cluster) others(n *node) []*node {
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(o *node) bool { return o == n || o.server == nil })
+}
+
+func (n *node) mustPropose(value string) {
+	n.t.Helper()
+	ctx, cancel := context.WithTimeout(n.t.Context(), 10*time.Second)
+	defer cancel()
+	result, _, err := n.Propose(ctx, []byte(value))
+	if err != nil {
+		n.t.Fatalf("propose %s at %s: %v", value, n.cfg.Addr, err)
+	}
+	if want := "applied " + value; string(result) != want {
+		n.t.Fatalf("result %q, want %q", result, want)
+	}
+}
+
+func proposeMany(n *node, prefix string, count int) []string {
+	var values []string
+	for i := range count {
+		values = append(values, fmt.Sprintf("%s%d", prefix, i))
+		n.mustPropose(values[i])
+	}
+	return values
+}
+
+// firstWrite proposes at any of nodes until one accepts, and returns how long
+// that took. Each attempt has its own value.
+func (c *cluster) firstWrite(nodes []*node, value string) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for i := 0; ; i++ {
+		ctx, cancel := context.WithTimeout(c.t.Context(), time.Second)
+		_, _, err := nodes[i%len(nodes)].Propose(ctx, fmt.Appendf(nil, "%s-%d", value, i))
+		cancel()
+		if err == nil {
+			return time.Since(start)
+		}
+		if time.Since(start) > 20*time.Second {
+			c.t.Fatalf("no write accepted: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/replica/failure_test.go
@@ -0,0 +1,124 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+)
+
+// maxWriteGap is the bound of the design on writes after a leader kill.
+const maxWriteGap = 3 * time.Second
+
+// Guards against slow elections: 55 ms is the one-way delay between regions.
+func TestLeaderKill(t *testing.T) {
+	c := newCluster(t, 3, 55*time.Millisecond)
+	l := c.leader()
+	l.mustPropose("before")
+	l.kill()
+	gap := c.firstWrite(c.others(l), "after")
+	t.Logf("first write %s after the kill", gap.Round(time.Millisecond))
+	if gap > maxWriteGap {
+		t.Fatalf("no write for %s after the leader kill, bound %s", gap, maxWriteGap)
+	}
+	if got := c.leader().j.list(); got[0] != "before" {
+		t.Fatalf("an acknowledged write is gone: %q", got)
+	}
+}
+
+// Guards against a leader that confirms reads or writes while it is cut off,
+// and against proposals that run although they were reported as not run.
+func TestSilentCutOfLeader(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	l := c.leader()
+	l.mustPropose("before")
+	c.net.hold(l.cfg.Addr, true)
+	counter := l.Counter()
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	if _, _, err := l.Propose(ctx, []byte("cut")); err == nil {
+		t.Fatal("a leader without a quorum accepted a write")
+	}
+	if l.IsLeader() {
+		t.Fatal("the leader did not step down")
+	}
+	c.firstWrite(c.others(l), "after")
+	readCtx, cancelRead := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancelRead()
+	if _, err := l.Read(readCtx); err == nil {
+		t.Fatal("a replica that is cut off confirmed a read")
+	}
+	if got := l.Counter(); got > counter+1<<8 || got>>32 != counter>>32 {
+		t.Fatalf("the counter advanced from %x to %x during the cut", counter, got)
+	}
+	c.net.hold(l.cfg.Addr, false)
+	eventually(t, 5*time.Second, "the counter advances after the cut", func() bool { return l.Counter()>>32 > counter>>32 })
+}
+
+// Guards against a thawed leader that answers reads from its old state.
+func TestFrozenLeader(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	l := c.leader()
+	l.mustPropose("before")
+	l.frozen.Store(true)
+	c.net.hold(l.cfg.Addr, true)
+	c.firstWrite(c.others(l), "after")
+	read := make(chan error, 1)
+	var seen []string
+	go func() {
+		_, err := l.Read(t.Context())
+		seen = l.j.list()
+		read <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	l.frozen.Store(false)
+	c.net.hold(l.cfg.Addr, false)
+	if err := <-read; err != nil {
+		t.Fatal(err)
+	}
+	if len(seen) < 2 {
+		t.Fatalf("the thawed leader confirmed a read of the old state %q", seen)
+	}
+}
+
+// Guards against a replica that cannot catch up once the log was compacted.
+func TestRestartAfterManyMissedEntries(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	l := c.leader()
+	f := c.others(l)[0]
+	f.kill()
+	want := proposeMany(l, "v", 450)
+	f.start()
+	eventually(t, 8*time.Second, "the follower catches up", func() bool { return slices.Equal(f.j.list(), want) })
+	eventually(t, time.Second, "a counter at the follower", func() bool { return f.Counter() > 0 })
+}
+
+// Guards against a repair that leaves too few voters: a second replica may be
+// lost right after it.
+func TestDiskLossThenSecondLoss(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(string(rune('0'+size)), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, size, 0)
+			l := c.leader()
+			want := proposeMany(l, "v", 150)
+			f := c.others(l)[0]
+			old := f.id
+			f.loseDisk()
+			eventually(t, 10*time.Second, "the new identity votes", func() bool { return f.view.Load().isVoter() })
+			eventually(t, 5*time.Second, "the old identity is removed", func() bool {
+				return len(l.Status().Peers) == size && !slices.ContainsFunc(l.Status().Peers, func(p PeerStatus) bool { return p.ID == old })
+			})
+			for _, o := range c.others(f)[:(size-1)/2] {
+				o.kill()
+			}
+			c.firstWrite(c.others(nil), "after")
+			if _, err := f.Read(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if got := f.j.list(); !slices.Equal(got[:len(want)], want) {
+				t.Fatal("acknowledged writes are gone")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/replica/join.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+)
+
+const (
+	joinInterval = 500 * time.Millisecond
+	joinTimeout  = 2 * time.Second
+)
+
+// joinLoop asks for membership while this replica is not a voter.
+func (r *Replica) joinLoop() {
+	defer r.wg.Done()
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		if !r.view.Load().isVoter() {
+			r.askToJoin()
+		}
+		select {
+		case <-ticker.C:
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+// askToJoin tries the known addresses until one accepts.
+func (r *Replica) askToJoin() {
+	var last error
+	for _, addr := range slices.Concat(r.cfg.Join, r.cfg.InitialPeers) {
+		if addr == r.cfg.Addr {
+			continue
+		}
+		if last = r.askOne(addr); last == nil {
+			return
+		}
+	}
+	if last != nil {
+		r.log.WithError(last).Info("not a member yet; no replica has accepted the request to join")
+	}
+}
+
+func (r *Replica) askOne(addr string) error {
+	ctx, cancel := context.WithTimeout(r.ctx, joinTimeout)
+	defer cancel()
+	conn, err := r.transport.ready(ctx, addr)
+	if err != nil {
+		return err
+	}
+	_, err = pb.NewReplicaClient(conn).AddLearner(ctx, &pb.Peer{Id: r.id, Addr: r.cfg.Addr})
+	return err
+}
--- /dev/null
+++ b/internal/process/replica/loop.go
@@ -0,0 +1,121 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+)
+
+// request runs in the loop and may use raft.
+type request func(*raft.Raft)
+
+// maxDrain bounds the inputs taken before the state is saved. Proposals that
+// arrive together share one sync of the disk.
+const maxDrain = 256
+
+// run owns raft and the store until the replica stops.
+func (r *Replica) run() {
+	defer r.wg.Done()
+	defer r.store.Close()
+	defer r.waiters.failAll(errStopping)
+	ticks, stop := r.ticker()
+	defer stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticks:
+			r.raft.Tick()
+		case m := <-r.inbox.C():
+			r.raft.Step(m)
+		case q := <-r.requests.C():
+			q(r.raft)
+		case a := <-r.applied:
+			if err := r.handleApplied(a); err != nil {
+				r.fail(err)
+				return
+			}
+		}
+		r.drain()
+		if err := r.flush(); err != nil {
+			r.fail(err)
+			return
+		}
+	}
+}
+
+func (r *Replica) ticker() (<-chan time.Time, func()) {
+	if r.cfg.ticks != nil {
+		return r.cfg.ticks, func() {}
+	}
+	t := time.NewTicker(r.cfg.TickInterval)
+	return t.C, t.Stop
+}
+
+// drain takes further inputs that are already there.
+func (r *Replica) drain() {
+	for range maxDrain {
+		select {
+		case m := <-r.inbox.C():
+			r.raft.Step(m)
+		case q := <-r.requests.C():
+			q(r.raft)
+		default:
+			return
+		}
+	}
+}
+
+// flush saves before it sends, until raft has nothing more to do.
+func (r *Replica) flush() error {
+	for {
+		rd := r.raft.Ready()
+		if !rd.MustSave() && len(rd.Messages) == 0 && len(rd.Reads) == 0 {
+			break
+		}
+		if err := r.store.Save(rd); err != nil {
+			return err
+		}
+		r.raft.Advance(rd)
+		r.transport.send(rd.Messages)
+		r.waiters.releaseReads(rd.Reads)
+	}
+	r.handOut()
+	r.publish()
+	return nil
+}
+
+// handOut gives the applier its next batch, one at a time.
+func (r *Replica) handOut() {
+	if r.applying {
+		return
+	}
+	if b := r.raft.Committed(); b != nil {
+		r.applying = true
+		r.batches <- b
+	}
+}
+
+func (r *Replica) handleApplied(a appliedBatch) error {
+	r.applying = false
+	if a.err != nil {
+		return a.err
+	}
+	if a.snapshot == nil {
+		return nil
+	}
+	if r.raft.Compact(a.index, a.snapshot.data) == nil {
+		return nil
+	}
+	r.log.WithField("index", a.index).WithField("bytes", len(a.snapshot.data)).Info("saving a snapshot")
+	return r.store.Compact(r.raft.Saved())
+}
+
+// fail stops the replica: what it could not save it must not acknowledge.
+func (r *Replica) fail(err error) {
+	r.log.WithError(err).WithField("kind", errkind.Of(err)).
+		Error("the replica stops and acknowledges nothing more; restart it after repairing the cause")
+	r.cancel(err)
+	r.waiters.failAll(err)
+}
--- /dev/null
+++ b/internal/process/replica/network_test.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// network delays and holds the TCP connections between replicas. Held bytes
+// are delivered later, like retransmissions after a cut.
+type network struct {
+	mu    sync.Mutex
+	cond  *sync.Cond
+	delay time.Duration
+	held  map[string]bool // by address
+}
+
+func newNetwork(delay time.Duration) *network {
+	n := &network{delay: delay, held: map[string]bool{}}
+	n.cond = sync.NewCond(&n.mu)
+	return n
+}
+
+func (n *network) hold(addr string, held bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[addr] = held
+	n.cond.Broadcast()
+}
+
+func (n *network) waitOpen(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.held[a] || n.held[b] {
+		n.cond.Wait()
+	}
+}
+
+func (n *network) dialer(from string) func(addr string) (*grpc.ClientConn, error) {
+	return func(to string) (*grpc.ClientConn, error) {
+		return grpc.NewClient("passthrough:///"+to, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return n.connect(ctx, from, to) }))
+	}
+}
+
+func (n *network) connect(ctx context.Context, from, to string) (net.Conn, error) {
+	n.waitOpen(from, to)
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	real, err := (&net.Dialer{}).DialContext(ctx, "tcp", to)
+	if err != nil {
+		return nil, err
+	}
+	near, far := net.Pipe()
+	go n.pump(far, real, from, to)
+	go n.pump(real, far, from, to)
+	return near, nil
+}
+
+type parcel struct {
+	due  time.Time
+	data []byte
+}
+
+func (n *network) pump(src, dst net.Conn, from, to string) {
+	queue := make(chan parcel, 1024)
+	go func() {
+		defer src.Close()
+		defer dst.Close()
+		for p := range queue {
+			time.Sleep(time.Until(p.due))
+			n.waitOpen(from, to)
+			dst.Write(p.data)
+		}
+	}()
+	defer close(queue)
+	for {
+		buf := make([]byte, 16<<10)
+		k, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		queue <- parcel{time.Now().Add(n.delay), buf[:k]}
+	}
+}
+
+// eventually fails the test if cond does not hold within the limit.
+func eventually(t *testing.T, limit time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/replica/propose.go
@@ -0,0 +1,165 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+)
+
+const (
+	// MaxProposal is the largest proposal in bytes. An append message with
+	// one entry must fit into the default gRPC message limit of 4 MiB.
+	MaxProposal = 3 << 20
+	// defaultWait bounds a request whose context has no deadline.
+	defaultWait = 10 * time.Second
+	// retryPause is the pause before a request is tried again although no
+	// change was seen.
+	retryPause = 50 * time.Millisecond
+)
+
+// Propose replicates data and returns the result of applying it. A follower
+// passes it to the leader. Kinds of errors: NotLeader, QueueFull, BadRequest:
+// the proposal did not run. NoQuorum, Timeout, StorageFailed, Stopping: the
+// outcome is unknown; a proposal once sent is never sent again from here.
+func (r *Replica) Propose(ctx context.Context, data []byte) (result []byte, index uint64, err error) {
+	if len(data) == 0 || len(data) > MaxProposal {
+		return nil, 0, errkind.New(errkind.BadRequest, "a proposal of %d bytes is outside 1 to %d", len(data), MaxProposal)
+	}
+	out := r.askLeader(ctx, data, r.proposeHere, func(err error) bool {
+		return errkind.Of(err) == errkind.NotLeader
+	})
+	return out.result, out.index, out.err
+}
+
+// Read returns an index that includes every write accepted before the call,
+// confirmed by a quorum, after that index is applied here.
+func (r *Replica) Read(ctx context.Context) (index uint64, err error) {
+	ctx, cancel := withDefaultWait(ctx)
+	defer cancel()
+	// An empty command asks for a read, so trying again is harmless.
+	out := r.askLeader(ctx, nil, r.readHere, func(err error) bool {
+		return errkind.Of(err) == errkind.NotLeader || errkind.Of(err) == errkind.NoQuorum
+	})
+	if out.err != nil {
+		return 0, out.err
+	}
+	return out.index, r.waitApplied(ctx, out.index)
+}
+
+func withDefaultWait(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, defaultWait)
+}
+
+// askLeader runs here or at the leader, and tries again after an error for
+// which again is true, until ctx ends.
+func (r *Replica) askLeader(ctx context.Context, data []byte, here func(context.Context, []byte) outcome, again func(error) bool) outcome {
+	ctx, cancel := withDefaultWait(ctx)
+	defer cancel()
+	for {
+		changed := r.Changed()
+		out := outcome{err: errNotLeader}
+		switch st := r.view.Load(); st.LeaderID {
+		case "":
+		case r.id:
+			out = here(ctx, data)
+		default:
+			out = r.forward(ctx, st.LeaderAddr, data)
+		}
+		if out.err == nil || !again(out.err) {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-time.After(retryPause):
+		case <-r.ctx.Done():
+			return outcome{err: r.Err()}
+		case <-ctx.Done():
+			return outcome{err: errkind.Wrap(errkind.Of(out.err), out.err, "no leader answered in time")}
+		}
+	}
+}
+
+// proposeHere appends data to the log if this replica leads.
+func (r *Replica) proposeHere(ctx context.Context, data []byte) outcome {
+	done := make(chan outcome, 1)
+	return r.await(ctx, done, func(rf *raft.Raft) {
+		index, term, err := rf.Propose(data)
+		if err != nil {
+			done <- outcome{err: err}
+			return
+		}
+		r.waiters.addProposal(index, term, done)
+	})
+}
+
+// readHere confirms a read if this replica leads.
+func (r *Replica) readHere(ctx context.Context, _ []byte) outcome {
+	done := make(chan outcome, 1)
+	return r.await(ctx, done, func(rf *raft.Raft) {
+		if rf.Role() != raft.Leader {
+			done <- outcome{err: errNotLeader}
+			return
+		}
+		// The role cannot change before the request has returned.
+		_ = rf.Read(r.waiters.addRead(done))
+	})
+}
+
+// await hands q to the loop and waits for its outcome.
+func (r *Replica) await(ctx context.Context, done <-chan outcome, q request) outcome {
+	if !r.requests.Offer(q) {
+		return outcome{err: errBusy}
+	}
+	select {
+	case out := <-done:
+		return out
+	case <-r.ctx.Done():
+		return outcome{err: r.Err()}
+	case <-ctx.Done():
+		return outcome{err: ctxError(ctx, errkind.Timeout, "the outcome was not known in time")}
+	}
+}
+
+// forward passes data to the leader. Unless the leader says that it did not
+// run, or the connection could not be made, the outcome of an error is unknown.
+func (r *Replica) forward(ctx context.Context, addr string, data []byte) outcome {
+	conn, err := r.transport.ready(ctx, addr)
+	if err != nil {
+		return outcome{err: errkind.Wrap(errkind.NotLeader, err, "the leader at %s cannot be reached; nothing was sent", addr)}
+	}
+	var trailer metadata.MD
+	reply, err := pb.NewReplicaClient(conn).Forward(ctx, &pb.ForwardRequest{Command: data}, grpc.Trailer(&trailer))
+	if err != nil {
+		def := errkind.NoQuorum
+		if ctx.Err() != nil {
+			def = errkind.Timeout
+		}
+		return outcome{err: errkind.Wrap(remoteKind(trailer, def), err, "forwarded to the leader at %s", addr)}
+	}
+	return outcome{result: reply.Result, index: reply.Index}
+}
+
+func (r *Replica) waitApplied(ctx context.Context, index uint64) error {
+	for {
+		changed := r.Changed()
+		if r.index.Load() >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-r.ctx.Done():
+			return r.Err()
+		case <-ctx.Done():
+			return ctxError(ctx, errkind.Timeout, "the confirmed state was not applied in time")
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/replica/replica_test.go
@@ -0,0 +1,38 @@
+package replica
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against acknowledged proposals that a restart loses.
+func TestSingleReplicaRestart(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	n := c.nodes[0]
+	want := proposeMany(n, "v", 250)
+	n.kill()
+	n.start()
+	if _, err := n.Read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.j.list(); !slices.Equal(got, want) {
+		t.Fatalf("after the restart %d values, want %d", len(got), len(want))
+	}
+	eventually(t, time.Second, "a counter after the restart", func() bool { return n.Counter() > 0 })
+}
+
+// Guards against a follower that cannot pass on proposals or confirm reads.
+func TestFollowerProposeAndRead(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	l := c.leader()
+	f := c.others(l)[0]
+	f.mustPropose("a")
+	if _, err := f.Read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.j.list(); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("follower has %q after a confirmed read", got)
+	}
+	eventually(t, time.Second, "a counter at the follower", func() bool { return f.Counter() > 0 })
+}
--- /dev/null
+++ b/internal/process/replica/transport.go
@@ -0,0 +1,134 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+
+	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+)
+
+// connectTimeout bounds one attempt to connect. The back-off of gRPC and the
+// retransmission of TCP grow far beyond an election timeout, so a connection
+// that fails is replaced.
+const connectTimeout = time.Second
+
+// transport sends messages to the other replicas and holds one connection to
+// each address.
+type transport struct {
+	ctx  context.Context
+	wg   *sync.WaitGroup
+	dial func(addr string) (*grpc.ClientConn, error)
+	log  *logrus.Entry
+
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn
+	senders map[senderKey]*sender // owned by the loop
+}
+
+// senderKey separates snapshots from other messages, so that a snapshot does
+// not delay heartbeats.
+type senderKey struct {
+	id   string
+	bulk bool
+}
+
+func newTransport(ctx context.Context, wg *sync.WaitGroup, dial func(string) (*grpc.ClientConn, error), log *logrus.Entry) *transport {
+	return &transport{
+		ctx: ctx, wg: wg, dial: dial, log: log,
+		conns:   map[string]*grpc.ClientConn{},
+		senders: map[senderKey]*sender{},
+	}
+}
+
+// send queues messages. A message that finds its queue full is dropped: raft
+// sends again what is not answered.
+func (t *transport) send(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		key := senderKey{m.To, m.Type == pb.MessageType_MESSAGE_SNAPSHOT}
+		s := t.senders[key]
+		if s == nil {
+			s = t.start(key)
+		}
+		s.queue.Offer(m)
+	}
+}
+
+func (t *transport) start(key senderKey) *sender {
+	s := &sender{transport: t, addr: addrOf(key.id), queue: ring.New[*pb.RaftMessage](sendCapacity), session: sessionLength}
+	if key.bulk {
+		s.session = bulkSessionLength
+	}
+	t.senders[key] = s
+	t.wg.Add(1)
+	go s.run()
+	return s
+}
+
+// conn returns the connection to addr, whatever its state.
+func (t *transport) conn(addr string) (*grpc.ClientConn, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.conns[addr]; c != nil {
+		return c, nil
+	}
+	if t.ctx.Err() != nil {
+		return nil, errStopping
+	}
+	c, err := t.dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	t.conns[addr] = c
+	return c, nil
+}
+
+// ready returns an established connection to addr.
+func (t *transport) ready(ctx context.Context, addr string) (*grpc.ClientConn, error) {
+	c, err := t.conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	for {
+		state := c.GetState()
+		if state == connectivity.Ready {
+			return c, nil
+		}
+		if state == connectivity.Shutdown || state == connectivity.TransientFailure {
+			t.reset(addr, c)
+			return nil, errkind.New(errkind.NoQuorum, "no connection to %s: %s", addr, state)
+		}
+		c.Connect()
+		if !c.WaitForStateChange(ctx, state) {
+			t.reset(addr, c)
+			return nil, errkind.New(errkind.NoQuorum, "no connection to %s within %s", addr, connectTimeout)
+		}
+	}
+}
+
+// reset closes a connection that does not work; the next use dials again.
+func (t *transport) reset(addr string, c *grpc.ClientConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[addr] == c {
+		delete(t.conns, addr)
+	}
+	c.Close()
+}
+
+func (t *transport) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for addr, c := range t.conns {
+		delete(t.conns, addr)
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/process/replica/waiters.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"sync"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+)
+
+// outcome is the answer to a proposal or a read.
+type outcome struct {
+	result []byte
+	index  uint64
+	err    error
+}
+
+type proposal struct {
+	term uint64
+	done chan<- outcome // capacity 1
+}
+
+// waiterTable holds the proposals and reads that wait for their outcome. The
+// zero value is ready for use.
+type waiterTable struct {
+	mu        sync.Mutex
+	proposals map[uint64]proposal // by log index
+	reads     map[uint64]chan<- outcome
+	lastToken uint64
+	closed    error
+}
+
+func (t *waiterTable) addProposal(index, term uint64, done chan<- outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed != nil {
+		done <- outcome{err: t.closed}
+		return
+	}
+	if t.proposals == nil {
+		t.proposals = map[uint64]proposal{}
+	}
+	t.proposals[index] = proposal{term, done}
+}
+
+// addRead returns the token that identifies the read.
+func (t *waiterTable) addRead(done chan<- outcome) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastToken++
+	if t.closed != nil {
+		done <- outcome{err: t.closed}
+		return t.lastToken
+	}
+	if t.reads == nil {
+		t.reads = map[uint64]chan<- outcome{}
+	}
+	t.reads[t.lastToken] = done
+	return t.lastToken
+}
+
+// complete answers the proposal at index. If an entry of another term was
+// committed there, the proposal is lost and did not run.
+func (t *waiterTable) complete(index, term uint64, result []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.proposals[index]
+	if !ok {
+		return
+	}
+	delete(t.proposals, index)
+	if p.term != term {
+		p.done <- outcome{err: errOverruled}
+		return
+	}
+	p.done <- outcome{result: result, index: index}
+}
+
+func (t *waiterTable) releaseReads(reads []raft.ReadState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, rs := range reads {
+		if done, ok := t.reads[rs.Token]; ok {
+			delete(t.reads, rs.Token)
+			done <- outcome{index: rs.Index}
+		}
+	}
+}
+
+// loseLead fails what was started in a term that this replica no longer leads.
+func (t *waiterTable) loseLead(leading bool, term uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for index, p := range t.proposals {
+		if !leading || p.term != term {
+			delete(t.proposals, index)
+			p.done <- outcome{err: errLostLead}
+		}
+	}
+	if !leading {
+		t.failReads(errNotLeader)
+	}
+}
+
+func (t *waiterTable) failReads(err error) {
+	for token, done := range t.reads {
+		delete(t.reads, token)
+		done <- outcome{err: err}
+	}
+}
+
+// failAll fails everything that waits or will wait.
+func (t *waiterTable) failAll(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed == nil {
+		t.closed = err
+	}
+	for index, p := range t.proposals {
+		delete(t.proposals, index)
+		p.done <- outcome{err: err}
+	}
+	t.failReads(err)
+}
