Add the budgets of shift caps and region links

Granter, Holder and LinkShares are pure. The leader charges each holder with everything it may have in use; charges fall only by a report in order or by time. LeaseAsk gains pinned and held, LeaseRequest gains sequence and term, LeaseReply gains sequence.

TestSumNeverExceedsCap fails with each of these mutations (tried): account.own without the deadline after the expiry; account.restart without the earlier charge; account.own without the reported requests in flight; firstReport without the remainder of the floor; GrantsFrom without the wait; Lease without the term check, without the sequence check; Observe that replaces the floor; Holder.Use that raises the share itself; Holder.Apply that takes replies to earlier requests. TestLinkShares fails without raiseAt.

--- /dev/null
+++ b/internal/process/budget/budget_test.go
@@ -0,0 +1,176 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Guards against any interleaving of loss, delay, duplication, restart,
+// leader change, cap change and membership change in which more requests run
+// than the cap in force allows.
+func TestSumNeverExceedsCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		w.run(8 * time.Second)
+		name := func(t *rapid.T) string { return rapid.SampledFrom(sorted(w.holders)).Draw(t, "holder") }
+		shift := func(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b"}).Draw(t, "shift") }
+		t.Repeat(map[string]func(*rapid.T){
+			"step":     func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
+			"leap":     func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 5).Draw(t, "s")) * time.Second) },
+			"exchange": func(t *rapid.T) { w.exchange() },
+			"settle":   func(t *rapid.T) { w.run(7 * time.Second) },
+			"flood": func(t *rapid.T) {
+				n, s := name(t), shift(t)
+				for w.acquire(n, s) {
+				}
+			},
+			"floodAll": func(t *rapid.T) {
+				for _, n := range sorted(w.holders) {
+					for w.acquire(n, "a") || w.acquire(n, "b") {
+					}
+				}
+			},
+			"release": func(t *rapid.T) {
+				i := pick(t, w.flights)
+				w.flights[i].holder.Release(w.flights[i].ticket)
+				w.flights = slices.Delete(w.flights, i, i+1)
+			},
+			"send":       func(t *rapid.T) { w.send(name(t)) },
+			"serve":      func(t *rapid.T) { w.serve(pick(t, w.requests), rapid.IntRange(0, 1).Draw(t, "granter")) },
+			"apply":      func(t *rapid.T) { w.apply(pick(t, w.replies)) },
+			"follow":     func(t *rapid.T) { w.holders[name(t)].Use(w.versions[pick(t, w.versions)]) },
+			"elect":      func(t *rapid.T) { w.elect(1 - w.leader) },
+			"restart":    func(t *rapid.T) { w.restart(name(t)) },
+			"cap":        func(t *rapid.T) { w.caps[shift(t)] = rapid.IntRange(0, 12).Draw(t, "cap"); w.commit() },
+			"join":       func(t *rapid.T) { w.join(rapid.SampledFrom([]string{"e1", "e2", "e3", "e4"}).Draw(t, "new")) },
+			"removeLive": func(t *rapid.T) { delete(w.entries, name(t)); w.commit() },
+			"gone":       func(t *rapid.T) { w.gone(name(t)) },
+			"": func(t *rapid.T) {
+				for _, s := range []string{"a", "b"} {
+					if n, limit := w.running(s), w.granters[w.leader].CapInForce(s, w.now); n > limit {
+						t.Fatalf("shift %s: %d requests run, cap in force %d", s, n, limit)
+					}
+				}
+			},
+		})
+	})
+}
+
+func (w *world) join(name string) {
+	if w.entries[name] == 0 {
+		w.restart(name)
+	}
+}
+
+// gone kills a process and removes it everywhere.
+func (w *world) gone(name string) {
+	if len(w.holders) == 1 {
+		return
+	}
+	delete(w.entries, name)
+	delete(w.holders, name)
+	w.commit()
+	w.observe(1 - w.leader)
+	w.granters[0].Gone(name, w.now)
+	w.granters[1].Gone(name, w.now)
+}
+
+// Guards against a granter that keeps the cap by granting nothing: the whole
+// cap must be usable by one busy entry but for the others' pinned shares,
+// and be shared evenly when all are busy.
+func TestWholeCapIsUsable(t *testing.T) {
+	w := newWorld()
+	w.run(8 * time.Second)
+	busy := func(names ...string) {
+		for range 20 {
+			for _, n := range names {
+				for w.acquire(n, "a") {
+				}
+			}
+			w.run(500 * time.Millisecond)
+		}
+	}
+	busy("e1")
+	others := Pinned(w.versions[0], "a", "e2") + Pinned(w.versions[0], "a", "e3")
+	if got := w.holders["e1"].Limit("a", w.now); got != 9-others {
+		t.Errorf("a single busy entry may use %d, want %d", got, 9-others)
+	}
+	busy("e1", "e2", "e3")
+	for _, n := range sorted(w.holders) {
+		if got := w.holders[n].Limit("a", w.now); got < 2 || got > 4 {
+			t.Errorf("entry %s of three busy ones may use %d of 9", n, got)
+		}
+	}
+}
+
+// Guards against a small cap that gives every entry zero pinned units, and
+// against a split that does not add up to half of the cap.
+func TestSplitPinned(t *testing.T) {
+	entries := []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"}
+	for limit, want := range map[int]int{0: 0, 1: 0, 2: 1, 7: 3, 18: 9, 100: 50} {
+		sum := 0
+		for _, units := range splitPinned("rota", limit, entries) {
+			sum += units
+		}
+		if sum != want {
+			t.Errorf("cap %d: pinned shares sum to %d, want %d", limit, sum, want)
+		}
+	}
+}
+
+// Guards against a lowered cap that is called in force while a silent entry
+// may still use its old share, and against reachable entries that do not
+// give up what the silent one may use.
+func TestLoweredCapIsPendingUntilAcknowledged(t *testing.T) {
+	w := newWorld()
+	w.caps["a"] = 60
+	w.commit()
+	w.run(10 * time.Second)
+	silent := w.holders["e3"]
+	delete(w.holders, "e3")
+	w.caps["a"] = 12
+	w.commit()
+	w.run(10 * time.Second)
+	pending := w.granters[0].PendingCaps(w.now)
+	if len(pending) != 1 || len(pending[0].Missing) != 1 || pending[0].Missing[0] != "e3" || pending[0].OldCap != 60 {
+		t.Fatalf("pending caps %v, want shift a from 60 missing e3", pending)
+	}
+	if got := silent.Limit("a", w.now); got != 10 {
+		t.Fatalf("silent entry may use %d, want its old pinned share 10", got)
+	}
+	if sum := w.holders["e1"].Limit("a", w.now) + w.holders["e2"].Limit("a", w.now); sum > 2 {
+		t.Errorf("reachable entries may use %d beside 10 of the silent one, cap 12", sum)
+	}
+	w.holders["e3"] = silent
+	w.run(3 * time.Second)
+	if pending := w.granters[0].PendingCaps(w.now); len(pending) != 0 {
+		t.Errorf("still pending after every acknowledgement: %v", pending)
+	}
+}
+
+// Guards against a request that is written after its lease has expired, as
+// when a process is frozen between the check and the write.
+func TestRecheckAfterFreeze(t *testing.T) {
+	w := newWorld()
+	w.run(8 * time.Second)
+	h := w.holders["e1"]
+	var last Ticket
+	for range 4 {
+		for tk, ok := h.Acquire("a", w.now); ok; tk, ok = h.Acquire("a", w.now) {
+			last = tk
+		}
+		w.run(500 * time.Millisecond)
+	}
+	if !last.leased || !h.Recheck(last, w.now) {
+		t.Fatalf("ticket %+v: want a live leased unit", last)
+	}
+	if h.Recheck(last, w.now.Add(LeaseDuration+time.Second)) {
+		t.Error("a leased unit passes the recheck after its expiry")
+	}
+}
--- /dev/null
+++ b/internal/process/budget/granter.go
@@ -0,0 +1,399 @@
+package budget
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+)
+
+// Timing constants. They must be the same at every control instance.
+const (
+	// LeaseDuration is how long leased units last without renewal. It is six
+	// request intervals, so that a few lost requests do not end a lease.
+	LeaseDuration = 3 * time.Second
+	// LeaderOverlap bounds how long a replaced leader may still grant. It is
+	// above the time in which a leader without a quorum steps down.
+	LeaderOverlap = 2 * time.Second
+	// ClockMargin covers the difference in rate between two monotonic clocks
+	// over a lease and a deadline.
+	ClockMargin = 100 * time.Millisecond
+	// rotation is how often indivisible units move on to the next holder.
+	rotation = 5 * time.Second
+)
+
+// holderInfo is what the granter knows of a holder for all shifts.
+type holderInfo struct {
+	incarnation uint64 // 0: no request since this granter became the leader
+	sequence    uint64
+	version     uint64 // acknowledged
+	heard       time.Time
+}
+
+// lowered is a cap that was lowered and may not be in force yet.
+type lowered struct {
+	oldCap  int
+	version uint64
+	inForce bool // the sum is within the new cap
+}
+
+// Granter accounts the shift caps at a control instance. Every control
+// instance passes each committed version to Observe, so that a new leader
+// knows the pinned shares that silent holders may still use. Granter is not
+// safe for concurrent use.
+type Granter struct {
+	snap     *snapshot.Snapshot
+	entries  []string
+	deadline time.Duration // longest admitted deadline of any version seen, with ClockMargin
+
+	leading    bool
+	leaderFrom time.Time
+	term       uint64
+
+	holders  map[string]*holderInfo
+	accounts map[string]map[string]*account // by shift, by instance
+	pinned   map[string]map[string]int      // of the present version
+	pending  map[string]lowered
+}
+
+// NewGranter returns a granter that does not lead.
+func NewGranter() *Granter {
+	return &Granter{
+		holders:  map[string]*holderInfo{},
+		accounts: map[string]map[string]*account{},
+		pinned:   map[string]map[string]int{},
+		pending:  map[string]lowered{},
+	}
+}
+
+// Observe takes a committed version. Versions at or below the present one
+// are ignored.
+func (g *Granter) Observe(s *snapshot.Snapshot) {
+	if s == nil || (g.snap != nil && s.Version <= g.snap.Version) {
+		return
+	}
+	g.noteLowered(s)
+	g.snap = s
+	g.entries = entryNames(s)
+	g.deadline = max(g.deadline, s.Limits.LongestDeadline.D()+ClockMargin)
+	g.pinned = make(map[string]map[string]int, len(s.Shifts))
+	for name, sh := range s.Shifts {
+		split := splitPinned(name, sh.Cap, g.entries)
+		g.pinned[name] = split
+		for inst, units := range split {
+			a := g.account(name, inst)
+			a.floor = max(a.floor, units)
+		}
+	}
+}
+
+// noteLowered records the caps that s lowers or removes. A cap that is still
+// pending from before keeps its highest earlier value.
+func (g *Granter) noteLowered(s *snapshot.Snapshot) {
+	if g.snap == nil {
+		return
+	}
+	for name, old := range g.snap.Shifts {
+		highest := max(old.Cap, g.pending[name].oldCap)
+		if s.Shifts[name].Cap < old.Cap {
+			g.pending[name] = lowered{oldCap: highest, version: s.Version}
+		}
+	}
+}
+
+// Reset makes the granter that of a new leader. It grants nothing until the
+// leases of earlier leaders and the requests admitted under them have ended.
+func (g *Granter) Reset(term uint64, now time.Time) {
+	g.leading, g.leaderFrom, g.term = true, now, term
+	for _, h := range g.holders {
+		*h = holderInfo{}
+	}
+	for _, byInst := range g.accounts {
+		for _, a := range byInst {
+			a.unknown()
+		}
+	}
+}
+
+// Follow ends the leadership of the granter.
+func (g *Granter) Follow() { g.leading = false }
+
+// GrantsFrom returns the time before which a new leader grants nothing.
+func (g *Granter) GrantsFrom() time.Time {
+	return g.leaderFrom.Add(LeaderOverlap + LeaseDuration + g.deadline)
+}
+
+// Gone tells that the process of an instance has ended: it said so with no
+// request in flight, its address refuses connections, or the platform list
+// has dropped it. What it had in flight counts for the longest deadline more.
+// Call it after the version without the instance was observed.
+func (g *Granter) Gone(instance string, now time.Time) {
+	delete(g.holders, instance)
+	for _, byInst := range g.accounts {
+		if a := byInst[instance]; a != nil {
+			a.restart(now, g.deadline)
+			a.floor = 0
+		}
+	}
+}
+
+// Lease handles one request of a holder. The error kinds are NotReady (no
+// version yet, or not the leader) and Conflict (not the committed process of
+// the instance).
+//
+// A request from before this leader's term gets a reply that only names the
+// term: a report that was sent to an earlier leader and arrives late must not
+// lower a charge. Within a term, the sequence keeps reports in order.
+func (g *Granter) Lease(req *fescuepb.LeaseRequest, now time.Time) (*fescuepb.LeaseReply, error) {
+	if g.snap == nil || !g.leading {
+		return nil, errkind.New(errkind.NotReady, "no leadership or no confirmed version of the document yet")
+	}
+	reply := &fescuepb.LeaseReply{Sequence: req.Sequence, Term: g.term}
+	h, err := g.admit(req, now)
+	if err != nil {
+		return nil, err
+	}
+	if req.Term != g.term || req.Sequence <= h.sequence {
+		return reply, nil
+	}
+	g.enter(h, req, now)
+	for _, ask := range req.Asks {
+		g.record(req.Instance, ask, now)
+	}
+	if now.Before(g.GrantsFrom()) {
+		return reply, nil
+	}
+	for _, ask := range req.Asks {
+		reply.Grants = append(reply.Grants, g.grant(req.Instance, ask.Shift, now))
+	}
+	reply.Grants = append(reply.Grants, g.claimBack(req, now)...)
+	g.settle(now)
+	return reply, nil
+}
+
+// claimBack lowers shares that the holder did not ask about, of pending caps
+// of which a silent holder may still use more than its part.
+func (g *Granter) claimBack(req *fescuepb.LeaseRequest, now time.Time) []*fescuepb.LeaseGrant {
+	asked := map[string]bool{}
+	for _, ask := range req.Asks {
+		asked[ask.Shift] = true
+	}
+	var out []*fescuepb.LeaseGrant
+	for shift := range g.pending {
+		a := g.accounts[shift][req.Instance]
+		if asked[shift] || a == nil || len(a.states) == 0 {
+			continue
+		}
+		if pinned, _ := g.target(req.Instance, shift, now); pinned < a.states[0].pinned {
+			out = append(out, g.grant(req.Instance, shift, now))
+		}
+	}
+	return out
+}
+
+// admit checks the process of the request.
+func (g *Granter) admit(req *fescuepb.LeaseRequest, now time.Time) (*holderInfo, error) {
+	h := g.holder(req.Instance)
+	if req.Incarnation == h.incarnation {
+		return h, nil
+	}
+	m := g.snap.Member(req.Instance)
+	if m == nil || m.Incarnation != req.Incarnation {
+		return nil, errkind.New(errkind.Conflict, "instance %q: process %d is not the committed one", req.Instance, req.Incarnation)
+	}
+	return h, nil
+}
+
+// enter notes a report in order, and a restart of the process.
+func (g *Granter) enter(h *holderInfo, req *fescuepb.LeaseRequest, now time.Time) {
+	if req.Incarnation != h.incarnation {
+		if h.incarnation != 0 {
+			g.restart(req.Instance, now)
+		}
+		*h = holderInfo{incarnation: req.Incarnation}
+	}
+	h.sequence, h.heard = req.Sequence, now
+	h.version = max(h.version, req.VersionInForce)
+}
+
+func (g *Granter) restart(instance string, now time.Time) {
+	for _, byInst := range g.accounts {
+		if a := byInst[instance]; a != nil {
+			a.restart(now, g.deadline)
+		}
+	}
+}
+
+func (g *Granter) record(instance string, ask *fescuepb.LeaseAsk, now time.Time) {
+	a := g.account(ask.Shift, instance)
+	if a.guessed {
+		a.firstReport(int(ask.Pinned), now, g.deadline)
+	}
+	a.report(ask, now, g.deadline)
+	a.floor = max(int(ask.Pinned), g.pinned[ask.Shift][instance])
+}
+
+// grant decides the limits of one holder and adds them to its account.
+func (g *Granter) grant(instance, shift string, now time.Time) *fescuepb.LeaseGrant {
+	a := g.account(shift, instance)
+	pinned, leased := g.target(instance, shift, now)
+	// Growth must fit beside everything that others may have in use. Up to
+	// the holder's present charge nothing is added to the sum.
+	room := g.cap(shift) - g.sum(shift, now) + a.own(now, g.deadline)
+	allowed := max(room, a.states[0].pinned+g.liveLease(a, now))
+	pinned = min(pinned, allowed)
+	leased = min(leased, allowed-pinned)
+	a.granted(possible{pinned: pinned, leased: leased, expiry: now.Add(LeaseDuration)})
+	return &fescuepb.LeaseGrant{
+		Shift:      shift,
+		Granted:    uint32(leased),
+		Pinned:     uint32(pinned),
+		DurationMs: uint64(LeaseDuration / time.Millisecond),
+	}
+}
+
+// target returns the limits that a holder should have once every reachable
+// holder has taken its own. Silent holders keep what they may use.
+func (g *Granter) target(instance, shift string, now time.Time) (pinned, leased int) {
+	pool := g.cap(shift)
+	var shares, wants []claim
+	for inst, a := range g.accounts[shift] {
+		share := g.pinned[shift][inst]
+		if !g.reachable(inst, now) {
+			pool -= max(a.charge(now, g.deadline), share)
+			continue
+		}
+		pool -= a.before(now)
+		shares = append(shares, claim{inst, share})
+		if g.snap.Member(inst) != nil {
+			wants = append(wants, claim{inst, a.want})
+		}
+	}
+	pool = max(pool, 0)
+	byShare := fill(pool, shares, shift)
+	for _, units := range byShare {
+		pool -= units
+	}
+	turn := shift + "\x00" + strconv.FormatInt(int64(now.Sub(g.leaderFrom)/rotation), 10)
+	return byShare[instance], fill(pool, wants, turn)[instance]
+}
+
+func (g *Granter) reachable(instance string, now time.Time) bool {
+	h := g.holders[instance]
+	return h != nil && h.incarnation != 0 && now.Before(h.heard.Add(LeaseDuration))
+}
+
+func (g *Granter) liveLease(a *account, now time.Time) int {
+	if now.Before(a.states[0].expiry) {
+		return a.states[0].leased
+	}
+	return 0
+}
+
+func (g *Granter) sum(shift string, now time.Time) int {
+	total := 0
+	for _, a := range g.accounts[shift] {
+		total += a.charge(now, g.deadline)
+	}
+	return total
+}
+
+func (g *Granter) cap(shift string) int { return g.snap.Shifts[shift].Cap }
+
+func (g *Granter) holder(instance string) *holderInfo {
+	if g.holders[instance] == nil {
+		g.holders[instance] = &holderInfo{}
+	}
+	return g.holders[instance]
+}
+
+func (g *Granter) account(shift, instance string) *account {
+	if g.accounts[shift] == nil {
+		g.accounts[shift] = map[string]*account{}
+	}
+	if g.accounts[shift][instance] == nil {
+		g.accounts[shift][instance] = &account{}
+	}
+	return g.accounts[shift][instance]
+}
+
+// settle puts lowered caps in force whose charges have come down, and forgets
+// those that every holder has acknowledged. Only a leader that may grant
+// knows the charges.
+func (g *Granter) settle(now time.Time) {
+	if !g.leading || now.Before(g.GrantsFrom()) {
+		return
+	}
+	for shift, p := range g.pending {
+		if g.sum(shift, now) > g.cap(shift) {
+			continue
+		}
+		p.inForce = true
+		g.pending[shift] = p
+		if len(g.missing(shift, p, now)) == 0 {
+			delete(g.pending, shift)
+		}
+	}
+	g.prune(now)
+}
+
+// prune forgets accounts of instances and shifts that no longer exist and
+// have nothing in use.
+func (g *Granter) prune(now time.Time) {
+	for shift, byInst := range g.accounts {
+		for inst, a := range byInst {
+			known := g.snap.Member(inst) != nil && g.pinned[shift] != nil
+			if !known && a.floor == 0 && a.charge(now, g.deadline) == 0 {
+				delete(byInst, inst)
+			}
+		}
+		if len(byInst) == 0 {
+			delete(g.accounts, shift)
+		}
+	}
+}
+
+// missing returns the holders that may use the shift and have not
+// acknowledged the lowered cap, ordered by instance.
+func (g *Granter) missing(shift string, p lowered, now time.Time) []string {
+	var out []string
+	for inst, a := range g.accounts[shift] {
+		h := g.holders[inst]
+		acked := h != nil && h.version >= p.version
+		if !acked && a.charge(now, g.deadline) > 0 {
+			out = append(out, inst)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// CapInForce returns the cap that the sum over all holders keeps to at now.
+// A lowered cap is in force once all that the holders may have in use fits
+// it: they have acknowledged it, or the others have given up what the missing
+// ones may use.
+func (g *Granter) CapInForce(shift string, now time.Time) int {
+	g.settle(now)
+	if p := g.pending[shift]; !p.inForce {
+		return max(g.cap(shift), p.oldCap)
+	}
+	return g.cap(shift)
+}
+
+// PendingCaps returns the lowered caps that are not in force or not
+// acknowledged by every holder yet, ordered by shift, with the instances whose
+// acknowledgement is missing.
+func (g *Granter) PendingCaps(now time.Time) []*fescuepb.PendingCap {
+	g.settle(now)
+	var out []*fescuepb.PendingCap
+	for shift, p := range g.pending {
+		pc := &fescuepb.PendingCap{Shift: shift, OldCap: uint64(p.oldCap), NewCap: uint64(g.cap(shift))}
+		pc.Missing = g.missing(shift, p, now)
+		out = append(out, pc)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Shift < out[j].Shift })
+	return out
+}
--- /dev/null
+++ b/internal/process/budget/server_test.go
@@ -0,0 +1,102 @@
+package budget
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+type fakeRole struct {
+	leads atomic.Bool
+	snap  *snapshot.Snapshot
+}
+
+func (r *fakeRole) IsLeader() bool               { return r.leads.Load() }
+func (r *fakeRole) Term() uint64                 { return 1 }
+func (r *fakeRole) Snapshot() *snapshot.Snapshot { return r.snap }
+
+// Guards against a client that stays with a follower, and against leases
+// that do not reach the holder over gRPC.
+func TestClientFindsLeaderAndGetsUnits(t *testing.T) {
+	snap := build(1, map[string]int{"a": 8}, map[string]uint64{"e1": 7})
+	var addrs []string
+	for _, leads := range []bool{false, true} {
+		srv := NewServer(&fakeRole{snap: snap})
+		srv.role.(*fakeRole).leads.Store(leads)
+		// The wait of a new leader is skipped by moving its clock on.
+		srv.follow()
+		srv.now = func() time.Time { return time.Now().Add(10 * time.Second) }
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := grpc.NewServer()
+		fescuepb.RegisterBudgetServer(g, srv)
+		go g.Serve(lis)
+		t.Cleanup(g.Stop)
+		addrs = append(addrs, lis.Addr().String())
+	}
+	shared := NewShared(NewHolder("e1", 7))
+	shared.Use(snap)
+	c := &Client{Holder: shared, Addrs: func() []string { return addrs }, Log: logging.Discard(),
+		Dial: func(addr string) (*grpc.ClientConn, error) {
+			return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	deadline := time.Now().Add(5 * time.Second)
+	for got := 0; got < 8; {
+		if _, ok := shared.Acquire("a"); ok {
+			got++
+		} else if time.Now().After(deadline) {
+			t.Fatalf("got %d of 8 units in 5 s", got)
+		} else {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	if _, ok := shared.Acquire("a"); ok {
+		t.Fatal("got a ninth unit of a cap of 8")
+	}
+}
+
+// Guards against a raised link share that is used before the other entries
+// have lowered theirs, and against a rate that is not split.
+func TestLinkShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one := build(1, nil, map[string]uint64{"e1": 1})
+	two := build(2, nil, map[string]uint64{"e1": 1, "e2": 1})
+	if a, b := LinkRate(one, "e1", "q"), LinkRate(two, "e1", "q"); a != 1000 || b != 500 {
+		t.Fatalf("rates %v and %v, want 1000 and 500", a, b)
+	}
+	l := NewLinkShares("e1")
+	l.Use(one, now)
+	if l.Allow("q", 1, now) {
+		t.Error("the first share is used before the raise delay")
+	}
+	now = now.Add(raiseDelay)
+	l.Allow("q", 1, now) // installs the raised rate; its bucket starts empty
+	now = now.Add(time.Second)
+	if !l.Allow("q", 1, now) {
+		t.Error("the share is refused after the raise delay")
+	}
+	l.Use(two, now)
+	if l.Allow("q", minLinkBurst, now) || l.Allow("elsewhere", 1, now) {
+		t.Error("more bytes are allowed than the share has")
+	}
+	if d, ok := l.Delay("q", 1000, now.Add(time.Hour)); !ok || d != 0 {
+		t.Errorf("delay %v %v for bytes within the burst", d, ok)
+	}
+	if d, ok := l.Delay("q", minLinkBurst, now.Add(time.Hour)); !ok || d < time.Second {
+		t.Errorf("delay %v %v, want the time for 1000 bytes at 500 bytes/s", d, ok)
+	}
+}
