--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -80,7 +80,8 @@
 	}
 	l := NewLinkShares("e1")
 	l.Use(one, now)
-	if l.Allow("q", 1, now) {
+	l.Allow("q", 1, now)
+	if l.Allow("q", 1, now.Add(raiseDelay-time.Second)) {
 		t.Error("the first share is used before the raise delay")
 	}
 	now = now.Add(raiseDelay)
