--- /dev/null
+++ b/cmd/fescue-entry/main.go
@@ -0,0 +1,41 @@
+// Command fescue-entry runs an entry instance: it answers look-ups and
+// steers requests to targets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/entry"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/integrii/flaggy"
+)
+
+var version = "dev" // set by the linker
+
+func main() {
+	config := "entry.yaml"
+	flaggy.SetName("fescue-entry")
+	flaggy.SetDescription("Entry instance of fescuejunction: answers look-ups and steers requests to targets")
+	flaggy.SetVersion(version)
+	flaggy.String(&config, "c", "config", "settings file (YAML)")
+	flaggy.Parse()
+	if err := run(config); err != nil {
+		fmt.Fprintln(os.Stderr, "fescue-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func run(config string) error {
+	var s entry.Settings
+	if err := settings.Load(config, &s); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return entry.Run(ctx, &s, logging.New(os.Stderr, s.Log.Level, "fescue-entry", s.Instance))
+}
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/budget"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/process/memlog"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
@@ -43,6 +44,9 @@
 	})
 	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxRequestBytes))
 	srv.Register(g)
+	lead := &leadership{log: rlog, term: func() uint64 { return 1 }}
+	budgets := budget.NewServer(lead)
+	fescuepb.RegisterBudgetServer(g, budgets)
 	lis, err := net.Listen("tcp", s.GRPCAddr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on grpc_addr")
@@ -50,6 +54,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return ignoreCancel(ctx, rlog.Run(ctx)) })
 	group.Go(func() error { return srv.Run(ctx) })
+	group.Go(func() error { return observeVersions(ctx, lead, machine, budgets, log) })
 	group.Go(func() error { return g.Serve(lis) })
 	group.Go(func() error { return serveAdmin(ctx, s, srv, metricsHandler) })
 	group.Go(func() error { return loadInitial(ctx, s, srv, log) })
--- /dev/null
+++ b/internal/process/entry/adapters.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/budget"
+	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
+	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+)
+
+// caps lets requests wait for a unit of their shift's cap.
+type caps struct {
+	shared *budget.Shared
+	store  *snapshot.Store
+}
+
+// A request waits at most capWait for a unit: a lease for a shift that is
+// new on this entry takes one exchange with the control leader.
+const (
+	capWait = time.Second
+	capPoll = 2 * time.Millisecond
+)
+
+// Acquire takes one unit of the shift's cap.
+func (c *caps) Acquire(ctx context.Context, shift string) (proxy.Unit, error) {
+	if t, ok := c.shared.Acquire(shift); ok {
+		return capUnit{c.shared, t}, nil
+	}
+	if c.store.Load().Shifts[shift].Cap == 0 {
+		return nil, errkind.New(errkind.ShiftCapReached, "the cap of shift %q is 0", shift)
+	}
+	ctx, cancel := context.WithTimeout(ctx, capWait)
+	defer cancel()
+	ticker := time.NewTicker(capPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, errkind.New(errkind.ShiftCapReached, "the cap of shift %q is reached", shift)
+		case <-ticker.C:
+			if t, ok := c.shared.Acquire(shift); ok {
+				return capUnit{c.shared, t}, nil
+			}
+		}
+	}
+}
+
+type capUnit struct {
+	shared *budget.Shared
+	ticket budget.Ticket
+}
+
+// Valid reports whether the unit may still be used.
+func (u capUnit) Valid() bool { return u.shared.Recheck(u.ticket) }
+
+// Release gives the unit back.
+func (u capUnit) Release() { u.shared.Release(u.ticket) }
+
+// linkBudget limits the bytes that this entry sends to other regions.
+type linkBudget struct {
+	mu     sync.Mutex
+	shares *budget.LinkShares
+}
+
+// Allow takes bytes from this entry's share of a link.
+func (l *linkBudget) Allow(_, to string, bytes int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shares.Allow(to, bytes, time.Now())
+}
+
+func (l *linkBudget) use(s *snapshot.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shares.Use(s, time.Now())
+}
+
+// nearest orders the other data centres by distance.
+type nearest struct{}
+
+// Choose returns the data centres of the service other than dc.
+func (nearest) Choose(_ time.Time, snap *snapshot.Snapshot, service, dc string, _ time.Time) []string {
+	var out []string
+	for _, other := range lookup.Order(snap, snap.Services[service], dc) {
+		if other != dc && !snap.PlaceDrained(service, other) {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// Observe does nothing.
+func (nearest) Observe(time.Time, string, string, proxy.ForwardOutcome) {}
+
+// openRamp admits every request from other data centres.
+type openRamp struct{}
+
+// Enter admits a request.
+func (openRamp) Enter(string, time.Time) bool { return true }
+
+// Leave ends a request.
+func (openRamp) Leave(string, time.Time, bool) {}
+
+// openRetries allows every retry.
+type openRetries struct{}
+
+// Request counts a request.
+func (openRetries) Request(string) {}
+
+// Retry allows a retry.
+func (openRetries) Retry(string, int) bool { return true }
+
+// noLedger refuses at-most-once requests.
+type noLedger struct{ dc string }
+
+// Home returns this data centre.
+func (l noLedger) Home(*snapshot.Snapshot, string, string) (string, bool) { return l.dc, true }
+
+// Start refuses.
+func (noLedger) Start(context.Context, string, string, []byte) (*proxy.Stored, error) {
+	return nil, errkind.New(errkind.LedgerUnavailable, "no ledger")
+}
+
+// Finish does nothing.
+func (noLedger) Finish(context.Context, string, string, *proxy.Stored, bool) {}
--- /dev/null
+++ b/internal/process/entry/run.go
@@ -0,0 +1,275 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
+	"github.com/fescuejunction/fescuejunction/internal/connection/target"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/budget"
+	"github.com/fescuejunction/fescuejunction/internal/process/follow"
+	"github.com/fescuejunction/fescuejunction/internal/process/group"
+	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
+	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
+	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
+	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// Timeouts of the HTTP servers and of the graceful stop.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	// lingerTime keeps a stopping entry answering while callers with a cached
+	// look-up still come.
+	lingerTime  = 3 * time.Second
+	stopTimeout = 60 * time.Second
+)
+
+// process holds the parts of a running entry.
+type process struct {
+	set      *Settings
+	log      *logrus.Entry
+	scope    tally.Scope
+	store    *snapshot.Store
+	blocks   atomic.Pointer[blocks.Table]
+	stopping atomic.Bool
+	follower *follow.Follower
+	targets  *target.Watcher
+	groups   *group.Manager
+	shared   *budget.Shared
+	links    *linkBudget
+	self     *fescuepb.Member
+}
+
+// Run runs an entry until ctx ends, then stops it gracefully.
+func Run(ctx context.Context, s *Settings, log *logrus.Entry) error {
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
+	}
+	scope, metricsHandler, closer := metrics.New("entry")
+	defer func() { _ = closer.Close() }()
+	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	if err := p.loadBlocks(); err != nil {
+		return err
+	}
+	p.assemble()
+	return p.serve(ctx, metricsHandler)
+}
+
+func (p *process) loadBlocks() error {
+	if p.set.BlocksFile == "" {
+		return nil
+	}
+	f, err := os.Open(p.set.BlocksFile)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "open client blocks")
+	}
+	defer f.Close()
+	t, err := blocks.ParseText(f)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "%s", p.set.BlocksFile)
+	}
+	p.blocks.Store(t)
+	debug.FreeOSMemory()
+	return nil
+}
+
+func (p *process) assemble() {
+	s := p.set
+	incarnation := uint64(time.Now().UnixNano())
+	p.self = &fescuepb.Member{
+		Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre, Role: fescuepb.Role_ROLE_ENTRY,
+		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, GrpcAddr: s.GRPCAddr, Incarnation: incarnation,
+	}
+	p.follower = follow.New(follow.Config{
+		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: dial, Store: p.store, Log: p.log, Metrics: p.scope,
+	})
+	p.shared = budget.NewShared(budget.NewHolder(s.Instance, incarnation))
+	p.targets = &target.Watcher{
+		DataCentre: s.DataCentre, Log: p.log,
+		Platform: &platform.Client{URL: s.PlatformURL, HTTP: &http.Client{}},
+		HTTP:     &http.Client{Transport: target.NewTransport()},
+		Changed:  func() { p.groups.Wake() },
+	}
+	p.groups = group.NewManager(group.Config{
+		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
+		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: dial, NewToken: newToken,
+		HomeChanged: func(string) {}, Log: p.log,
+	})
+}
+
+// tokenLength keeps key prefixes short; tokens need not be unguessable.
+const tokenLength = 10
+
+func newToken() string {
+	id := ulid.Make().String()
+	return id[len(id)-tokenLength:]
+}
+
+func dial(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// followVersions gives each snapshot to the parts that depend on it.
+func (p *process) followVersions(ctx context.Context) error {
+	for {
+		changed := p.store.Changed()
+		if s := p.store.Load(); s != nil {
+			p.shared.Use(s)
+			p.links.use(s)
+			p.groups.Wake()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (p *process) handlers() (callers, peers http.Handler) {
+	cfg := proxy.Config{
+		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
+		Ready: p.follower.Ready, Stopping: p.stopping.Load, Groups: p.groups,
+		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: noLedger{p.set.DataCentre},
+		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: target.NewTransport(),
+		PeerScheme: "http", Now: time.Now, Log: p.log, Metrics: p.scope,
+	}
+	look := lookup.New(lookup.Config{
+		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Blocks: &p.blocks,
+		Ready: p.follower.Ready, Stopping: p.stopping.Load, Home: p.groups.Home, Usable: p.groups.Usable,
+		KeyToken: func(service string) string { return p.groups.Group(service).Token },
+		Metrics:  p.scope,
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET /lookup", look)
+	mux.Handle("/", proxy.New(cfg, false))
+	return mux, proxy.New(cfg, true)
+}
+
+func (p *process) serve(ctx context.Context, metricsHandler http.Handler) error {
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, run := errgroup.WithContext(run)
+	callers, peers := p.handlers()
+	g := grpc.NewServer()
+	p.follower.Register(g)
+	fescuepb.RegisterPeersServer(g, &peerServer{groups: p.groups})
+	servers := []*http.Server{
+		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
+	}
+	for _, srv := range servers {
+		if err := p.listen(group, srv); err != nil {
+			return err
+		}
+	}
+	lis, err := net.Listen("tcp", p.set.GRPCAddr)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "listen on grpc_addr")
+	}
+	group.Go(func() error { return g.Serve(lis) })
+	group.Go(func() error { return p.follower.Run(run) })
+	group.Go(func() error { return p.followVersions(run) })
+	group.Go(func() error { p.targets.Run(run); return nil })
+	group.Go(func() error { p.groups.Run(run); return nil })
+	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: dial, Log: p.log}
+	group.Go(func() error { client.Run(run); return nil })
+	p.log.WithFields(logrus.Fields{"caller_addr": p.set.CallerAddr, "dc": p.set.DataCentre}).Info("entry started")
+	select {
+	case <-ctx.Done():
+		p.stop(servers)
+	case <-run.Done():
+	}
+	g.Stop()
+	cancel()
+	err = group.Wait()
+	p.log.Info("entry stopped")
+	return err
+}
+
+func (p *process) httpServer(addr string, h http.Handler) *http.Server {
+	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+func (p *process) listen(group *errgroup.Group, srv *http.Server) error {
+	lis, err := net.Listen("tcp", srv.Addr)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", srv.Addr)
+	}
+	group.Go(func() error {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// stop takes the entry out of look-ups, hands its services over and waits
+// until nothing is in flight.
+func (p *process) stop(servers []*http.Server) {
+	p.log.Info("stopping: out of look-ups, handing over")
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	p.stopping.Store(true)
+	p.groups.Stop()
+	if err := p.follower.Leave(ctx, false); err != nil {
+		p.log.WithError(err).Warn("leaving not recorded by control")
+	}
+	time.Sleep(lingerTime)
+	for _, srv := range servers {
+		if err := srv.Shutdown(ctx); err != nil {
+			p.log.WithError(err).Warn("requests were still in flight at the end of the stop")
+		}
+	}
+	if err := p.follower.Leave(ctx, true); err != nil {
+		p.log.WithError(err).Warn("exit not recorded by control")
+	}
+}
+
+// peerServer answers the other entries.
+type peerServer struct {
+	fescuepb.UnimplementedPeersServer
+	groups *group.Manager
+}
+
+// Ping exchanges the views of two entries.
+func (s *peerServer) Ping(ctx context.Context, r *fescuepb.PingRequest) (*fescuepb.PingReply, error) {
+	return s.groups.Ping(ctx, r)
+}
+
+// Lend promises a dispatcher that this entry starts nothing.
+func (s *peerServer) Lend(ctx context.Context, r *fescuepb.LendRequest) (*fescuepb.LendReply, error) {
+	return s.groups.Lend(ctx, r)
+}
+
+func (p *process) admin(metricsHandler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metricsHandler)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.follower.Ready() || p.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p.status())
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/process/entry/status.go
@@ -0,0 +1,67 @@
+package entry
+
+import "github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+
+// Status is the answer of /status.
+type Status struct {
+	Instance   string          `json:"instance"`
+	DataCentre string          `json:"data_centre"`
+	Ready      bool            `json:"ready"`
+	Confirmed  bool            `json:"confirmed"`
+	Stopping   bool            `json:"stopping"`
+	Version    uint64          `json:"version"`
+	Blocks     int             `json:"client_blocks"`
+	Services   []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus describes one dispatch group.
+type ServiceStatus struct {
+	Service    string         `json:"service"`
+	Dispatcher string         `json:"dispatcher"`
+	Epoch      uint64         `json:"epoch"`
+	Load       *dispatch.Load `json:"load,omitempty"` // if dispatched here
+	Targets    []TargetStatus `json:"targets"`
+}
+
+// TargetStatus describes one target of this data centre.
+type TargetStatus struct {
+	ID     string `json:"id"`
+	Status string `json:"status"`
+	InUse  uint32 `json:"in_use,omitempty"`
+}
+
+func (p *process) status() Status {
+	st := Status{
+		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Ready: p.follower.Ready(),
+		Confirmed: p.follower.Confirmed(), Stopping: p.stopping.Load(),
+	}
+	if t := p.blocks.Load(); t != nil {
+		st.Blocks = t.Len()
+	}
+	snap := p.store.Load()
+	if snap == nil {
+		return st
+	}
+	st.Version = snap.Version
+	for _, name := range snap.ServiceNames() {
+		if snap.Services[name].In(p.set.DataCentre) {
+			st.Services = append(st.Services, p.serviceStatus(name))
+		}
+	}
+	return st
+}
+
+func (p *process) serviceStatus(name string) ServiceStatus {
+	info := p.groups.Group(name)
+	out := ServiceStatus{Service: name, Dispatcher: info.Home, Epoch: info.Epoch}
+	inUse := map[string]uint32{}
+	if d := p.groups.Dispatcher(name); d != nil {
+		load := d.Load()
+		out.Load = &load
+		inUse = d.InUse()
+	}
+	for _, t := range p.targets.Targets(name) {
+		out.Targets = append(out.Targets, TargetStatus{ID: t.ID, Status: t.Status.String(), InUse: inUse[t.ID]})
+	}
+	return out
+}
--- a/internal/process/group/core.go
+++ b/internal/process/group/core.go
@@ -27,6 +27,9 @@
 	silentAfter = 1500 * time.Millisecond
 	// promiseTime is how long a member starts nothing for a dispatcher.
 	promiseTime = 2 * time.Second
+	// refreshMargin ends a promise early for its receiver, because shares are
+	// computed anew only once in a ping interval.
+	refreshMargin = PingInterval + 50*time.Millisecond
 	// bootWait is how long a new process waits for silent members before it
 	// may dispatch a service that nobody seems to dispatch.
 	bootWait = 2 * time.Second
@@ -188,7 +191,7 @@
 // uses no slots for at least promiseTime, so the proof holds that long.
 func (c *Core) Dead(instance string, now time.Time) bool {
 	p := c.peers[instance]
-	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < promiseTime
+	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < promiseTime-refreshMargin
 }
 
 // Stop marks this instance as leaving: it hands its groups over.
--- /dev/null
+++ b/internal/process/group/manager.go
@@ -0,0 +1,424 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/target"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+)
+
+// Config holds what a manager depends on.
+type Config struct {
+	Instance    string
+	DataCentre  string
+	Incarnation uint64
+	Store       *snapshot.Store
+	Ready       func() bool // a confirmed version is in force
+	Targets     func(service string) []target.Target
+	Dial        func(addr string) (*grpc.ClientConn, error)
+	NewToken    func() string
+	// HomeChanged is called without locks after the dispatcher of a service
+	// changed in this instance's view.
+	HomeChanged func(service string)
+	Log         *logrus.Entry
+}
+
+// Manager runs a Core: it pings the other entries of the data centre, asks
+// them for their promises and keeps the dispatchers of this instance.
+type Manager struct {
+	cfg  Config
+	wake chan struct{}
+
+	mu       sync.Mutex
+	core     *Core
+	snap     *snapshot.Snapshot
+	active   map[string]*dispatch.Dispatcher   // services dispatched here
+	retired  map[string][]*dispatch.Dispatcher // handed over, requests still in flight
+	homes    map[string]string
+	inFlight map[string]bool // pings under way
+}
+
+// Timeouts of the exchange with another entry.
+const (
+	pingTimeout   = time.Second
+	refuseTimeout = 300 * time.Millisecond
+)
+
+// NewManager returns a manager; Run starts it.
+func NewManager(cfg Config) *Manager {
+	return &Manager{
+		cfg: cfg, wake: make(chan struct{}, 1),
+		core:   NewCore(cfg.Instance, cfg.DataCentre, cfg.Incarnation, time.Now(), cfg.NewToken),
+		active: map[string]*dispatch.Dispatcher{}, retired: map[string][]*dispatch.Dispatcher{},
+		homes: map[string]string{}, inFlight: map[string]bool{},
+	}
+}
+
+// Run pings and decides until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		m.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.wake:
+		}
+	}
+}
+
+// Wake has the manager take over a new snapshot or changed targets at once.
+func (m *Manager) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) step(ctx context.Context) {
+	if !m.cfg.Ready() {
+		return
+	}
+	m.update(func() {
+		if s := m.cfg.Store.Load(); s != m.snap {
+			m.snap = s
+			m.core.SetSnapshot(s)
+			m.registerInUse()
+		}
+	})
+	for _, peer := range m.duePeers() {
+		go m.exchange(ctx, peer)
+	}
+}
+
+func (m *Manager) registerInUse() {
+	for name := range m.snap.Services {
+		m.core.SetInUse(name, func() map[string]uint32 { return m.inUse(name) })
+	}
+}
+
+// inUse counts the requests in flight of a service. The caller holds the lock.
+func (m *Manager) inUse(service string) map[string]uint32 {
+	out := map[string]uint32{}
+	add := func(d *dispatch.Dispatcher) {
+		for target, n := range d.InUse() {
+			out[target] += n
+		}
+	}
+	for _, d := range m.retired[service] {
+		add(d)
+	}
+	if d := m.active[service]; d != nil {
+		add(d)
+	}
+	return out
+}
+
+func (m *Manager) duePeers() []*fescuepb.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*fescuepb.Member
+	for _, p := range m.core.Peers() {
+		if !m.inFlight[p.Instance] {
+			m.inFlight[p.Instance] = true
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// update changes the core under the lock, then lets it decide and applies
+// its decisions before the lock is released: nothing may be dispatched on a
+// share that was given away.
+func (m *Manager) update(f func()) {
+	m.mu.Lock()
+	f()
+	now := time.Now()
+	changes := m.core.Tick(now)
+	moved := m.refresh(now)
+	m.mu.Unlock()
+	for _, ch := range changes {
+		m.cfg.Log.WithFields(logrus.Fields{
+			"service": ch.Service, "dc": m.cfg.DataCentre, "epoch": ch.Epoch, "from_instance": ch.From, "to_instance": ch.To, "reason": ch.Reason,
+		}).Info("dispatcher chosen")
+	}
+	for _, service := range moved {
+		m.cfg.HomeChanged(service)
+	}
+}
+
+// refresh brings the dispatchers in line with the core and returns the
+// services whose home changed.
+func (m *Manager) refresh(now time.Time) (moved []string) {
+	if m.snap == nil {
+		return nil
+	}
+	for name, svc := range m.snap.Services {
+		if !svc.In(m.cfg.DataCentre) {
+			continue
+		}
+		if home := m.core.Home(name); home != m.homes[name] {
+			m.homes[name] = home
+			moved = append(moved, name)
+		}
+		m.refreshService(name, svc, now)
+	}
+	m.pruneRetired()
+	return moved
+}
+
+func (m *Manager) refreshService(name string, svc *snapshot.Service, now time.Time) {
+	d := m.active[name]
+	if !m.core.IsHome(name) {
+		if d != nil {
+			d.Stop()
+			delete(m.active, name)
+			m.retired[name] = append(m.retired[name], d)
+		}
+		return
+	}
+	settings := m.settings(svc)
+	if d == nil {
+		d = dispatch.NewDispatcher(settings, time.Now)
+		m.active[name] = d
+	} else {
+		d.Configure(settings)
+	}
+	d.SetTargets(m.targets(name, svc, now))
+}
+
+func (m *Manager) settings(svc *snapshot.Service) dispatch.Settings {
+	s := dispatch.Settings{
+		Service: svc.Name, DataCentre: m.cfg.DataCentre, Slots: svc.SlotsPerTarget,
+		QueueLimit: svc.QueueLimit, LongSharePercent: svc.LongShare, Warmup: svc.Warmup.D(),
+		LongestDeadline: m.snap.LongestDeadline(svc),
+	}
+	if svc.Hedge != nil {
+		s.HedgePercent, s.HedgeMinDelay = svc.Hedge.BudgetPercent, svc.Hedge.MinDelay.D()
+	}
+	return s
+}
+
+func (m *Manager) targets(name string, svc *snapshot.Service, now time.Time) []dispatch.TargetInfo {
+	retired := map[string]uint32{}
+	for _, d := range m.retired[name] {
+		for id, n := range d.InUse() {
+			retired[id] += n
+		}
+	}
+	var out []dispatch.TargetInfo
+	for _, t := range m.cfg.Targets(name) {
+		slots := svc.SlotsPerTarget
+		if t.Slots > 0 {
+			slots = min(slots, t.Slots)
+		}
+		usable := m.core.Usable(name, t.ID, slots, now) - int(retired[t.ID])
+		out = append(out, dispatch.TargetInfo{
+			ID: t.ID, Addr: t.Addr, State: m.state(t), Slots: max(usable, 0),
+			ReportedLoad: t.ReportedLoad, Since: t.HealthySince,
+		})
+	}
+	return out
+}
+
+func (m *Manager) state(t target.Target) dispatch.TargetState {
+	switch {
+	case t.Status == target.Leaving || m.snap.TargetDrained(t.Service, m.cfg.DataCentre, t.ID):
+		return dispatch.Leaving
+	case t.Status == target.Down:
+		return dispatch.Down
+	}
+	return dispatch.Active
+}
+
+// pruneRetired forgets handed-over dispatchers without requests in flight.
+func (m *Manager) pruneRetired() {
+	for name, list := range m.retired {
+		kept := list[:0]
+		for _, d := range list {
+			if d.Load().InFlight > 0 {
+				kept = append(kept, d)
+			}
+		}
+		m.retired[name] = kept
+	}
+}
+
+// exchange pings one member and asks it for its promises.
+func (m *Manager) exchange(ctx context.Context, peer *fescuepb.Member) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.inFlight, peer.Instance)
+		m.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	if err := m.ping(ctx, peer); err != nil {
+		m.probeRefused(ctx, peer)
+		return
+	}
+	m.borrow(ctx, peer)
+}
+
+func (m *Manager) ping(ctx context.Context, peer *fescuepb.Member) error {
+	conn, err := m.cfg.Dial(peer.GrpcAddr)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	req := m.core.Ping()
+	m.mu.Unlock()
+	sentAt := time.Now()
+	reply, err := fescuepb.NewPeersClient(conn).Ping(ctx, req)
+	if err != nil {
+		return err
+	}
+	m.update(func() { m.core.OnPingReply(peer.Instance, reply, sentAt) })
+	return nil
+}
+
+// probeRefused finds out whether the address of a member that did not answer
+// refuses connections. A connection of its own is tried because the state of
+// a pooled one may be old.
+func (m *Manager) probeRefused(ctx context.Context, peer *fescuepb.Member) {
+	sentAt := time.Now()
+	d := net.Dialer{Timeout: refuseTimeout}
+	conn, err := d.DialContext(ctx, "tcp", peer.GrpcAddr)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		m.update(func() { m.core.OnRefused(peer.Instance, sentAt) })
+	}
+}
+
+// borrow renews the promises of a member for the services dispatched here.
+func (m *Manager) borrow(ctx context.Context, peer *fescuepb.Member) {
+	conn, err := m.cfg.Dial(peer.GrpcAddr)
+	if err != nil {
+		return
+	}
+	client := fescuepb.NewPeersClient(conn)
+	for _, service := range m.homeServices() {
+		m.mu.Lock()
+		req := m.core.Lend(service)
+		m.mu.Unlock()
+		if req == nil {
+			continue
+		}
+		sentAt := time.Now()
+		reply, err := client.Lend(ctx, req)
+		if err != nil {
+			return
+		}
+		m.update(func() { m.core.OnLendReply(service, peer.Instance, reply, sentAt, time.Now()) })
+	}
+}
+
+func (m *Manager) homeServices() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for name := range m.active {
+		out = append(out, name)
+	}
+	return out
+}
+
+// Ping answers another entry.
+func (m *Manager) Ping(_ context.Context, req *fescuepb.PingRequest) (reply *fescuepb.PingReply, _ error) {
+	m.update(func() { reply = m.core.OnPing(req) })
+	return reply, nil
+}
+
+// Lend answers a dispatcher that asks for this member's promise.
+func (m *Manager) Lend(_ context.Context, req *fescuepb.LendRequest) (reply *fescuepb.LendReply, _ error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// Whenever the lock is free, dispatchers run only for services whose home
+	// is this instance, so a promise made here holds from now on.
+	return m.core.OnLend(req, time.Now()), nil
+}
+
+// Dispatcher returns the dispatcher of a service that is dispatched here, or
+// nil.
+func (m *Manager) Dispatcher(service string) *dispatch.Dispatcher {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.active[service]
+}
+
+// Home returns the member that dispatches the service in this data centre,
+// or nil.
+func (m *Manager) Home(service string) *fescuepb.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.snap == nil {
+		return nil
+	}
+	return m.snap.Member(m.core.Home(service))
+}
+
+// Info describes the group of a service in this instance's view.
+type Info struct {
+	Epoch uint64
+	Home  string
+	Token string
+	Here  bool
+}
+
+// Group returns the view of a service's group.
+func (m *Manager) Group(service string) Info {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Info{m.core.Epoch(service), m.core.Home(service), m.core.Token(service), m.core.IsHome(service)}
+}
+
+// Usable reports whether look-ups may name a member of this data centre.
+func (m *Manager) Usable(instance string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Alive(instance, time.Now()) && !m.core.Leaving(instance)
+}
+
+// Dead reports whether the process of a member of this data centre is proved
+// not to run.
+func (m *Manager) Dead(instance string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Dead(instance, time.Now())
+}
+
+// Stop hands the services over; the dispatchers finish what is in flight.
+func (m *Manager) Stop() {
+	m.update(m.core.Stop)
+	m.Wake()
+}
+
+// InFlight returns the requests in flight at targets.
+func (m *Manager) InFlight() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, d := range m.active {
+		n += d.Load().InFlight
+	}
+	for _, list := range m.retired {
+		for _, d := range list {
+			n += d.Load().InFlight
+		}
+	}
+	return n
+}
--- a/internal/process/group/slots.go
+++ b/internal/process/group/slots.go
@@ -70,7 +70,7 @@
 		return
 	}
 	c.group(service).promises[from] = &promise{
-		until:       sentAt.Add(time.Duration(r.DurationMs) * time.Millisecond),
+		until:       sentAt.Add(time.Duration(r.DurationMs)*time.Millisecond - refreshMargin),
 		incarnation: r.LenderIncarnation,
 		inUse:       r.InUse,
 		owed:        owedTimes(r.OwedMs, now),
--- /dev/null
+++ b/internal/request/lookup/lookup.go
@@ -0,0 +1,248 @@
+// Package lookup answers which entries a caller should use for a service.
+package lookup
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/uber-go/tally/v4"
+)
+
+// maxEntries bounds the entries in an answer.
+const maxEntries = 8
+
+// Answer is the JSON answer to a look-up.
+type Answer struct {
+	Service    string  `json:"service"`
+	DataCentre string  `json:"data_centre"` // of the first entry
+	ClientDC   string  `json:"client_data_centre,omitempty"`
+	Version    uint64  `json:"version"`
+	TTLSeconds float64 `json:"ttl_seconds"`
+	KeyPrefix  string  `json:"key_prefix"` // for Idempotency-Key
+	Entries    []Entry `json:"entries"`
+}
+
+// Entry is an entry instance, best first.
+type Entry struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"` // host:port for HTTP
+}
+
+// Config holds what the handler depends on.
+type Config struct {
+	Instance   string
+	DataCentre string
+	Store      *snapshot.Store
+	Blocks     *atomic.Pointer[blocks.Table]
+	Ready      func() bool
+	Stopping   func() bool
+	// Home returns the member that dispatches a service in this data centre.
+	Home func(service string) *fescuepb.Member
+	// Usable reports whether a member of this data centre takes requests.
+	Usable func(instance string) bool
+	// KeyToken returns the token of the service's keys in this data centre.
+	KeyToken func(service string) string
+	Metrics  tally.Scope
+}
+
+// Handler answers GET /lookup.
+type Handler struct {
+	cfg     Config
+	answers tally.Counter
+	cache   sync.Map // cacheKey to *cached
+}
+
+type cacheKey struct{ service, dc string }
+
+// cached is an encoded answer. It holds for a short time because the state
+// of the members that it depends on changes without a new version.
+type cached struct {
+	version uint64
+	until   time.Time
+	body    []byte
+	ttl     string
+}
+
+// cacheTime bounds the age of an encoded answer.
+const cacheTime = 100 * time.Millisecond
+
+// New returns the handler.
+func New(cfg Config) *Handler {
+	return &Handler{cfg: cfg, answers: cfg.Metrics.SubScope("lookups").Counter("answered")}
+}
+
+// ServeHTTP answers one look-up.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, ttl, err := h.answer(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	h.answers.Inc(1)
+	header := w.Header()
+	header["Content-Type"] = []string{"application/json"}
+	header["Cache-Control"] = []string{ttl}
+	header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	_, _ = w.Write(body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	kind := errkind.Of(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(kind.Answer().Status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"kind": string(kind), "message": err.Error(), "did_run": string(kind.Answer().DidRun)})
+}
+
+func (h *Handler) answer(r *http.Request) (body []byte, ttl string, err error) {
+	if !h.cfg.Ready() {
+		return nil, "", errkind.New(errkind.NotReady, "no confirmed version of the steering document is in force yet")
+	}
+	snap := h.cfg.Store.Load()
+	query := r.URL.Query()
+	service := query.Get("service")
+	svc := snap.Services[service]
+	if svc == nil {
+		return nil, "", errkind.New(errkind.UnknownService, "service %q is not in the steering document", service)
+	}
+	client, err := clientAddr(query.Get("client"), r.RemoteAddr)
+	if err != nil {
+		return nil, "", err
+	}
+	dc := h.clientDC(client)
+	key := cacheKey{service, dc}
+	now := time.Now()
+	if v, ok := h.cache.Load(key); ok {
+		if c := v.(*cached); c.version == snap.Version && now.Before(c.until) {
+			return c.body, c.ttl, nil
+		}
+	}
+	c, err := h.encode(snap, svc, dc, now)
+	if err != nil {
+		return nil, "", err
+	}
+	h.cache.Store(key, c)
+	return c.body, c.ttl, nil
+}
+
+func clientAddr(given, remote string) (netip.Addr, error) {
+	if given != "" {
+		a, err := netip.ParseAddr(given)
+		if err != nil {
+			return a, errkind.New(errkind.BadRequest, "client: %q is not an IP address", given)
+		}
+		return a, nil
+	}
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return netip.Addr{}, errkind.Wrap(errkind.Internal, err, "remote address")
+	}
+	return netip.ParseAddr(host)
+}
+
+func (h *Handler) clientDC(client netip.Addr) string {
+	if t := h.cfg.Blocks.Load(); t != nil {
+		if dc, ok := t.Lookup(client); ok {
+			return dc
+		}
+	}
+	return ""
+}
+
+func (h *Handler) encode(snap *snapshot.Snapshot, svc *snapshot.Service, clientDC string, now time.Time) (*cached, error) {
+	a := h.build(snap, svc, clientDC)
+	if len(a.Entries) == 0 {
+		return nil, errkind.New(errkind.NoTarget, "no entry instance takes requests of service %q", svc.Name)
+	}
+	body, err := json.Marshal(a)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "encode the answer")
+	}
+	ttl := "max-age=" + strconv.Itoa(int(a.TTLSeconds))
+	return &cached{version: snap.Version, until: now.Add(cacheTime), body: append(body, '\n'), ttl: ttl}, nil
+}
+
+func (h *Handler) build(snap *snapshot.Snapshot, svc *snapshot.Service, clientDC string) *Answer {
+	a := &Answer{
+		Service: svc.Name, ClientDC: clientDC, Version: snap.Version,
+		TTLSeconds: snap.Limits.LookupTTL.D().Seconds(),
+	}
+	near := clientDC
+	if near == "" {
+		near = h.cfg.DataCentre
+	}
+	for _, dc := range Order(snap, svc, near) {
+		for _, m := range h.members(snap, svc.Name, dc) {
+			if len(a.Entries) < maxEntries {
+				a.Entries = append(a.Entries, Entry{m.Instance, m.DataCentre, m.CallerAddr})
+			}
+		}
+	}
+	if len(a.Entries) > 0 {
+		a.DataCentre = a.Entries[0].DataCentre
+		a.KeyPrefix = h.keyPrefix(svc.Name, a.DataCentre)
+	}
+	return a
+}
+
+func (h *Handler) keyPrefix(service, dc string) string {
+	if dc == h.cfg.DataCentre {
+		if token := h.cfg.KeyToken(service); token != "" {
+			return dc + "." + token + "~"
+		}
+	}
+	return dc + "~"
+}
+
+// members returns the entries of a data centre, the dispatcher first.
+func (h *Handler) members(snap *snapshot.Snapshot, service, dc string) []*fescuepb.Member {
+	order := snap.DispatchOrder(service, dc)
+	if dc != h.cfg.DataCentre {
+		return order
+	}
+	usable := order[:0:0]
+	for _, m := range order {
+		if m.Instance == h.cfg.Instance && h.cfg.Stopping() || !h.cfg.Usable(m.Instance) {
+			continue
+		}
+		usable = append(usable, m)
+	}
+	if home := h.cfg.Home(service); home != nil {
+		sort.SliceStable(usable, func(i, j int) bool {
+			return usable[i].Instance == home.Instance && usable[j].Instance != home.Instance
+		})
+	}
+	return usable
+}
+
+// Order returns the data centres of a service for callers near a data
+// centre: that one first, then its region, then the others by the delay of
+// the links. Drained places come last, so that a service drained everywhere
+// still gets a truthful answer.
+func Order(snap *snapshot.Snapshot, svc *snapshot.Service, near string) []string {
+	out := append([]string(nil), svc.DataCentres...)
+	rank := func(dc string) int {
+		r := snap.Distance(near, dc)
+		if snap.PlaceDrained(svc.Name, dc) {
+			r += drainedRank
+		}
+		return r
+	}
+	sort.SliceStable(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
+	return out
+}
+
+// drainedRank is more than any distance.
+const drainedRank = 1 << 30
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -25,9 +25,6 @@
 	// Home returns the member that dispatches the service in this data
 	// centre, or nil if none is known to be alive.
 	Home(service string) *fescuepb.Member
-	// SlotsValid reports whether the shares of the targets' slots that the
-	// dispatcher of the service works with still hold.
-	SlotsValid(service string) bool
 }
 
 // Caps admits requests within the caps of the shifts.
@@ -307,7 +304,7 @@
 // service, or will soon.
 func homeMoved(err error) bool {
 	kind := errkind.Of(err)
-	return kind == errkind.NotDispatcher || errors.Is(err, errPeerUnreachable)
+	return kind == errkind.NotDispatcher || kind == errkind.Stopping || errors.Is(err, errPeerUnreachable)
 }
 
 func (h *Handler) tryHere(ctx context.Context, c *call) (*reply, error) {
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -172,7 +172,7 @@
 		transport: h.Targets, scheme: "http", addr: t.Target.Addr,
 		header: c.targetHeader(s.start), replay: c.route.Safe,
 		onWritten: func() {
-			if !unit.Valid() || !h.Groups.SlotsValid(c.service.Name) {
+			if !unit.Valid() || h.Now().After(c.deadline) {
 				s.cancel(errLeaseLapsed)
 			}
 		},
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -5,6 +5,7 @@
 import (
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -226,21 +227,74 @@
 func covers(field, value string) bool { return field == "" || field == value }
 
 // Store holds the snapshot in force.
-type Store struct{ p atomic.Pointer[Snapshot] }
+type Store struct {
+	p       atomic.Pointer[Snapshot]
+	mu      sync.Mutex
+	changed chan struct{}
+}
 
 // Load returns the snapshot in force, or nil before the first one.
 func (st *Store) Load() *Snapshot { return st.p.Load() }
 
+// Changed returns a channel that is closed when another snapshot is put in
+// force. Take it before Load, so that no change is missed.
+func (st *Store) Changed() <-chan struct{} {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.changed == nil {
+		st.changed = make(chan struct{})
+	}
+	return st.changed
+}
+
 // Swap puts s in force if its version is higher than the present one's, and
 // reports whether it did. Versions only go up.
 func (st *Store) Swap(s *Snapshot) bool {
-	for {
-		old := st.p.Load()
-		if old != nil && old.Version >= s.Version {
-			return false
-		}
-		if st.p.CompareAndSwap(old, s) {
-			return true
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if old := st.p.Load(); old != nil && old.Version >= s.Version {
+		return false
+	}
+	st.p.Store(s)
+	if st.changed != nil {
+		close(st.changed)
+		st.changed = nil
+	}
+	return true
+}
+
+// Distances between data centres in microseconds, for those without a link
+// that states its delay.
+const (
+	sameRegionDistance  = 1_000
+	otherRegionDistance = 100_000
+)
+
+// Distance estimates the one-way delay between two data centres in
+// microseconds, from the links of the steering document. It is 0 for a data
+// centre and itself.
+func (s *Snapshot) Distance(from, to string) int {
+	a, b := s.regionOf[from], s.regionOf[to]
+	switch {
+	case from == to:
+		return 0
+	case a == b && a != "":
+		return sameRegionDistance
+	}
+	for _, l := range s.Links {
+		if l.From == a && l.To == b && l.DelayMs > 0 {
+			return l.DelayMs * 1000
 		}
 	}
+	return otherRegionDistance
+}
+
+// ServiceNames returns the names of the services, sorted.
+func (s *Snapshot) ServiceNames() []string {
+	out := make([]string, 0, len(s.Services))
+	for name := range s.Services {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
 }
