budget: let the first leader of a new cluster grant at once

Cause: the demo answered its first request only 62 s after the start, with shift_cap_reached: a new leader waits for the longest lease and deadline of an earlier one (30 s in the demo). Ruled out: joining and confirmation, which took 0.3 s. If no entry was a member when the term began, no lease can be out, so the wait is dropped in that case alone.

--- a/internal/process/budget/granter.go
+++ b/internal/process/budget/granter.go
@@ -52,6 +52,8 @@
 	leading    bool
 	leaderFrom time.Time
 	term       uint64
+	// nothingBefore is set if no entry was a member when the term began.
+	nothingBefore bool
 
 	holders  map[string]*holderInfo
 	accounts map[string]map[string]*account // by shift, by instance
@@ -106,8 +108,11 @@
 
 // Reset makes the granter that of a new leader. It grants nothing until the
 // leases of earlier leaders and the requests admitted under them have ended.
+// If no entry has been a member yet, there are none. The versions observed
+// must include all that were committed before the term.
 func (g *Granter) Reset(term uint64, now time.Time) {
 	g.leading, g.leaderFrom, g.term = true, now, term
+	g.nothingBefore = len(g.accounts) == 0 && len(g.entries) == 0
 	for _, h := range g.holders {
 		*h = holderInfo{}
 	}
@@ -123,6 +128,9 @@
 
 // GrantsFrom returns the time before which a new leader grants nothing.
 func (g *Granter) GrantsFrom() time.Time {
+	if g.nothingBefore {
+		return g.leaderFrom
+	}
 	return g.leaderFrom.Add(LeaderOverlap + LeaseDuration + g.deadline)
 }
 
--- a/internal/process/budget/server.go
+++ b/internal/process/budget/server.go
@@ -48,6 +48,14 @@
 	s.granter.Observe(snap)
 }
 
+// Sync takes over the replica's role. Call it when the role or the committed
+// version has changed.
+func (s *Server) Sync() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow()
+}
+
 // Gone tells that an instance's process has ended and its removal is
 // committed. Call it at every replica, after Observe of that version.
 func (s *Server) Gone(instance string) {
--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -27,13 +27,18 @@
 // Snapshot returns the newest committed version, or nil.
 func (l *leadership) Snapshot() *snapshot.Snapshot { return l.snap.Load() }
 
-// observeVersions gives each committed version to the budget server.
+// observeVersions gives each committed version and change of role to the
+// budget server.
 func observeVersions(ctx context.Context, l *leadership, machine *state.Machine, server *budget.Server, log *logrus.Entry) error {
 	for {
 		changed := l.log.Changed()
-		if snap := compile(machine, log); snap != nil && (l.snap.Load() == nil || snap.Version > l.snap.Load().Version) {
+		if snap := compile(machine, log); snap != nil {
+			before := l.snap.Load()
 			l.snap.Store(snap)
-			server.Observe(snap)
+			server.Sync()
+			for _, instance := range removed(before, snap) {
+				server.Gone(instance)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -43,6 +48,20 @@
 	}
 }
 
+// removed returns the entries that are no longer members.
+func removed(before, after *snapshot.Snapshot) []string {
+	if before == nil {
+		return nil
+	}
+	var out []string
+	for _, m := range before.Members() {
+		if after.Member(m.Instance) == nil {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
+
 // compile builds the routing snapshot of the machine's version.
 func compile(machine *state.Machine, log *logrus.Entry) *snapshot.Snapshot {
 	u := machine.Since(0)
