Add the at-most-once ledger with a backup on another entry

The property test drives the real group core and ledgers of one to three entries and a backup in another data centre through kills, restarts, cuts, handovers and lost answers. It found three ways in which a key could run twice, each fixed at its cause: a copy whose answer was lost counted as a backup (a backup now counts only once activated); a home replaced a dead backup that had taken over before it died (it now needs to have been in contact, or asks control for later claims); a home that learned of a later one started over in the same epoch (it now stays superseded).

--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -42,6 +42,15 @@
 	return &fescuepb.LeaveReply{Version: res.Version}, nil
 }
 
+// ClaimGroup commits a new dispatcher of a group.
+func (m *members) ClaimGroup(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
+	res, err := m.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Claim{Claim: c}})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return res.Claim, nil
+}
+
 func (m *members) commit(ctx context.Context, cmd *fescuepb.Command) (*fescuepb.CommandResult, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
--- a/internal/process/entry/adapters.go
+++ b/internal/process/entry/adapters.go
@@ -113,17 +113,3 @@
 
 // Retry allows a retry.
 func (openRetries) Retry(string, int) bool { return true }
-
-// noLedger refuses at-most-once requests.
-type noLedger struct{ dc string }
-
-// Home returns this data centre.
-func (l noLedger) Home(*snapshot.Snapshot, string, string) (string, bool) { return l.dc, true }
-
-// Start refuses.
-func (noLedger) Start(context.Context, string, string, []byte) (*proxy.Stored, error) {
-	return nil, errkind.New(errkind.LedgerUnavailable, "no ledger")
-}
-
-// Finish does nothing.
-func (noLedger) Finish(context.Context, string, string, *proxy.Stored, bool) {}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
+	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -53,8 +55,12 @@
 	targets  *target.Watcher
 	groups   *group.Manager
 	shared   *budget.Shared
+	ledger   *once.Service
 	links    *linkBudget
 	self     *fescuepb.Member
+
+	connMu sync.Mutex
+	conns  map[string]*grpc.ClientConn
 }
 
 // Run runs an entry until ctx ends, then stops it gracefully.
@@ -64,7 +70,7 @@
 	}
 	scope, metricsHandler, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }()
-	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, conns: map[string]*grpc.ClientConn{}, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
 	if err := p.loadBlocks(); err != nil {
 		return err
 	}
@@ -98,7 +104,7 @@
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, GrpcAddr: s.GRPCAddr, Incarnation: incarnation,
 	}
 	p.follower = follow.New(follow.Config{
-		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: dial, Store: p.store, Log: p.log, Metrics: p.scope,
+		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: p.dial, Store: p.store, Log: p.log, Metrics: p.scope,
 	})
 	p.shared = budget.NewShared(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
@@ -109,11 +115,44 @@
 	}
 	p.groups = group.NewManager(group.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
-		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: dial, NewToken: newToken,
-		HomeChanged: func(string) {}, Log: p.log,
+		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: p.dial, NewToken: newToken,
+		HomeChanged: func(string) { p.ledger.Wake() }, Log: p.log,
+	})
+	p.ledger = once.New(once.Config{
+		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
+		Role: p.role, Dead: p.groups.Dead,
+		DiedInContact: p.groups.DiedInContact, AllSeen: p.groups.AllSeen, Raise: p.groups.Raise, Leaving: p.groups.Leaving,
+		Peer:    func(m *fescuepb.Member) once.Peer { return once.Remote{Dial: p.dial, Addr: m.GrpcAddr} },
+		Refused: once.AddressRefuses, Now: time.Now, Claim: p.claim, Log: p.log,
 	})
 }
 
+// role tells the ledger this instance's part in a group.
+func (p *process) role(service string) once.Role {
+	g := p.groups.Group(service)
+	return once.Role{
+		Epoch: g.Epoch, Here: g.Here, Home: g.Home, Token: g.Token,
+		Previous: g.Previous.Instance, PreviousIncarnation: g.Previous.Incarnation, PreviousSilent: g.Previous.Silent,
+	}
+}
+
+// claim records a dispatcher at the first control replica that answers.
+func (p *process) claim(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
+	var last error
+	for _, addr := range p.set.Control {
+		conn, err := p.dial(addr)
+		if err != nil {
+			return nil, err
+		}
+		reply, err := fescuepb.NewMembersClient(conn).ClaimGroup(ctx, c)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // tokenLength keeps key prefixes short; tokens need not be unguessable.
 const tokenLength = 10
 
@@ -122,8 +161,18 @@
 	return id[len(id)-tokenLength:]
 }
 
-func dial(addr string) (*grpc.ClientConn, error) {
-	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+// dial returns the shared connection to an address.
+func (p *process) dial(addr string) (*grpc.ClientConn, error) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	if c := p.conns[addr]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err == nil {
+		p.conns[addr] = c
+	}
+	return c, err
 }
 
 // followVersions gives each snapshot to the parts that depend on it.
@@ -147,7 +196,7 @@
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Stopping: p.stopping.Load, Groups: p.groups,
-		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: noLedger{p.set.DataCentre},
+		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: p.ledger,
 		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: target.NewTransport(),
 		PeerScheme: "http", Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
@@ -170,7 +219,7 @@
 	callers, peers := p.handlers()
 	g := grpc.NewServer()
 	p.follower.Register(g)
-	fescuepb.RegisterPeersServer(g, &peerServer{groups: p.groups})
+	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	servers := []*http.Server{
 		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
 	}
@@ -188,7 +237,8 @@
 	group.Go(func() error { return p.followVersions(run) })
 	group.Go(func() error { p.targets.Run(run); return nil })
 	group.Go(func() error { p.groups.Run(run); return nil })
-	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: dial, Log: p.log}
+	group.Go(func() error { p.ledger.Run(run); return nil })
+	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: p.dial, Log: p.log}
 	group.Go(func() error { client.Run(run); return nil })
 	p.log.WithFields(logrus.Fields{"caller_addr": p.set.CallerAddr, "dc": p.set.DataCentre}).Info("entry started")
 	select {
@@ -245,8 +295,9 @@
 
 // peerServer answers the other entries.
 type peerServer struct {
-	fescuepb.UnimplementedPeersServer
-	groups *group.Manager
+	fescuepb.UnsafePeersServer
+	once.Server // Record, Copy, Fetch, Drop
+	groups      *group.Manager
 }
 
 // Ping exchanges the views of two entries.
--- a/internal/process/group/core.go
+++ b/internal/process/group/core.go
@@ -52,7 +52,8 @@
 type peerView struct {
 	incarnation uint64
 	version     uint64    // in force there, while the incarnation lasts
-	aliveAt     time.Time // when the last answered ping was sent
+	aliveAt     time.Time // when it was last heard of
+	answeredAt  time.Time // when the last answered ping was sent
 	refusedAt   time.Time // when its address last refused a connection
 	contact     bool      // answered or refused since our start
 	leaving     bool
@@ -64,6 +65,7 @@
 	home            string
 	homeIncarnation uint64
 	token           string
+	previous        Predecessor
 	inUse           func() map[string]uint32
 	// owed holds until when our own share belongs to another member.
 	owed map[string]time.Time
@@ -71,6 +73,25 @@
 	promises map[string]*promise
 }
 
+// Predecessor is the dispatcher of the epoch directly before; its instance
+// is "" if it is not known.
+type Predecessor struct {
+	Instance    string
+	Incarnation uint64
+	// Silent is set if the predecessor was replaced because it was silent: it
+	// may still run.
+	Silent bool
+}
+
+// move sets a new dispatcher.
+func (g *groupView) move(epoch uint64, home string, incarnation uint64, token string) {
+	g.previous = Predecessor{}
+	if epoch == g.epoch+1 {
+		g.previous = Predecessor{Instance: g.home, Incarnation: g.homeIncarnation}
+	}
+	g.epoch, g.home, g.homeIncarnation, g.token = epoch, home, incarnation, token
+}
+
 type promise struct {
 	until       time.Time // on our clock, counted from before the request
 	incarnation uint64
@@ -162,6 +183,14 @@
 	return 0
 }
 
+// Previous returns the dispatcher before the present one.
+func (c *Core) Previous(service string) Predecessor {
+	if g := c.groups[service]; g != nil {
+		return g.previous
+	}
+	return Predecessor{}
+}
+
 // IsHome reports whether this instance dispatches the service.
 func (c *Core) IsHome(service string) bool {
 	g := c.groups[service]
@@ -194,6 +223,32 @@
 	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < promiseTime-refreshMargin
 }
 
+// DiedInContact reports whether a member is proved dead and answered a ping
+// so shortly before that it cannot have taken this instance for silent.
+func (c *Core) DiedInContact(instance string, now time.Time) bool {
+	p := c.peers[instance]
+	return c.Dead(instance, now) && p.refusedAt.Sub(p.answeredAt) < silentAfter
+}
+
+// AllSeen reports whether every other member is alive or proved dead.
+func (c *Core) AllSeen(now time.Time) bool {
+	for name := range c.peers {
+		if !c.Alive(name, now) && !c.Dead(name, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Raise moves a group that this instance dispatches to a higher epoch, whose
+// predecessor is not known.
+func (c *Core) Raise(service string, epoch uint64) {
+	if g := c.groups[service]; c.IsHome(service) && epoch > g.epoch {
+		g.move(epoch, c.self, c.incarnation, c.newToken())
+		g.previous = Predecessor{}
+	}
+}
+
 // Stop marks this instance as leaving: it hands its groups over.
 func (c *Core) Stop() { c.stopping = true }
 
@@ -226,9 +281,11 @@
 	return out
 }
 
-// OnPing takes over a ping of another member and returns the answer.
-func (c *Core) OnPing(req *fescuepb.PingRequest) *fescuepb.PingReply {
+// OnPing takes over a ping of another member and returns the answer. A
+// member that pings us is not silent; DiedInContact depends on that.
+func (c *Core) OnPing(req *fescuepb.PingRequest, now time.Time) *fescuepb.PingReply {
 	if p := c.peers[req.Instance]; p != nil {
+		p.heard(now)
 		p.observe(req.Incarnation, req.VersionInForce, req.Leaving)
 	}
 	c.adopt(req.Epochs)
@@ -246,12 +303,19 @@
 	}
 	p.observe(r.Incarnation, r.VersionInForce, r.Leaving)
 	p.contact = true
-	if sentAt.After(p.aliveAt) {
-		p.aliveAt = sentAt
+	p.heard(sentAt)
+	if sentAt.After(p.answeredAt) {
+		p.answeredAt = sentAt
 	}
 	c.adopt(r.Epochs)
 }
 
+func (p *peerView) heard(at time.Time) {
+	if at.After(p.aliveAt) {
+		p.aliveAt = at
+	}
+}
+
 // OnRefused takes over that a connection attempt made at sentAt was refused.
 func (c *Core) OnRefused(instance string, sentAt time.Time) {
 	p := c.peers[instance]
@@ -284,6 +348,6 @@
 		if e.Epoch < g.epoch || e.Epoch == g.epoch && e.Home <= g.home {
 			continue
 		}
-		g.epoch, g.home, g.homeIncarnation, g.token = e.Epoch, e.Home, e.HomeIncarnation, e.Token
+		g.move(e.Epoch, e.Home, e.HomeIncarnation, e.Token)
 	}
 }
--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -339,7 +339,7 @@
 
 // Ping answers another entry.
 func (m *Manager) Ping(_ context.Context, req *fescuepb.PingRequest) (reply *fescuepb.PingReply, _ error) {
-	m.update(func() { reply = m.core.OnPing(req) })
+	m.update(func() { reply = m.core.OnPing(req, time.Now()) })
 	return reply, nil
 }
 
@@ -377,13 +377,15 @@
 	Home  string
 	Token string
 	Here  bool
+	// Previous is the dispatcher of the epoch before.
+	Previous Predecessor
 }
 
 // Group returns the view of a service's group.
 func (m *Manager) Group(service string) Info {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Info{m.core.Epoch(service), m.core.Home(service), m.core.Token(service), m.core.IsHome(service)}
+	return Info{m.core.Epoch(service), m.core.Home(service), m.core.Token(service), m.core.IsHome(service), m.core.Previous(service)}
 }
 
 // Usable reports whether look-ups may name a member of this data centre.
@@ -401,6 +403,35 @@
 	return m.core.Dead(instance, time.Now())
 }
 
+// DiedInContact reports whether a member's process is proved dead and cannot
+// have taken over from this instance before.
+func (m *Manager) DiedInContact(instance string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.DiedInContact(instance, time.Now())
+}
+
+// AllSeen reports whether every other member of this data centre is alive or
+// proved dead.
+func (m *Manager) AllSeen() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.AllSeen(time.Now())
+}
+
+// Raise moves a group that is dispatched here to a higher epoch.
+func (m *Manager) Raise(service string, epoch uint64) {
+	m.update(func() { m.core.Raise(service, epoch) })
+}
+
+// Leaving reports whether a member of this data centre has said that it is
+// leaving.
+func (m *Manager) Leaving(instance string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Leaving(instance)
+}
+
 // Stop hands the services over; the dispatchers finish what is in flight.
 func (m *Manager) Stop() {
 	m.update(m.core.Stop)
--- a/internal/process/group/takeover.go
+++ b/internal/process/group/takeover.go
@@ -48,7 +48,8 @@
 		return Change{}, false
 	}
 	ch := Change{Service: service, Epoch: g.epoch + 1, From: g.home, To: to.Instance, Reason: reason}
-	g.epoch, g.home, g.homeIncarnation, g.token = ch.Epoch, to.Instance, c.incarnationOf(to.Instance), c.newToken()
+	g.move(ch.Epoch, to.Instance, c.incarnationOf(to.Instance), c.newToken())
+	g.previous.Silent = reason == reasonSilent
 	return ch, true
 }
 
@@ -59,6 +60,10 @@
 	return c.peers[instance].incarnation
 }
 
+// reasonSilent is the only reason that does not prove that the dispatcher has
+// stopped.
+const reasonSilent = "silent"
+
 // vacancy returns why the group needs a new dispatcher, or "".
 func (c *Core) vacancy(g *groupView, now time.Time) string {
 	switch {
@@ -87,7 +92,7 @@
 	case p.incarnation != 0 && p.incarnation != g.homeIncarnation:
 		return "process restarted"
 	case !c.Alive(g.home, now) && now.Sub(c.started) >= bootWait:
-		return "silent"
+		return reasonSilent
 	}
 	return ""
 }
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -25,6 +25,7 @@
 	HeaderKey       = "Idempotency-Key"
 	HeaderInstance  = "Fescue-Instance"
 	HeaderTarget    = "Fescue-Target"
+	HeaderReplayed  = "Fescue-Replayed" // on stored answers: the request that ran
 
 	headerForwardedBy = "Fescue-Forwarded-By"
 	headerHops        = "Fescue-Hops"
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -75,6 +75,8 @@
 	Start(ctx context.Context, service, key string, digest []byte) (*Stored, error)
 	// Finish records the outcome. With notRun set, the key may start again.
 	Finish(ctx context.Context, service, key string, stored *Stored, notRun bool)
+	// Abandon leaves the outcome of a key that started unknown.
+	Abandon(service, key string)
 }
 
 // Stored is the outcome of an at-most-once request.
--- a/internal/request/proxy/once.go
+++ b/internal/request/proxy/once.go
@@ -13,41 +13,34 @@
 // at-most-once request.
 const maxStoredBody = 1 << 20
 
-// serveOnce runs an at-most-once request at the home of its key.
+// serveOnce runs an at-most-once request at the home of its key. It tries
+// again while the home moves to another instance.
 func (h *Handler) serveOnce(ctx context.Context, c *call) (*reply, error) {
-	dc, here := h.Ledger.Home(c.snap, c.service.Name, c.key)
-	if here {
-		return h.runOnce(ctx, c)
-	}
-	if dc == h.DataCentre {
-		return h.retryHome(ctx, c)
-	}
-	if c.remote {
-		return nil, errkind.New(errkind.LedgerUnavailable, "data centre %q does not keep key %q", h.DataCentre, c.key)
+	dc, _ := h.Ledger.Home(c.snap, c.service.Name, c.key)
+	for wait := newTakeoverWait(h.Now(), c); ; {
+		rep, err := h.tryOnce(ctx, c, dc)
+		moved := err != nil && (homeMoved(err) || errkind.Of(err) == errkind.LedgerUnavailable)
+		if !moved || c.from != "" || !wait.next(ctx, h.Now()) {
+			return rep, err
+		}
 	}
-	return h.forwardTo(ctx, c, dc)
 }
 
-// retryHome forwards to the member that keeps the key, again while its role
-// moves to another member.
-func (h *Handler) retryHome(ctx context.Context, c *call) (*reply, error) {
-	var err error
-	for wait := newTakeoverWait(h.Now(), c); ; {
-		if _, here := h.Ledger.Home(c.snap, c.service.Name, c.key); here {
-			return h.runOnce(ctx, c)
-		}
-		err = errkind.New(errkind.NotDispatcher, "no member keeps the keys of service %q now", c.service.Name)
-		if home := h.Groups.Home(c.service.Name); home != nil && home.Instance != h.Instance && home.Instance != c.from {
-			var rep *reply
-			rep, err = h.forward(ctx, c, home, false)
-			if err == nil {
-				return rep, nil
-			}
-		}
-		if !homeMoved(err) || c.from != "" || !wait.next(ctx, h.Now()) {
-			return nil, err
+func (h *Handler) tryOnce(ctx context.Context, c *call, dc string) (*reply, error) {
+	if _, here := h.Ledger.Home(c.snap, c.service.Name, c.key); here {
+		return h.runOnce(ctx, c)
+	}
+	if dc != h.DataCentre {
+		if c.remote {
+			return nil, errkind.New(errkind.LedgerUnavailable, "data centre %q does not keep key %q", h.DataCentre, c.key)
 		}
+		return h.forwardTo(ctx, c, dc)
 	}
+	home := h.Groups.Home(c.service.Name)
+	if home == nil || home.Instance == h.Instance || home.Instance == c.from {
+		return nil, errkind.New(errkind.NotDispatcher, "no member keeps the keys of service %q now", c.service.Name)
+	}
+	return h.forward(ctx, c, home, false)
 }
 
 // runOnce records the start of the key, runs the request and records its
@@ -59,9 +52,13 @@
 		return nil, err
 	}
 	if stored != nil {
-		return storedReply(stored, c.id), nil
+		return replayed(stored, c.id), nil
 	}
 	c.recorded = true
+	// The request goes on if its caller goes away, so that the outcome is
+	// known when the caller tries again.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	defer cancel()
 	rep, err := h.run(ctx, c)
 	if err != nil {
 		h.finishFailed(ctx, c, err)
@@ -70,27 +67,31 @@
 	return h.store(ctx, c, rep)
 }
 
-// finishFailed records that the key did not run if that is proved; else its
-// outcome stays unknown.
+// finishFailed records that the key did not run if that is proved;
+// otherwise its outcome stays unknown.
 func (h *Handler) finishFailed(ctx context.Context, c *call, err error) {
 	if errkind.Of(err).Answer().DidRun == errkind.No {
 		h.Ledger.Finish(context.WithoutCancel(ctx), c.service.Name, c.key, nil, true)
+		return
 	}
+	h.Ledger.Abandon(c.service.Name, c.key)
 }
 
 // store reads the whole answer and records it before the caller gets it.
 func (h *Handler) store(ctx context.Context, c *call, rep *reply) (*reply, error) {
-	body := rep.head
+	body := bytes.Clone(rep.head)
 	if rep.rest != nil {
 		rest, err := io.ReadAll(io.LimitReader(rep.rest, maxStoredBody+1))
 		if err != nil {
 			rep.finish(err)
+			h.Ledger.Abandon(c.service.Name, c.key)
 			return nil, readError(ctx, err)
 		}
 		body = append(body, rest...)
 	}
 	rep.finish(nil)
 	if len(body) > maxStoredBody {
+		h.Ledger.Abandon(c.service.Name, c.key)
 		return nil, errkind.New(errkind.AnswerBroken, "the answer of an at-most-once request has more than %d bytes", maxStoredBody)
 	}
 	s := &Stored{Status: rep.status, Header: rep.header, Body: body}
@@ -98,6 +99,13 @@
 	return storedReply(s, c.id), nil
 }
 
+// replayed marks a stored answer; the answer names the request that ran.
+func replayed(s *Stored, id string) *reply {
+	rep := storedReply(s, id)
+	rep.header.Set(HeaderReplayed, s.Header.Get(HeaderRequestID))
+	return rep
+}
+
 func storedReply(s *Stored, id string) *reply {
 	header := s.Header.Clone()
 	header.Set(HeaderRequestID, id)
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -36,6 +36,7 @@
 	departed map[string]bool
 	left     []string // of departed, oldest first
 	sources  map[string]*document.Source
+	claims   map[groupKey]*fescuepb.GroupClaim
 }
 
 type outcomeKey struct{ team, changeID string }
@@ -48,6 +49,7 @@
 		outcomes: map[outcomeKey]*fescuepb.ChangeOutcome{},
 		departed: map[string]bool{},
 		sources:  map[string]*document.Source{},
+		claims:   map[groupKey]*fescuepb.GroupClaim{},
 	}
 }
 
@@ -77,6 +79,8 @@
 		return m.join(index, body.Join.GetMember())
 	case *fescuepb.Command_Leave:
 		return m.leave(index, body.Leave)
+	case *fescuepb.Command_Claim:
+		return m.claim(body.Claim)
 	case *fescuepb.Command_BlockTable:
 		return m.setBlocks(index, body.BlockTable)
 	}
@@ -157,6 +161,7 @@
 		BlocksChanged: m.view.BlocksChanged,
 		DeltaFloor:    m.view.Floor,
 		Departed:      m.left,
+		Claims:        m.claimList(),
 	}
 	for _, team := range sortedKeys(m.view.Sections) {
 		img.Sections = append(img.Sections, m.view.Sections[team])
@@ -186,10 +191,14 @@
 	m.view, m.history, m.sources = fresh.view, fresh.history, fresh.sources
 	m.outcomes, m.order = fresh.outcomes, fresh.order
 	m.departed, m.left = fresh.departed, fresh.left
+	m.claims = fresh.claims
 	return nil
 }
 
 func (m *Machine) load(img *fescuepb.StateImage) error {
+	for _, c := range img.Claims {
+		m.claims[groupKey{c.Group.GetService(), c.Group.GetDataCentre()}] = c
+	}
 	for _, s := range img.Sections {
 		m.view.Sections[s.Team] = s
 		if s.Deleted {
