--- a/internal/process/budget/account.go
+++ b/internal/process/budget/account.go
@@ -106,7 +106,7 @@
 // restart moves the charge to the earlier process. It ended before now, so
 // its last request ends within the longest deadline from now.
 func (a *account) restart(now time.Time, deadline time.Duration) {
-	a.earlier, a.earlierUntil = 0, now
+	a.earlier, a.earlierUntil = a.charge(now, deadline), now.Add(deadline)
 	a.states, a.inUse, a.want, a.guessed = nil, 0, 0, false
 }
 
--- a/internal/process/budget/budget_test.go
+++ b/internal/process/budget/budget_test.go
@@ -25,15 +25,18 @@
 			"leap":     func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(1, 5).Draw(t, "s")) * time.Second) },
 			"exchange": func(t *rapid.T) { w.exchange() },
 			"settle":   func(t *rapid.T) { w.run(7 * time.Second) },
-			"flood": func(t *rapid.T) {
+			"busy": func(t *rapid.T) {
 				n, s := name(t), shift(t)
-				for w.acquire(n, s) {
+				for range 3 {
+					w.flood(n, s)
+					w.run(500 * time.Millisecond)
 				}
 			},
+			"flood": func(t *rapid.T) { w.flood(name(t), shift(t)) },
 			"floodAll": func(t *rapid.T) {
 				for _, n := range sorted(w.holders) {
-					for w.acquire(n, "a") || w.acquire(n, "b") {
-					}
+					w.flood(n, "a")
+					w.flood(n, "b")
 				}
 			},
 			"release": func(t *rapid.T) {
@@ -41,9 +44,13 @@
 				w.flights[i].holder.Release(w.flights[i].ticket)
 				w.flights = slices.Delete(w.flights, i, i+1)
 			},
-			"send":       func(t *rapid.T) { w.send(name(t)) },
-			"serve":      func(t *rapid.T) { w.serve(pick(t, w.requests), rapid.IntRange(0, 1).Draw(t, "granter")) },
-			"apply":      func(t *rapid.T) { w.apply(pick(t, w.replies)) },
+			"send":  func(t *rapid.T) { w.send(name(t)) },
+			"serve": func(t *rapid.T) { w.serve(pick(t, w.requests), rapid.IntRange(0, 1).Draw(t, "granter")) },
+			"apply": func(t *rapid.T) { w.apply(pick(t, w.replies)) },
+			"talk": func(t *rapid.T) {
+				w.send(name(t))
+				w.serve(len(w.requests)-1, w.leader)
+			},
 			"follow":     func(t *rapid.T) { w.holders[name(t)].Use(w.versions[pick(t, w.versions)]) },
 			"elect":      func(t *rapid.T) { w.elect(1 - w.leader) },
 			"restart":    func(t *rapid.T) { w.restart(name(t)) },
@@ -62,6 +69,11 @@
 	})
 }
 
+func (w *world) flood(name, shift string) {
+	for w.acquire(name, shift) {
+	}
+}
+
 func (w *world) join(name string) {
 	if w.entries[name] == 0 {
 		w.restart(name)
--- a/internal/process/budget/granter.go
+++ b/internal/process/budget/granter.go
@@ -156,7 +156,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if req.Term != g.term || req.Sequence <= h.sequence {
+	overtaken := req.Incarnation == h.incarnation && req.Sequence <= h.sequence
+	if req.Term != g.term || overtaken {
 		return reply, nil
 	}
 	g.enter(h, req, now)
--- a/internal/process/budget/holder.go
+++ b/internal/process/budget/holder.go
@@ -152,17 +152,6 @@
 	return 0
 }
 
-// Hungry reports whether a request was refused since the last Asks, so that
-// the next one should not wait for its turn.
-func (h *Holder) Hungry() bool {
-	for _, s := range h.shares {
-		if s.refused > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Asks returns the next request to the leader, to be sent at now. The reply
 // to any earlier request is void from here on. Shifts whose state the leader
 // knows, and which neither hold nor want leased units, are left out.
