Add peer links with mutual TLS, roles and operator keys

Certificates carry the role in the organizational unit of the subject. Files are checked for changes at most once per second, at a handshake or call, and content that does not fit together leaves the earlier in use. Established connections stay when an authority is replaced.

--- /dev/null
+++ b/internal/connection/peer/links.go
@@ -0,0 +1,221 @@
+// Package peer holds the gRPC and HTTP links between instances, and from
+// operators to control instances. Links use mutual TLS; plaintext needs an
+// explicit setting and is limited to loopback addresses.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	// keepaliveMin is what servers tolerate, below keepaliveTime.
+	keepaliveMin     = 5 * time.Second
+	backoffBase      = 100 * time.Millisecond
+	backoffMax       = time.Second
+	connectTimeout   = time.Second
+	handshakeTimeout = 3 * time.Second
+	// maxMessage holds a full update at the design scale, in bytes.
+	maxMessage = 64 << 20
+	// idleConns bounds the idle HTTP connections to one peer.
+	idleConns   = 256
+	idleTimeout = 90 * time.Second
+)
+
+// Links makes and accepts the connections of a process. It is safe for
+// concurrent use.
+type Links struct {
+	log   *logrus.Entry
+	src   *tlsconf.Source // nil: plaintext on loopback
+	creds credentials.TransportCredentials
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewLinks reads the certificate files. The error has kind InvalidSettings.
+func NewLinks(t settings.TLS, log *logrus.Entry) (*Links, error) {
+	l := &Links{log: log, conns: map[string]*grpc.ClientConn{}}
+	if t.PlaintextLoopback {
+		l.creds = newLoopbackCreds(log)
+		return l, nil
+	}
+	if t.CertFile == "" || t.KeyFile == "" || t.CAFile == "" {
+		return nil, errkind.New(errkind.InvalidSettings, "set cert_file, key_file and ca_file, or plaintext_loopback: true")
+	}
+	src, err := tlsconf.New(t, log)
+	if err != nil {
+		return nil, err
+	}
+	l.src, l.creds = src, &tlsCreds{src: src, log: log}
+	return l, nil
+}
+
+// ServerOptions returns the options of a gRPC server for peers: credentials,
+// keepalive and the check of roles.
+func (l *Links) ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.Creds(l.creds),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMin, PermitWithoutStream: true}),
+		grpc.ChainUnaryInterceptor(l.unaryRoles),
+		grpc.ChainStreamInterceptor(l.streamRoles),
+	}
+}
+
+// Dial returns the connection to a gRPC address, host:port. It connects in
+// the background and is shared; don't close it.
+func (l *Links) Dial(addr string) (*grpc.ClientConn, error) {
+	if l.src == nil && !isLoopback(addr) {
+		return nil, errPlaintext(addr)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.conns[addr]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions()...)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "dial %s", addr)
+	}
+	l.conns[addr] = c
+	return c, nil
+}
+
+func (l *Links) dialOptions() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(l.creds),
+		grpc.WithNoProxy(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: backoffBase, Multiplier: 1.6, Jitter: 0.2, MaxDelay: backoffMax},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+	}
+}
+
+// Drop closes the connection to an address that is no longer a peer.
+func (l *Links) Drop(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.conns[addr]; c != nil {
+		c.Close()
+		delete(l.conns, addr)
+	}
+}
+
+// Close closes every connection made by Dial.
+func (l *Links) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for addr, c := range l.conns {
+		c.Close()
+		delete(l.conns, addr)
+	}
+}
+
+// ListenGRPC listens for a gRPC server with ServerOptions, which does the TLS
+// handshake itself.
+func (l *Links) ListenGRPC(addr string) (net.Listener, error) {
+	if l.src == nil && !isLoopback(addr) {
+		return nil, errPlaintext(addr)
+	}
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.InvalidSettings, err, "listen")
+	}
+	if l.src == nil && !isLoopback(lis.Addr().String()) {
+		lis.Close() // localhost does not resolve to a loopback address here
+		return nil, errPlaintext(lis.Addr().String())
+	}
+	return lis, nil
+}
+
+// Listen listens for HTTP from other instances. Accept returns connections
+// after their handshake, so that a peer that is refused never reaches the
+// HTTP server.
+func (l *Links) Listen(addr string) (net.Listener, error) {
+	lis, err := l.ListenGRPC(addr)
+	if err != nil || l.src == nil {
+		return lis, err
+	}
+	return newListener(lis, l.src, l.log), nil
+}
+
+// HTTPTransport returns a transport for HTTP requests to other instances.
+// Use URLs with scheme http in plaintext mode and https otherwise; Scheme
+// returns it.
+func (l *Links) HTTPTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Transport{
+		DialContext:           l.dialPlain(dialer),
+		DialTLSContext:        l.dialTLS(dialer),
+		MaxIdleConnsPerHost:   idleConns,
+		IdleConnTimeout:       idleTimeout,
+		ExpectContinueTimeout: time.Second,
+	}
+}
+
+// Scheme returns the URL scheme of links between instances.
+func (l *Links) Scheme() string {
+	if l.src == nil {
+		return "http"
+	}
+	return "https"
+}
+
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func (l *Links) dialPlain(d *net.Dialer) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if l.src != nil {
+			return nil, errkind.New(errkind.Forbidden, "plaintext link to %s while TLS is set", addr)
+		}
+		if !isLoopback(addr) {
+			return nil, errPlaintext(addr)
+		}
+		return d.DialContext(ctx, network, addr)
+	}
+}
+
+func (l *Links) dialTLS(d *net.Dialer) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if l.src == nil {
+			return nil, errkind.New(errkind.InvalidSettings, "no certificate is set for a TLS link to %s", addr)
+		}
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, errkind.Wrap(errkind.BadRequest, err, "address %q", addr)
+		}
+		raw, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(raw, l.src.Client(host))
+		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		if err := conn.HandshakeContext(ctx); err != nil {
+			raw.Close()
+			logRefused(l.log, raw.RemoteAddr(), err)
+			return nil, err
+		}
+		return conn, nil
+	}
+}
--- /dev/null
+++ b/internal/connection/peer/peer_test.go
@@ -0,0 +1,235 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) has(s string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.buf.String(), s)
+}
+
+func authority(t *testing.T) *tlsconf.Authority {
+	t.Helper()
+	a, err := tlsconf.NewAuthority("test", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// write puts a certificate of a into dir and returns the settings.
+func write(t *testing.T, dir string, a *tlsconf.Authority, role tlsconf.Role) settings.TLS {
+	t.Helper()
+	p, err := a.Issue("x-"+string(role), role, []string{"127.0.0.1"}, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := settings.TLS{CertFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key"), CAFile: filepath.Join(dir, "ca")}
+	for file, data := range map[string][]byte{out.CertFile: p.Cert, out.KeyFile: p.Key, out.CAFile: a.Cert} {
+		if err := os.WriteFile(file, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+func links(t *testing.T, set settings.TLS, log io.Writer) *Links {
+	t.Helper()
+	l, err := NewLinks(set, logging.New(log, "info", "test", "i"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+func serveGRPC(t *testing.T, l *Links) string {
+	t.Helper()
+	lis, err := l.ListenGRPC("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := grpc.NewServer(l.ServerOptions()...)
+	fescuepb.RegisterBudgetServer(srv, fescuepb.UnimplementedBudgetServer{})
+	fescuepb.RegisterOperatorServer(srv, fescuepb.UnimplementedOperatorServer{})
+	fescuepb.RegisterFollowServer(srv, fescuepb.UnimplementedFollowServer{})
+	go srv.Serve(lis)
+	t.Cleanup(srv.Stop)
+	return lis.Addr().String()
+}
+
+// call returns the codes of an instance method, of a stream for instances and
+// of an operator method. Unimplemented means that the handler was reached.
+func call(t *testing.T, l *Links, addr string) [3]codes.Code {
+	t.Helper()
+	conn, err := l.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, lease := fescuepb.NewBudgetClient(conn).Lease(ctx, &fescuepb.LeaseRequest{})
+	watch, stream := fescuepb.NewFollowClient(conn).Watch(ctx)
+	if stream == nil {
+		_, stream = watch.Recv()
+	}
+	_, get := fescuepb.NewOperatorClient(conn).Get(ctx, &fescuepb.GetRequest{})
+	return [3]codes.Code{status.Code(lease), status.Code(stream), status.Code(get)}
+}
+
+// Guards against an operator certificate, or one of another authority or
+// without a role, that acts as an instance.
+func TestRolesOverGRPC(t *testing.T) {
+	ca := authority(t)
+	var log lockedBuffer
+	addr := serveGRPC(t, links(t, write(t, t.TempDir(), ca, tlsconf.Instance), &log))
+	foreign := write(t, t.TempDir(), authority(t), tlsconf.Instance)
+	if err := os.WriteFile(foreign.CAFile, ca.Cert, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reached, refused, closed := codes.Unimplemented, codes.PermissionDenied, codes.Unavailable
+	for name, c := range map[string]struct {
+		set  settings.TLS
+		want [3]codes.Code
+	}{
+		"instance":        {write(t, t.TempDir(), ca, tlsconf.Instance), [3]codes.Code{reached, reached, reached}},
+		"operator":        {write(t, t.TempDir(), ca, tlsconf.Operator), [3]codes.Code{refused, refused, reached}},
+		"no role":         {write(t, t.TempDir(), ca, ""), [3]codes.Code{closed, closed, closed}},
+		"foreign client":  {foreign, [3]codes.Code{closed, closed, closed}},
+		"other authority": {write(t, t.TempDir(), authority(t), tlsconf.Instance), [3]codes.Code{closed, closed, closed}},
+		"plaintext":       {settings.TLS{PlaintextLoopback: true}, [3]codes.Code{closed, closed, closed}},
+	} {
+		if got := call(t, links(t, c.set, io.Discard), addr); got != c.want {
+			t.Errorf("%s: codes %v, want %v", name, got, c.want)
+		}
+	}
+	if !log.has("peer refused") {
+		t.Error("refused peers are not logged")
+	}
+}
+
+// Guards against an instance that talks to a server without an instance
+// certificate.
+func TestServerMustBeInstance(t *testing.T) {
+	ca := authority(t)
+	addr := serveGRPC(t, links(t, write(t, t.TempDir(), ca, tlsconf.Operator), io.Discard))
+	got := call(t, links(t, write(t, t.TempDir(), ca, tlsconf.Instance), io.Discard), addr)
+	if got[0] != codes.Unavailable {
+		t.Errorf("code %v, want %v", got[0], codes.Unavailable)
+	}
+}
+
+// Guards against certificates that are replaced without effect until a
+// restart, and against half-replaced files that end service.
+func TestReload(t *testing.T) {
+	old, next := authority(t), authority(t)
+	dir := t.TempDir()
+	set := write(t, dir, old, tlsconf.Instance)
+	addr := serveGRPC(t, links(t, set, io.Discard))
+	if err := os.WriteFile(set.KeyFile, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	oldSet, nextSet := write(t, t.TempDir(), old, tlsconf.Instance), write(t, t.TempDir(), next, tlsconf.Instance)
+	if got := call(t, links(t, oldSet, io.Discard), addr); got[0] != codes.Unimplemented {
+		t.Errorf("half-replaced files: code %v", got[0])
+	}
+	write(t, dir, next, tlsconf.Instance)
+	time.Sleep(1100 * time.Millisecond)
+	if got := call(t, links(t, nextSet, io.Discard), addr); got[0] != codes.Unimplemented {
+		t.Errorf("new authority: code %v", got[0])
+	}
+	if got := call(t, links(t, oldSet, io.Discard), addr); got[0] != codes.Unavailable {
+		t.Errorf("old authority after the change: code %v", got[0])
+	}
+}
+
+// Guards against plaintext that leaves the machine.
+func TestPlaintextOnLoopbackOnly(t *testing.T) {
+	l := links(t, settings.TLS{PlaintextLoopback: true}, io.Discard)
+	for _, addr := range []string{"0.0.0.0:0", ":0", "192.0.2.1:80", "example.org:80", "[::]:0"} {
+		if lis, err := l.Listen(addr); err == nil {
+			lis.Close()
+			t.Errorf("plaintext listener on %s", addr)
+		}
+		if _, err := l.Dial(addr); err == nil {
+			t.Errorf("plaintext link to %s", addr)
+		}
+		client := &http.Client{Transport: l.HTTPTransport()}
+		if _, err := client.Get("http://" + addr); err == nil || !strings.Contains(err.Error(), "loopback") {
+			t.Errorf("HTTP to %s: %v", addr, err)
+		}
+	}
+	if got := call(t, l, serveGRPC(t, l)); got[0] != codes.Unimplemented {
+		t.Errorf("plaintext on loopback: code %v", got[0])
+	}
+	if _, err := NewLinks(settings.TLS{}, logging.Discard()); err == nil {
+		t.Error("links without certificates and without the plaintext setting")
+	}
+}
+
+// Guards against operators on the HTTP listener of instances, and against a
+// silent connection that blocks the others.
+func TestHTTPBetweenInstances(t *testing.T) {
+	ca := authority(t)
+	server := links(t, write(t, t.TempDir(), ca, tlsconf.Instance), io.Discard)
+	lis, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
+	go srv.Serve(lis)
+	t.Cleanup(func() { srv.Close() })
+	get := func(set settings.TLS) error {
+		l := links(t, set, io.Discard)
+		client := &http.Client{Transport: l.HTTPTransport(), Timeout: 2 * time.Second}
+		resp, err := client.Get(l.Scheme() + "://" + lis.Addr().String())
+		if err == nil {
+			resp.Body.Close()
+		}
+		client.CloseIdleConnections()
+		return err
+	}
+	silent, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	if err := get(write(t, t.TempDir(), ca, tlsconf.Instance)); err != nil {
+		t.Errorf("instance: %v", err)
+	}
+	if err := get(write(t, t.TempDir(), ca, tlsconf.Operator)); err == nil {
+		t.Error("an operator certificate is accepted between instances")
+	}
+}
--- /dev/null
+++ b/internal/process/operatorauth/auth_test.go
@@ -0,0 +1,124 @@
+package operatorauth
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"google.golang.org/grpc/metadata"
+)
+
+func writeKeys(t *testing.T, file string, entries ...Entry) {
+	t.Helper()
+	out := "keys:\n"
+	for _, e := range entries {
+		out += fmt.Sprintf("- {team: %s, key_sha256: %q}\n", e.Team, e.KeySHA256)
+	}
+	if err := os.WriteFile(file, []byte(out), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func callWith(values ...string) context.Context {
+	md := metadata.MD{}
+	md.Append(metadataKey, values...)
+	return metadata.NewIncomingContext(context.Background(), md)
+}
+
+func newKey(t *testing.T, team string) (string, Entry) {
+	t.Helper()
+	key, e, err := NewKey(team)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key, e
+}
+
+// Guards against a key that is taken for another team's, against hashes that
+// work as keys, and against keys in the log.
+func TestTeam(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "keys.yaml")
+	kerala, k := newKey(t, "kerala")
+	cascadia, c := newKey(t, "cascadia")
+	stranger, _ := newKey(t, "kerala")
+	writeKeys(t, file, k, c)
+	var log bytes.Buffer
+	a, err := New(file, logging.New(&log, "debug", "test", "i"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tc := range map[string]struct {
+		values []string
+		team   string
+	}{
+		"kerala":     {[]string{scheme + kerala}, "kerala"},
+		"cascadia":   {[]string{scheme + cascadia}, "cascadia"},
+		"stranger":   {[]string{scheme + stranger}, ""},
+		"hash":       {[]string{scheme + k.KeySHA256}, ""},
+		"prefix":     {[]string{scheme + kerala[:40]}, ""},
+		"no scheme":  {[]string{kerala}, ""},
+		"empty":      {[]string{scheme}, ""},
+		"two keys":   {[]string{scheme + kerala, scheme + cascadia}, ""},
+		"no key":     {nil, ""},
+		"key in url": {[]string{"Basic " + kerala}, ""},
+	} {
+		team, err := a.Team(callWith(tc.values...))
+		if team != tc.team || (err == nil) != (tc.team != "") {
+			t.Errorf("%s: team %q, error %v", name, team, err)
+		}
+		if err != nil && (errkind.Of(err) != errkind.Unauthenticated || strings.Contains(err.Error(), kerala[:40])) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	if strings.Contains(log.String()+fmt.Sprintf("%v %+v %#v", PerCall{Key: kerala}, PerCall{Key: kerala}, PerCall{Key: kerala}), kerala) {
+		t.Error("the key is printed")
+	}
+	if MayEdit("kerala", "cascadia") == nil || MayEdit("kerala", "kerala") != nil || MayPutBlocks("kerala") == nil {
+		t.Error("a team may act for another one")
+	}
+}
+
+// Guards against a removed key that keeps working, and against a broken file
+// that locks every operator out.
+func TestReload(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "keys.yaml")
+	old, o := newKey(t, "kerala")
+	next, n := newKey(t, "kerala")
+	writeKeys(t, file, o)
+	a, err := New(file, logging.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, []byte("keys: [{team: kerala, key_sha256: ab}]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	if _, err := a.Team(callWith(scheme + old)); err != nil {
+		t.Errorf("broken file: %v", err)
+	}
+	writeKeys(t, file, n)
+	time.Sleep(1100 * time.Millisecond)
+	if _, err := a.Team(callWith(scheme + next)); err != nil {
+		t.Errorf("new key: %v", err)
+	}
+	if _, err := a.Team(callWith(scheme + old)); err == nil {
+		t.Error("the removed key still works")
+	}
+}
+
+// Guards against two teams with one key.
+func TestSharedKeyIsRefused(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "keys.yaml")
+	_, e := newKey(t, "kerala")
+	writeKeys(t, file, e, Entry{Team: "cascadia", KeySHA256: e.KeySHA256})
+	if _, err := New(file, logging.Discard()); errkind.Of(err) != errkind.InvalidSettings {
+		t.Errorf("error %v, want invalid settings", err)
+	}
+}
--- /dev/null
+++ b/internal/process/operatorauth/keys.go
@@ -0,0 +1,100 @@
+// Package operatorauth authenticates operators by the key of their team.
+// Control reads a file with the hashes of the keys; a key itself exists only
+// at its operator and is never logged.
+package operatorauth
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+)
+
+// keyBytes is the length of a key. Keys are random, so that a plain hash is
+// enough to store them.
+const keyBytes = 32
+
+// Entry is one key in the keys file. A team may have several, so that a key
+// can be replaced without an interruption.
+type Entry struct {
+	Team      string `yaml:"team"`
+	KeySHA256 string `yaml:"key_sha256"` // hexadecimal
+	Comment   string `yaml:"comment,omitempty"`
+}
+
+// File is the content of the keys file.
+type File struct {
+	Keys []Entry `yaml:"keys"`
+}
+
+// Check records a problem with each entry that is not usable.
+func (f *File) Check(c *settings.Check) {
+	owners := map[string]string{}
+	for i, e := range f.Keys {
+		c.Require(e.Team, "keys", i, "team")
+		sum, err := hex.DecodeString(e.KeySHA256)
+		if err != nil || len(sum) != sha256.Size {
+			c.Add([]any{"keys", i, "key_sha256"}, "must be %d hexadecimal digits", 2*sha256.Size)
+			continue
+		}
+		if owner, ok := owners[string(sum)]; ok && owner != e.Team {
+			c.Add([]any{"keys", i, "key_sha256"}, "team %q has the same key", owner)
+		}
+		owners[string(sum)] = e.Team
+	}
+}
+
+// NewKey makes a key for a team and its entry for the keys file.
+func NewKey(team string) (key string, entry Entry, err error) {
+	raw := make([]byte, keyBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", Entry{}, errkind.Wrap(errkind.Internal, err, "generate key")
+	}
+	sum := sha256.Sum256(raw)
+	return base64.RawURLEncoding.EncodeToString(raw), Entry{Team: team, KeySHA256: hex.EncodeToString(sum[:])}, nil
+}
+
+// storedKey is a checked entry.
+type storedKey struct {
+	team string
+	sum  [sha256.Size]byte
+}
+
+func loadKeys(file string) ([]storedKey, error) {
+	var f File
+	if err := settings.Load(file, &f); err != nil {
+		return nil, err
+	}
+	out := make([]storedKey, 0, len(f.Keys))
+	for _, e := range f.Keys {
+		k := storedKey{team: e.Team}
+		if _, err := hex.Decode(k.sum[:], []byte(e.KeySHA256)); err != nil {
+			return nil, errkind.New(errkind.InvalidSettings, "%s: a key hash is not hexadecimal", file)
+		}
+		out = append(out, k)
+	}
+	return out, nil
+}
+
+// match returns the team of a key. It compares with every stored hash in
+// constant time, so that the time tells nothing about them.
+func match(keys []storedKey, key string) (string, bool) {
+	raw, err := base64.RawURLEncoding.DecodeString(key)
+	if err != nil || len(raw) != keyBytes {
+		return "", false
+	}
+	sum := sha256.Sum256(raw)
+	found := -1
+	for i := range keys {
+		equal := subtle.ConstantTimeCompare(sum[:], keys[i].sum[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 {
+		return "", false
+	}
+	return keys[found].team, true
+}
--- /dev/null
+++ b/internal/process/tlsconf/make.go
@@ -0,0 +1,124 @@
+package tlsconf
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+)
+
+const (
+	serialBits = 120
+	// backdate allows for a clock that is behind the one that signed.
+	backdate = time.Hour
+)
+
+// Pair is a certificate and its private key, both PEM encoded.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// Authority signs certificates of a test deployment.
+type Authority struct {
+	Pair
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority that is valid for the duration.
+func NewAuthority(name string, valid time.Duration) (*Authority, error) {
+	tmpl := template(name, "", valid)
+	tmpl.IsCA, tmpl.BasicConstraintsValid = true, true
+	tmpl.KeyUsage = x509.KeyUsageCertSign
+	tmpl.ExtKeyUsage = nil
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "generate key")
+	}
+	pair, err := sign(tmpl, tmpl, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return ParseAuthority(pair)
+}
+
+// ParseAuthority reads an authority made by NewAuthority.
+func ParseAuthority(p Pair) (*Authority, error) {
+	certBlock, _ := pem.Decode(p.Cert)
+	keyBlock, _ := pem.Decode(p.Key)
+	if certBlock == nil || keyBlock == nil {
+		return nil, errkind.New(errkind.BadRequest, "certificate or key of the authority is not PEM")
+	}
+	cert, err := x509.ParseCertificate(certBlock.Bytes)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "parse certificate of the authority")
+	}
+	key, err := x509.ParseECPrivateKey(keyBlock.Bytes)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "parse key of the authority")
+	}
+	return &Authority{Pair: p, cert: cert, key: key}, nil
+}
+
+// Issue makes a certificate for name in the role. The hosts are the IP
+// addresses and host names that peers dial.
+func (a *Authority) Issue(name string, role Role, hosts []string, valid time.Duration) (Pair, error) {
+	tmpl := template(name, role, valid)
+	for _, h := range hosts {
+		if ip := net.ParseIP(h); ip != nil {
+			tmpl.IPAddresses = append(tmpl.IPAddresses, ip)
+		} else {
+			tmpl.DNSNames = append(tmpl.DNSNames, h)
+		}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errkind.Wrap(errkind.Internal, err, "generate key")
+	}
+	return sign(tmpl, a.cert, key, a.key)
+}
+
+func template(name string, role Role, valid time.Duration) *x509.Certificate {
+	t := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: name},
+		NotBefore:   time.Now().Add(-backdate),
+		NotAfter:    time.Now().Add(valid),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	}
+	if role != "" {
+		t.Subject.OrganizationalUnit = []string{string(role)}
+	}
+	if role == Instance {
+		t.ExtKeyUsage = append(t.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
+	}
+	return t
+}
+
+func sign(tmpl, parent *x509.Certificate, key, signer *ecdsa.PrivateKey) (Pair, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return Pair{}, errkind.Wrap(errkind.Internal, err, "generate serial number")
+	}
+	tmpl.SerialNumber = serial
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, signer)
+	if err != nil {
+		return Pair{}, errkind.Wrap(errkind.Internal, err, "sign certificate")
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Pair{}, errkind.Wrap(errkind.Internal, err, "encode key")
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
