dispatch: demote slow targets on evidence relative to their peers

Cause: with 2 of 12 targets ten times slower, least loaded first keeps giving them requests, and load reports show it 5 s late.

Change: each running time is divided by its route's median and by the median of the targets' averages. A target collects evidence for being slow as a cumulative sum of log-likelihood ratios; a request in flight counts as if it completed now. Evidence 8 above the peers' median demotes the target to trial requests, one at a time: safe short ones, others only when none came, never at-most-once ones while another target is up. About three quick trials in a row restore it. At most a third of the targets is demoted. Suspicion also raises a target's cost before it is demoted.

The cumulative sum takes the place of a window quantile per target: it needs two to three requests, and their age is enough.

Temporary mutations that make tests fail: demotedShare 2, no check of Once in trialDue, no recovery in watchTrial (TestDemotion); no demotion (TestSimCascadia).

--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -60,6 +60,11 @@
 	next    int // rotates the order of equally good targets
 	starts  int // requests started
 	hedges  int // hedges among them
+
+	tail      mean          // share of requests that run very long
+	median    float64       // of the targets' speeds
+	evaluated time.Duration // last evaluation
+	scratch   []float64
 }
 
 // NewGroup returns a group without targets.
@@ -97,11 +102,13 @@
 		if !t.info.Since.Equal(info.Since) {
 			t.warmFrom = g.at(info.Since)
 			t.goodSince = 0
+			t.health = health{}
 		}
 		t.info = info
 		t.listed = true
 	}
 	g.forget()
+	g.demote(at)
 	g.fill(at)
 	g.refuseWithoutTarget(at)
 }
@@ -279,18 +286,20 @@
 	if !r.target.listed {
 		g.forget()
 	}
+	g.evaluate(at)
 	g.fill(at)
 }
 
 // measure updates the estimates from the outcome of r.
 func (g *Group) measure(at time.Duration, r *Request, o Outcome) {
+	if o.Latency <= 0 {
+		o.Latency = at - r.started
+	}
 	r.target.observe(at, o.Result)
+	g.watch(at, r, o)
 	if o.Result != OK {
 		return
 	}
-	if o.Latency <= 0 {
-		o.Latency = at - r.started
-	}
 	r.target.goodSince++
 	r.route.run.record(o.Latency)
 	g.judgeRoute(r, o.Latency)
@@ -318,6 +327,7 @@
 func (g *Group) Tick(now time.Time) {
 	at := g.at(now)
 	g.reclassify(at)
+	g.evaluate(at)
 	g.expire(at, &g.short)
 	g.expire(at, &g.long)
 	g.fill(at)
--- a/internal/request/dispatch/measure_test.go
+++ b/internal/request/dispatch/measure_test.go
@@ -105,11 +105,11 @@
 		roundRobin bool
 		bound      float64
 	}{
-		{"constant", slowConstant, 0, false, 0},
-		{"constant, hedged", slowConstant, 5, false, 0},
+		{"constant", slowConstant, 0, false, 1.5},
+		{"constant, hedged", slowConstant, 5, false, 1.5},
 		{"constant, round robin", slowConstant, 0, true, 0},
-		{"episodes", slowEpisodes, 0, false, 0},
-		{"episodes, hedged", slowEpisodes, 5, false, 0},
+		{"episodes", slowEpisodes, 0, false, 1.5},
+		{"episodes, hedged", slowEpisodes, 5, false, 1.5},
 		{"episodes, round robin", slowEpisodes, 0, true, 0},
 	}
 	eachService(t, func(t *testing.T, service string) {
--- a/internal/request/dispatch/policy_test.go
+++ b/internal/request/dispatch/policy_test.go
@@ -48,3 +48,53 @@
 		t.Error("the only route is long after the service became slower")
 	}
 }
+
+// Guards against slow targets that stay in normal traffic or leave it for
+// good, too many demoted targets, and at-most-once work on demoted targets.
+func TestDemotion(t *testing.T) {
+	s := cascadia("half fixed")
+	s.targets, s.length, s.load = 6, 3*time.Second, 0.4
+	s.slow = func(at time.Duration, i int) float64 {
+		if i < 3 && at > time.Second {
+			return 10
+		}
+		return 1
+	}
+	s.run()
+	if n := countDemoted(s.g); n != 2 {
+		t.Errorf("%d of 6 targets demoted, want 2", n)
+	}
+	for _, tg := range s.g.targets {
+		for tg.inFlight() > 0 {
+			s.g.Cancel(s.time(), tg.running[0])
+		}
+	}
+	s.now += longestNoTrial // a trial is due
+	for range 20 {
+		r := &Request{}
+		err := s.g.Submit(s.time(), r, Work{Class: document.Short, Route: "short", Once: true})
+		if err == nil && r.state == running && r.target.health.demoted {
+			t.Error("at-most-once work on a demoted target")
+		}
+	}
+	s = cascadia("half fixed")
+	s.length, s.slow = 4*time.Second, func(at time.Duration, i int) float64 {
+		if i < 2 && at > time.Second && at < 3*time.Second {
+			return 10
+		}
+		return 1
+	}
+	r := s.run()
+	if r.onSlow == 0 || r.onSlow > 40 || countDemoted(s.g) != 0 {
+		t.Errorf("%d requests on slow targets, %d still demoted after 1 s", r.onSlow, countDemoted(s.g))
+	}
+}
+
+func countDemoted(g *Group) (n int) {
+	for _, t := range g.targets {
+		if t.health.demoted {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/request/dispatch/schedule.go
+++ b/internal/request/dispatch/schedule.go
@@ -93,26 +93,64 @@
 	return short
 }
 
+// The reasons for a choice, for the decision log line.
+const (
+	reasonLeast   = "least loaded"
+	reasonTrial   = "trial of a demoted target"
+	reasonDemoted = "only demoted targets are left"
+)
+
 // choose returns the target for r and why, or nil if none can take it.
 func (g *Group) choose(at time.Duration, r *Request) (*target, string) {
-	var best *target
-	bestCost := 0.0
+	var best, slow *target
+	bestCost, normal := 0.0, false
 	n := len(g.targets)
 	g.next++
 	for i := range n {
 		t := g.targets[(g.next+i)%n]
 		limit := t.limit(at, &g.set)
-		if t.inFlight() >= limit || excluded(r, t) {
+		if limit == 0 || excluded(r, t) {
+			continue
+		}
+		free := t.inFlight() < limit
+		if t.health.demoted {
+			if free && g.trialDue(at, r, t) {
+				return t, reasonTrial
+			}
+			if free && (slow == nil || t.health.speed.value < slow.health.speed.value) {
+				slow = t
+			}
+			continue
+		}
+		normal = true
+		if !free {
 			continue
 		}
-		cost := float64(t.inFlight()+1) / float64(limit)
-		if best == nil || cost < bestCost {
+		if cost := t.cost(limit); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
-	return best, "least loaded"
+	if best == nil && !normal && slow != nil {
+		return slow, reasonDemoted
+	}
+	return best, reasonLeast
+}
+
+// cost orders the free targets: the share of its slots that would be in use,
+// raised by suspicion and by the reported load. A report cannot make a
+// target look better than the dispatcher's own measurements do.
+func (t *target) cost(limit int) float64 {
+	c := float64(t.inFlight()+1) / float64(limit)
+	c *= 1 + suspicionWeight*t.health.suspicion/demoteAt
+	return c * (1 + reportWeight*max(0, t.info.ReportedLoad))
 }
 
+// The weights of suspicion and of reports in the cost of a target.
+const (
+	suspicionWeight = 2
+	reportWeight    = 0.1
+)
+
 func excluded(r *Request, t *target) bool {
 	for _, id := range r.work.Exclude {
 		if id == t.info.ID {
--- a/internal/request/dispatch/sim_test.go
+++ b/internal/request/dispatch/sim_test.go
@@ -46,6 +46,7 @@
 	longGood, longRefuse int
 	onSlow               int // starts on slow targets
 	exceeded             bool
+	ticks, demoted       int // target ticks, and those in which the target was demoted
 }
 
 type rrTarget struct {
@@ -137,6 +138,12 @@
 
 func (s *sim) tick() {
 	s.g.Tick(s.time())
+	for _, t := range s.g.targets {
+		s.res.ticks++
+		if t.health.demoted {
+			s.res.demoted++
+		}
+	}
 	s.after(tickEvery, s.tick)
 }
 
@@ -295,6 +302,6 @@
 }
 
 func (r *simResult) String() string {
-	return fmt.Sprintf("p50 %.1f ms, p99 %.1f ms, short good %d late %d refused %d, long good %d refused %d, on slow %d",
-		r.quantile(0.5).Seconds()*1e3, r.quantile(0.99).Seconds()*1e3, r.good, r.late, r.refused, r.longGood, r.longRefuse, r.onSlow)
+	return fmt.Sprintf("p50 %.1f ms, p99 %.1f ms, short good %d late %d refused %d, long good %d refused %d, on slow %d, demoted %.1f %%",
+		r.quantile(0.5).Seconds()*1e3, r.quantile(0.99).Seconds()*1e3, r.good, r.late, r.refused, r.longGood, r.longRefuse, r.onSlow, 100*float64(r.demoted)/float64(r.ticks))
 }
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -25,6 +25,8 @@
 
 	running []*Request // never longer than info.Slots, except after a shrink
 
+	health health
+
 	failures int
 	backoff  time.Duration
 	outUntil time.Duration
