--- /dev/null
+++ b/internal/process/raft/raft_test.go
@@ -0,0 +1,180 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+)
+
+const (
+	vote      = pb.MessageType_MESSAGE_VOTE
+	preVote   = pb.MessageType_MESSAGE_PRE_VOTE
+	appendMsg = pb.MessageType_MESSAGE_APPEND
+	appended  = pb.MessageType_MESSAGE_APPEND_REPLY
+	heartbeat = pb.MessageType_MESSAGE_HEARTBEAT
+	beat      = pb.MessageType_MESSAGE_HEARTBEAT_REPLY
+)
+
+// newMember returns replica a of the voters a, b and c with one entry of term 3
+// after the bootstrap entry.
+func newMember(cfg Config) *Raft {
+	st := Bootstrap([]*pb.Peer{{Id: "a", Addr: "a", Voter: true}, {Id: "b", Addr: "b", Voter: true}, {Id: "c", Addr: "c", Voter: true}})
+	st.Entries = append(st.Entries, &pb.LogEntry{Term: 3, Index: 2})
+	st.HardState.Term = 3
+	cfg.ID, cfg.Rand = "a", rand.New(rand.NewPCG(1, 1))
+	return New(cfg, st)
+}
+
+// newLeader returns a as the leader of term 4, with its first entry at index 3
+// committed if commit is set. Peer c has not answered.
+func newLeader(cfg Config, commit bool) *Raft {
+	r := newMember(cfg)
+	r.campaign(true)
+	r.Step(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_PRE_VOTE_REPLY, From: "b", To: "a", Term: 4})
+	r.Step(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_VOTE_REPLY, From: "b", To: "a", Term: 4})
+	flush(r)
+	if commit {
+		answer(r, "b", appended, 3)
+	}
+	return r
+}
+
+func flush(r *Raft) Ready {
+	rd := r.Ready()
+	r.Advance(rd)
+	return rd
+}
+
+// answer steps a reply of term 4; value is the index or the heartbeat round.
+func answer(r *Raft, from string, t pb.MessageType, value uint64) Ready {
+	r.Step(&pb.RaftMessage{Type: t, From: from, To: "a", Term: 4, Index: value, ReadSeq: value})
+	return flush(r)
+}
+
+// Guards against votes for a candidate that lacks entries, against elections
+// while a leader is active, and against answers for a lost identity.
+func TestVoteRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		request *pb.RaftMessage
+		heard   bool
+		granted bool
+		silent  bool
+	}{
+		{"vote", &pb.RaftMessage{Type: vote, Term: 4, Index: 2, LogTerm: 3}, false, true, false},
+		{"vote, shorter log", &pb.RaftMessage{Type: vote, Term: 4, Index: 1, LogTerm: 3}, false, false, false},
+		{"vote, older log", &pb.RaftMessage{Type: vote, Term: 4, Index: 9, LogTerm: 2}, false, false, false},
+		{"pre-vote", &pb.RaftMessage{Type: preVote, Term: 4, Index: 2, LogTerm: 3}, false, true, false},
+		{"pre-vote, shorter log", &pb.RaftMessage{Type: preVote, Term: 4, Index: 1, LogTerm: 3}, false, false, false},
+		{"pre-vote, active leader", &pb.RaftMessage{Type: preVote, Term: 4, Index: 2, LogTerm: 3}, true, false, false},
+		{"vote for a predecessor", &pb.RaftMessage{Type: vote, To: "a#0", Term: 4, Index: 2, LogTerm: 3}, false, false, true},
+	}
+	for _, c := range cases {
+		r := newMember(Config{})
+		if c.heard {
+			r.Step(&pb.RaftMessage{Type: heartbeat, From: "b", To: "a", Term: 3})
+			flush(r)
+		}
+		c.request.From = "c"
+		if c.request.To == "" {
+			c.request.To = "a"
+		}
+		r.Step(c.request)
+		messages := flush(r).Messages
+		if c.silent != (len(messages) == 0) || !c.silent && messages[0].Reject == c.granted {
+			t.Errorf("%s: got %v, want granted=%t silent=%t", c.name, messages, c.granted, c.silent)
+		}
+	}
+}
+
+// Guards against a read that is confirmed by answers sent before it started.
+func TestReadNeedsLaterRound(t *testing.T) {
+	r := newLeader(Config{}, true)
+	r.Read(7)
+	if rd := answer(r, "b", beat, 1); len(rd.Reads) > 0 {
+		t.Fatal("an answer to an earlier round confirmed the read")
+	}
+	if rd := answer(r, "b", beat, 2); len(rd.Reads) != 1 || rd.Reads[0] != (ReadState{Token: 7, Index: 3}) {
+		t.Fatalf("reads %v after a quorum answered the round", rd.Reads)
+	}
+}
+
+// Guards against a leader that goes on without a quorum.
+func TestLeaderStepsDown(t *testing.T) {
+	r := newLeader(Config{ElectionTicks: 5}, true)
+	for range 5 {
+		r.Tick()
+	}
+	if r.Role() == Leader {
+		t.Fatal("the leader did not step down after an election timeout without answers")
+	}
+}
+
+// Guards against two configuration changes at a time, changes on an uncertain
+// base, and promotions and removals that could lose the quorum.
+func TestMembershipSteps(t *testing.T) {
+	learner := &pb.Peer{Id: "c2", Addr: "c"}
+	r := newLeader(Config{}, false)
+	if r.AddLearner(learner) == nil {
+		t.Fatal("a change was accepted before an entry of the own term was committed")
+	}
+	answer(r, "b", appended, 3)
+	if err := r.AddLearner(learner); err != nil || len(r.Peers()) != 4 || len(r.voters()) != 3 {
+		t.Fatalf("add a learner: %v, peers %v", err, r.Peers())
+	}
+	if r.AddLearner(&pb.Peer{Id: "d", Addr: "d"}) == nil {
+		t.Fatal("a second change was accepted before the first was committed")
+	}
+	flush(r)
+	answer(r, "c2", appended, 3)
+	if answer(r, "c2", appended, 4); r.Commit() != 3 {
+		t.Fatal("a learner counted for the commit")
+	}
+	answer(r, "b", appended, 4)
+	r.peers["c2"].match = 0
+	r.log.committed += catchUpSlack + 1
+	if r.repair(); len(r.Peers()) != 4 {
+		t.Fatal("a learner that is far behind was accepted as a replacement")
+	}
+	r.log.committed -= catchUpSlack + 1
+	r.peers["c2"].match = 4
+	for range 9 {
+		r.ticks++
+	}
+	r.peers["c2"].heardTick = r.ticks
+	r.ticks++
+	if r.repair(); len(r.Peers()) != 4 {
+		t.Fatal("the old voter was removed although the rest has no active quorum")
+	}
+	r.peers["b"].heardTick = r.ticks
+	if r.repair(); isVoter(r.Peers(), "c") || len(r.Peers()) != 3 {
+		t.Fatalf("the old voter was not removed: %v", r.Peers())
+	}
+	flush(r)
+	answer(r, "b", appended, 5)
+	if r.repair(); !isVoter(r.Peers(), "c2") || len(r.voters()) != 3 {
+		t.Fatalf("the learner was not promoted: %v", r.Peers())
+	}
+}
+
+// Guards against unbounded memory for proposals and for messages in flight.
+func TestBounds(t *testing.T) {
+	r := newLeader(Config{MaxUncommittedEntries: 50, MaxMessageEntries: 4, MaxInflight: 3}, true)
+	accepted := 0
+	for range 100 {
+		if _, _, err := r.Propose([]byte("x")); err == nil {
+			accepted++
+		}
+	}
+	appends, largest := 0, 0
+	for _, m := range flush(r).Messages {
+		if m.Type == appendMsg && m.To == "b" && len(m.Entries) > 0 {
+			appends++
+			largest = max(largest, len(m.Entries))
+		}
+	}
+	if accepted != 50 || appends != 3 || largest > 4 {
+		t.Fatalf("%d proposals accepted, %d appends in flight with up to %d entries", accepted, appends, largest)
+	}
+}
