Test the operator API

A call that no quorum confirmed fails as not_ready and says that nothing was changed; wrapping kept the kind no_quorum, whose outcome is unknown.

Mutations tried, each made a test fail: any team may change any section, reads without confirmation, Status without the other replicas, no check before the proposal.

--- a/cmd/fescue-control/main.go
+++ b/cmd/fescue-control/main.go
@@ -22,6 +22,7 @@
 	flaggy.SetDescription("Replica of the fescuejunction control plane")
 	flaggy.SetVersion(version)
 	flaggy.String(&config, "c", "config", "settings file (YAML)")
+	flaggy.DisableCompletion()
 	flaggy.Parse()
 	if err := run(config); err != nil {
 		fmt.Fprintln(os.Stderr, "fescue-control:", err)
--- a/internal/process/control/log.go
+++ b/internal/process/control/log.go
@@ -39,7 +39,7 @@
 	defer cancel()
 	index, err := s.cfg.Log.Read(ctx)
 	if err != nil {
-		return errkind.Wrap(errkind.NotReady, err, "no quorum confirmed the state; nothing was changed")
+		return errkind.New(errkind.NotReady, "no quorum confirmed the state; nothing was changed: %s", err)
 	}
 	for {
 		changed := s.cfg.Log.Changed()
@@ -49,7 +49,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return errkind.Wrap(errkind.NotReady, context.Cause(ctx), "the replica did not catch up; nothing was changed")
+			return errkind.New(errkind.NotReady, "the replica did not catch up in time; nothing was changed")
 		}
 	}
 }
--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -16,23 +16,37 @@
 
 // Join commits a member.
 func (m *members) Join(ctx context.Context, r *fescuepb.JoinRequest) (*fescuepb.JoinReply, error) {
-	if err := state.CheckMember(r.Member); err != nil {
+	version, err := m.s.join(ctx, r.Member)
+	if err != nil {
 		return nil, rpcError(err)
 	}
-	res, err := m.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Join{Join: r}})
+	return &fescuepb.JoinReply{Version: version}, nil
+}
+
+// Join commits a member of this process itself.
+func (s *Server) Join(ctx context.Context, member *fescuepb.Member) error {
+	_, err := s.join(ctx, member)
+	return err
+}
+
+func (s *Server) join(ctx context.Context, member *fescuepb.Member) (uint64, error) {
+	if err := state.CheckMember(member); err != nil {
+		return 0, err
+	}
+	res, err := s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Join{Join: &fescuepb.JoinRequest{Member: member}}})
 	if err != nil {
-		return nil, rpcError(err)
+		return 0, err
 	}
-	m.s.cfg.Logger.WithFields(map[string]any{
-		"member": r.Member.Instance, "incarnation": r.Member.Incarnation,
-		"data_centre": r.Member.DataCentre, "version": res.Version,
+	s.cfg.Logger.WithFields(map[string]any{
+		"member": member.Instance, "incarnation": member.Incarnation,
+		"data_centre": member.DataCentre, "version": res.Version,
 	}).Info("member joined")
-	return &fescuepb.JoinReply{Version: res.Version}, nil
+	return res.Version, nil
 }
 
 // Leave commits that a member is leaving or gone.
 func (m *members) Leave(ctx context.Context, r *fescuepb.LeaveRequest) (*fescuepb.LeaveReply, error) {
-	res, err := m.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Leave{Leave: r}})
+	res, err := m.s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Leave{Leave: r}})
 	if err != nil {
 		return nil, rpcError(err)
 	}
@@ -42,10 +56,10 @@
 	return &fescuepb.LeaveReply{Version: res.Version}, nil
 }
 
-func (m *members) commit(ctx context.Context, cmd *fescuepb.Command) (*fescuepb.CommandResult, error) {
+func (s *Server) commit(ctx context.Context, cmd *fescuepb.Command) (*fescuepb.CommandResult, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "encode the command")
 	}
-	return m.s.propose(ctx, data)
+	return s.propose(ctx, data)
 }
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -35,6 +35,8 @@
 	// Replicas returns the gRPC addresses of the other control replicas,
 	// which Status asks for their acknowledgements.
 	Replicas func() []string
+	// Describe adds what the log knows to a status; it may be nil.
+	Describe func(*fescuepb.StatusReply)
 	Dial     func(addr string) (*grpc.ClientConn, error)
 	Logger   *logrus.Entry
 	Metrics  tally.Scope
--- /dev/null
+++ b/internal/process/control/server_test.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+const platformYAML = "team: platform\nregions:\n  - name: south\n    data_centres: [dc1]\n"
+
+func newServer(t testing.TB, plaintext bool) *Server {
+	t.Helper()
+	machine := state.New()
+	s := New(Config{
+		Instance: "control-1", Log: newMemLog(machine, "127.0.0.1:1"), Machine: machine,
+		Auth: LoopbackTeam{Plaintext: plaintext}, Replicas: func() []string { return nil },
+		Logger: logging.Discard(), Metrics: tally.NoopScope,
+	})
+	if err := s.LoadInitial(t.Context(), []InitialSection{{Team: "platform", YAML: []byte(platformYAML)}}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func as(ctx context.Context, team string) context.Context {
+	return metadata.NewIncomingContext(ctx, metadata.Pairs(teamKey, team))
+}
+
+// Guards against a team that changes another's section, against callers
+// without a key, and against refusals with the wrong code.
+func TestOperatorRefusals(t *testing.T) {
+	const section = "team: a\nshifts: [{name: s, cap: 1}]\n"
+	for name, c := range map[string]struct {
+		caller    string
+		plaintext bool
+		req       *fescuepb.ApplyRequest
+		code      codes.Code
+	}{
+		"own section":     {"a", true, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte(section)}, codes.OK},
+		"other section":   {"b", true, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte(section)}, codes.PermissionDenied},
+		"platform's":      {"a", true, &fescuepb.ApplyRequest{Team: "platform", ChangeId: "1", Delete: true}, codes.PermissionDenied},
+		"platform of a's": {"platform", true, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte(section)}, codes.PermissionDenied},
+		"no team":         {"", true, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte(section)}, codes.Unauthenticated},
+		"not on loopback": {"a", false, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte(section)}, codes.Unauthenticated},
+		"no change id":    {"a", true, &fescuepb.ApplyRequest{Team: "a", Yaml: []byte(section)}, codes.InvalidArgument},
+		"nothing to drop": {"a", true, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Delete: true}, codes.NotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, c.plaintext)
+			version := s.cfg.Machine.Version()
+			_, err := (&operator{s: s}).Apply(as(t.Context(), c.caller), c.req)
+			if status.Code(err) != c.code {
+				t.Fatalf("got %v", err)
+			}
+			if changed := s.cfg.Machine.Version() != version; changed != (c.code == codes.OK) {
+				t.Fatalf("changed: %v", changed)
+			}
+		})
+	}
+}
+
+// Guards against invalid changes and conflicts that reach the log, and
+// against reads that don't show an accepted change.
+func TestOperatorChange(t *testing.T) {
+	s := newServer(t, true)
+	o, ctx := &operator{s: s}, as(t.Context(), "a")
+	index := s.cfg.Log.Applied()
+	invalid, err := o.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte("team: a\nshifts: [{name: s, cap: -1}]\n")})
+	if err != nil || len(invalid.Problems) != 1 || invalid.Problems[0].Line != 2 || s.cfg.Log.Applied() != index {
+		t.Fatalf("invalid change: %v, %v", invalid, err)
+	}
+	for i, yaml := range []string{"team: a\n", "team: a\nshifts: []\n"} {
+		if _, err := o.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: string(rune('x' + i)), ExpectedRevision: uint64(i), Yaml: []byte(yaml)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	index = s.cfg.Log.Applied()
+	late, err := o.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: "late", ExpectedRevision: 1, Yaml: []byte("team: a\n")})
+	if err != nil || late.Conflict.GetRevision() != 2 || late.Conflict.Author != "a" || late.Conflict.ChangeId != "y" || s.cfg.Log.Applied() != index {
+		t.Fatalf("late change: %v, %v", late, err)
+	}
+	got, err := o.Get(ctx, &fescuepb.GetRequest{Team: "a"})
+	if err != nil || got.Sections[0].Revision != 2 {
+		t.Fatalf("get: %v, %v", got, err)
+	}
+	history, err := o.History(ctx, &fescuepb.HistoryRequest{Team: "a", Limit: 5})
+	if err != nil || len(history.Revisions) != 2 || history.Revisions[0].Revision != 2 {
+		t.Fatalf("history: %v, %v", history, err)
+	}
+	if _, err := o.Get(ctx, &fescuepb.GetRequest{Team: "b"}); status.Code(err) != codes.NotFound {
+		t.Fatalf("get of no section: %v", err)
+	}
+}
+
+// Guards against reads that a replica answers without a quorum, and against
+// an error that does not say that nothing was changed.
+func TestNoQuorum(t *testing.T) {
+	s := newServer(t, true)
+	s.cfg.Log.(*memLog).noQuorum.Store(true)
+	o, ctx := &operator{s: s}, as(t.Context(), "a")
+	_, getErr := o.Get(ctx, &fescuepb.GetRequest{})
+	_, historyErr := o.History(ctx, &fescuepb.HistoryRequest{Team: "a"})
+	_, statusErr := o.Status(ctx, &fescuepb.StatusRequest{})
+	_, applyErr := o.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte("team: a\n")})
+	for i, err := range []error{getErr, historyErr, statusErr, applyErr} {
+		if status.Code(err) != codes.Unavailable || !strings.Contains(err.Error(), "nothing was changed") {
+			t.Errorf("call %d: %v", i, err)
+		}
+	}
+}
+
+// Guards against an acknowledgement that an older one from another replica
+// replaces.
+func TestMergeAcks(t *testing.T) {
+	now := time.Now()
+	all := map[string]feed.Ack{
+		"moved here": {Version: 9, Heard: now.Add(-time.Second)},
+		"moved away": {Version: 3, Heard: now.Add(-time.Minute)},
+	}
+	mergeAcks(all, &fescuepb.AcksReply{Acks: []*fescuepb.Ack{
+		{Instance: "moved here", Version: 4, AgeMs: 30_000},
+		{Instance: "moved away", Version: 9, AgeMs: 10},
+		{Instance: "new", Version: 9, AgeMs: 10},
+	}}, now)
+	for instance, ack := range all {
+		if ack.Version != 9 {
+			t.Errorf("%s: version %d", instance, ack.Version)
+		}
+	}
+	if len(all) != 3 {
+		t.Errorf("%d acknowledgements", len(all))
+	}
+}
+
+// Guards against errors that lose their kind on the way to the caller.
+func TestRPCError(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want codes.Code
+	}{
+		{errkind.New(errkind.NoQuorum, "x"), codes.Unavailable},
+		{errkind.Wrap(errkind.Timeout, context.DeadlineExceeded, "x"), codes.DeadlineExceeded},
+		{context.Canceled, codes.Canceled},
+		{status.Error(codes.Unimplemented, "x"), codes.Unimplemented},
+		{errkind.Wrap(errkind.Forbidden, status.Error(codes.Unknown, "x"), "x"), codes.PermissionDenied},
+	} {
+		if got := status.Code(rpcError(c.err)); got != c.want {
+			t.Errorf("%v: %v, want %v", c.err, got, c.want)
+		}
+	}
+}
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -58,6 +58,9 @@
 	for _, m := range s.cfg.Machine.Members() {
 		reply.Instances = append(reply.Instances, instanceStatus(m, acks))
 	}
+	if s.cfg.Describe != nil {
+		s.cfg.Describe(reply)
+	}
 	return reply
 }
 
--- /dev/null
+++ b/internal/process/controlmain/cluster.go
@@ -0,0 +1,75 @@
+package controlmain
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+)
+
+const joinRetry = time.Second
+
+func (s *Settings) initialReplicas() []string {
+	if len(s.Replicas) == 0 && len(s.Join) == 0 {
+		return []string{s.GRPCAddr}
+	}
+	return s.Replicas
+}
+
+// joinSelf registers this replica as a member, so that followers find
+// replicas that are not in their settings.
+func (p *process) joinSelf(ctx context.Context) {
+	self := &fescuepb.Member{
+		Instance:    p.settings.Instance,
+		Region:      p.settings.Region,
+		DataCentre:  p.settings.DataCentre,
+		Role:        fescuepb.Role_ROLE_CONTROL,
+		GrpcAddr:    p.settings.GRPCAddr,
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	for {
+		err := p.server.Join(ctx, self)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		p.log.WithError(err).Info("not registered as a member yet")
+		select {
+		case <-time.After(joinRetry):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// otherReplicas returns the addresses of the other control replicas: those
+// of the replicated configuration and those among the members.
+func (p *process) otherReplicas() []string {
+	seen := map[string]bool{p.settings.GRPCAddr: true, "": true}
+	var out []string
+	add := func(addr string) {
+		if !seen[addr] {
+			seen[addr] = true
+			out = append(out, addr)
+		}
+	}
+	for _, peer := range p.replica.Status().Peers {
+		add(peer.Addr)
+	}
+	for _, m := range p.machine.Members() {
+		if m.Role == fescuepb.Role_ROLE_CONTROL {
+			add(m.GrpcAddr)
+		}
+	}
+	return out
+}
+
+// describe adds the replication to a status.
+func (p *process) describe(reply *fescuepb.StatusReply) {
+	st := p.replica.Status()
+	reply.Term = st.Term
+	for _, peer := range st.Peers {
+		reply.Replicas = append(reply.Replicas, &fescuepb.ReplicaStatus{
+			Id: peer.ID, Addr: peer.Addr, Voter: peer.Voter, MatchIndex: peer.Match,
+		})
+	}
+}
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -5,13 +5,13 @@
 	"net"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
-	"github.com/fescuejunction/fescuejunction/internal/process/memlog"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
+	"github.com/fescuejunction/fescuejunction/internal/process/replica"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -19,84 +19,108 @@
 
 const (
 	maxRequestBytes = 4 << 20         // of one gRPC request
-	stopTimeout     = 5 * time.Second // for requests in flight at the end
+	stopTimeout     = 5 * time.Second // for calls in flight at the end
 )
 
-// Run runs a control replica until ctx ends.
+// process is a running control replica.
+type process struct {
+	settings *Settings
+	log      *logrus.Entry
+	machine  *state.Machine
+	replica  *replica.Replica
+	server   *control.Server
+	grpc     *grpc.Server
+	calls    *drain
+}
+
+// Run runs a control replica until ctx ends, then finishes the calls in
+// flight.
 func Run(ctx context.Context, s *Settings, log *logrus.Entry) error {
 	if !s.TLS.PlaintextLoopback {
 		return errkind.New(errkind.InvalidSettings, "tls: mutual TLS is not available in this build; set plaintext_loopback")
 	}
 	scope, metricsHandler, closer := metrics.New("control")
 	defer func() { _ = closer.Close() }()
-	machine := state.New()
-	rlog := memlog.New(machine, s.GRPCAddr)
-	srv := control.New(control.Config{
-		Instance: s.Instance,
-		Log:      rlog,
-		Machine:  machine,
-		Auth:     control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback},
-		Replicas: func() []string { return otherReplicas(s, machine) },
-		Dial:     dial,
-		Logger:   log,
-		Metrics:  scope,
-	})
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxRequestBytes))
-	srv.Register(g)
 	lis, err := net.Listen("tcp", s.GRPCAddr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on grpc_addr")
 	}
+	p, err := assemble(s, log, scope)
+	if err != nil {
+		_ = lis.Close()
+		return err
+	}
+	defer p.replica.Stop()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return ignoreCancel(ctx, rlog.Run(ctx)) })
-	group.Go(func() error { return srv.Run(ctx) })
-	group.Go(func() error { return g.Serve(lis) })
-	group.Go(func() error { return serveAdmin(ctx, s, srv, metricsHandler) })
-	group.Go(func() error { return loadInitial(ctx, s, srv, log) })
-	group.Go(func() error { stopServer(ctx, g); return nil })
+	group.Go(func() error { return p.grpc.Serve(lis) })
+	group.Go(func() error { return p.server.Run(ctx) })
+	group.Go(func() error { return serveAdmin(ctx, s, p.server, metricsHandler) })
+	group.Go(func() error { return loadInitial(ctx, s, p.server, log) })
+	group.Go(func() error { p.joinSelf(ctx); return nil })
+	group.Go(func() error { return p.stopAfter(ctx) })
 	log.WithField("grpc_addr", lis.Addr().String()).Info("control replica started")
 	err = group.Wait()
 	log.Info("control replica stopped")
 	return err
 }
 
-func ignoreCancel(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+// assemble starts the replica and builds the server on top of it.
+func assemble(s *Settings, log *logrus.Entry, scope tally.Scope) (*process, error) {
+	p := &process{settings: s, log: log, machine: state.New(), calls: newDrain()}
+	var err error
+	p.replica, err = replica.Start(replica.Config{
+		DataDir:      s.DataDir,
+		Addr:         s.GRPCAddr,
+		InitialPeers: s.initialReplicas(),
+		Join:         s.Join,
+		Bootstrap:    s.Bootstrap,
+		Machine:      p.machine,
+		Dial:         dial,
+		Log:          log,
+		Seed:         uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return nil, err
 	}
-	return err
+	p.server = control.New(control.Config{
+		Instance: s.Instance,
+		Log:      p.replica,
+		Machine:  p.machine,
+		Auth:     control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback},
+		Replicas: p.otherReplicas,
+		Describe: p.describe,
+		Dial:     dial,
+		Logger:   log,
+		Metrics:  scope,
+	})
+	p.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(maxRequestBytes), grpc.UnaryInterceptor(p.calls.intercept))
+	p.server.Register(p.grpc)
+	p.replica.Register(p.grpc)
+	return p, nil
 }
 
-// stopServer waits for the end of ctx and lets requests in flight finish.
-func stopServer(ctx context.Context, g *grpc.Server) {
-	<-ctx.Done()
-	timer := time.AfterFunc(stopTimeout, g.Stop)
-	defer timer.Stop()
-	g.GracefulStop()
+// stopAfter waits for the end of ctx or of the replica, lets the calls in
+// flight finish and ends the rest. The streams of the other replicas would
+// keep a graceful stop of the gRPC server waiting.
+func (p *process) stopAfter(ctx context.Context) error {
+	var err error
+	select {
+	case <-ctx.Done():
+	case <-p.replica.Done():
+		err = p.replica.Err()
+	}
+	p.calls.stop(stopTimeout)
+	p.grpc.Stop()
+	return err
 }
 
 func dial(addr string) (*grpc.ClientConn, error) {
 	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
 }
 
-// otherReplicas returns the addresses of the other control replicas, from
-// the settings and the members.
-func otherReplicas(s *Settings, machine *state.Machine) []string {
-	seen := map[string]bool{s.GRPCAddr: true}
-	var out []string
-	add := func(addr string) {
-		if addr != "" && !seen[addr] {
-			seen[addr] = true
-			out = append(out, addr)
-		}
-	}
-	for _, r := range s.Replicas {
-		add(r.Addr)
-	}
-	for _, m := range machine.Members() {
-		if m.Role == fescuepb.Role_ROLE_CONTROL {
-			add(m.GrpcAddr)
-		}
+func ignoreCancel(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
 	}
-	return out
+	return err
 }
--- /dev/null
+++ b/internal/process/controlmain/run_test.go
@@ -0,0 +1,187 @@
+package controlmain
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/follow"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc/metadata"
+)
+
+const platformYAML = "team: platform\nregions:\n  - name: south\n    data_centres: [dc1]\n"
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// cluster is three control replicas; stop ends one and waits for it.
+type cluster struct {
+	addrs []string
+	stop  []func() error
+}
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{}
+	for range 3 {
+		c.addrs = append(c.addrs, freeAddr(t))
+	}
+	doc := filepath.Join(t.TempDir(), "platform.yaml")
+	if err := os.WriteFile(doc, []byte(platformYAML), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i, addr := range c.addrs {
+		s := &Settings{
+			Instance: fmt.Sprintf("control-%d", i), Region: "south", DataCentre: "dc1",
+			GRPCAddr: addr, AdminAddr: "127.0.0.1:0", DataDir: t.TempDir(), Replicas: c.addrs,
+			Bootstrap: true, InitialDocument: []string{doc}, TLS: settings.TLS{PlaintextLoopback: true},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- Run(ctx, s, logging.Discard()) }()
+		c.stop = append(c.stop, func() error {
+			cancel()
+			err := <-done
+			done <- err // for the clean-up
+			return err
+		})
+		t.Cleanup(func() { cancel(); <-done })
+	}
+	return c
+}
+
+func (c *cluster) operator(t *testing.T, i int) fescuepb.OperatorClient {
+	t.Helper()
+	conn, err := dial(c.addrs[i])
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return fescuepb.NewOperatorClient(conn)
+}
+
+// entry follows only replica i.
+func (c *cluster) entry(t *testing.T, i int) *follow.Follower {
+	f := follow.New(follow.Config{
+		Self: &fescuepb.Member{
+			Instance: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc%d", i),
+			Role: fescuepb.Role_ROLE_ENTRY, Incarnation: 1,
+		},
+		Sources: c.addrs[i : i+1], Dial: dial, Store: new(snapshot.Store), Log: logging.Discard(), Metrics: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f
+}
+
+func eventually(t *testing.T, within time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !cond(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// Guards against replicas that don't forward writes, that don't load the
+// initial document, that don't see acknowledgements which arrived elsewhere,
+// and against writes that stay blocked or are lost when the leader stops.
+func TestCluster(t *testing.T) {
+	c := startCluster(t)
+	for i := range 3 {
+		c.entry(t, i)
+	}
+	ctx := metadata.AppendToOutgoingContext(t.Context(), "fescue-team", "a")
+	var last *fescuepb.StatusReply
+	allInForce := func(i int) bool {
+		st, err := c.operator(t, i).Status(ctx, &fescuepb.StatusRequest{})
+		if err != nil {
+			return false
+		}
+		last = st
+		alive := 0
+		for _, inst := range st.Instances {
+			if inst.Alive && inst.VersionInForce == st.Version {
+				alive++
+			}
+		}
+		return alive == 6 && len(st.Replicas) == 3 && st.Leader != ""
+	}
+	for i := range 3 {
+		eventually(t, 8*time.Second, "all in force as seen at one replica", func() bool { return allInForce(i) })
+	}
+	yaml := "team: a\nshifts: [{name: s, cap: 1}]\n"
+	for i := range 3 {
+		reply, err := c.operator(t, i).Apply(ctx, &fescuepb.ApplyRequest{
+			Team: "a", ExpectedRevision: uint64(i), ChangeId: fmt.Sprint(i), Yaml: []byte(strings.Replace(yaml, "1", fmt.Sprint(i+1), 1)),
+		})
+		if err != nil || reply.Revision != uint64(i+1) {
+			t.Fatalf("apply at replica %d: %v, %v", i, reply, err)
+		}
+	}
+	eventually(t, 2*time.Second, "changes in force", func() bool { return allInForce(0) })
+	leader := 0
+	for i, addr := range c.addrs {
+		if addr == last.Leader {
+			leader = i
+		}
+	}
+	if err := c.stop[leader](); err != nil {
+		t.Fatalf("stop of the leader: %v", err)
+	}
+	other := c.operator(t, (leader+1)%3)
+	began := time.Now()
+	reply, err := other.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ExpectedRevision: 3, ChangeId: "3", Yaml: []byte(yaml)})
+	if took := time.Since(began); err != nil || reply.Revision != 4 || took > 3*time.Second {
+		t.Fatalf("apply after the stop of the leader: %v, %v after %v", reply, err, took)
+	}
+	repeat, err := other.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ExpectedRevision: 0, ChangeId: "0", Yaml: []byte(yaml)})
+	if err != nil || !repeat.RepeatedChange || repeat.Revision != 1 {
+		t.Fatalf("resent change: %v, %v", repeat, err)
+	}
+}
+
+// Guards against settings that are wrong but accepted.
+func TestSettings(t *testing.T) {
+	const good = "instance: c\nregion: r\ndata_centre: d\ngrpc_addr: 127.0.0.1:1\nadmin_addr: 127.0.0.1:2\ndata_dir: x\ntls: {plaintext_loopback: true}\n"
+	for name, c := range map[string]struct{ yaml, problem string }{
+		"first start":             {good + "bootstrap: true\n", ""},
+		"restart":                 {good + "replicas: ['127.0.0.1:1']\n", ""},
+		"no cluster":              {good, "bootstrap: set bootstrap"},
+		"bootstrap and join":      {good + "bootstrap: true\njoin: ['127.0.0.1:3']\n", "join: a replica either"},
+		"not one of the replicas": {good + "bootstrap: true\nreplicas: ['127.0.0.1:3']\n", "replicas: grpc_addr"},
+		"plaintext off loopback":  {strings.Replace(good, "grpc_addr: 127.0.0.1", "grpc_addr: 10.0.0.1", 1) + "bootstrap: true\n", "settings.yaml:4: grpc_addr:"},
+		"host name":               {good + "bootstrap: true\njoin: [control:1]\n", "join[0]"},
+		"unknown key":             {good + "bootstrapp: true\n", "unknown key"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings.yaml")
+			if err := os.WriteFile(file, []byte(c.yaml), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			err := settings.Load(file, new(Settings))
+			if (err == nil) != (c.problem == "") || err != nil && !strings.Contains(err.Error(), c.problem) {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/process/controlmain/settings.go
+++ b/internal/process/controlmain/settings.go
@@ -3,32 +3,34 @@
 
 import (
 	"net"
+	"slices"
 
 	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
 // Settings are the static settings of fescue-control.
 type Settings struct {
-	Instance        string       `yaml:"instance"`
-	Region          string       `yaml:"region"`
-	DataCentre      string       `yaml:"data_centre"`
-	GRPCAddr        string       `yaml:"grpc_addr"`
-	AdminAddr       string       `yaml:"admin_addr"`
-	DataDir         string       `yaml:"data_dir"`
-	Replicas        []Replica    `yaml:"replicas,omitempty"` // the initial replicas, this one included
-	Bootstrap       bool         `yaml:"bootstrap,omitempty"`
-	Join            bool         `yaml:"join,omitempty"` // enter a running cluster as a learner
+	Instance   string `yaml:"instance"`
+	Region     string `yaml:"region"`
+	DataCentre string `yaml:"data_centre"`
+	GRPCAddr   string `yaml:"grpc_addr"`
+	AdminAddr  string `yaml:"admin_addr"`
+	DataDir    string `yaml:"data_dir"`
+	// Replicas are the gRPC addresses of the initial replicas, this one
+	// included. Empty means this one alone.
+	Replicas []string `yaml:"replicas,omitempty"`
+	// Bootstrap allows an empty data directory to become an initial voter.
+	// It must be unset after the first start: a replica that lost its disk
+	// must come back under a new identity.
+	Bootstrap bool `yaml:"bootstrap,omitempty"`
+	// Join lists addresses of running replicas to ask for membership.
+	Join []string `yaml:"join,omitempty"`
+	// InitialDocument lists section files that are loaded into an empty state.
 	InitialDocument []string     `yaml:"initial_document,omitempty"`
 	TLS             settings.TLS `yaml:"tls"`
 	Log             settings.Log `yaml:"log,omitempty"`
 }
 
-// Replica is a control replica.
-type Replica struct {
-	Instance string `yaml:"instance"`
-	Addr     string `yaml:"addr"` // gRPC
-}
-
 // Check records problems with the settings.
 func (s *Settings) Check(c *settings.Check) {
 	c.Require(s.Instance, "instance")
@@ -37,15 +39,27 @@
 	c.Require(s.DataDir, "data_dir")
 	checkAddr(c, s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	checkAddr(c, s.AdminAddr, false, "admin_addr")
-	for i, r := range s.Replicas {
-		c.Require(r.Instance, "replicas", i, "instance")
-		checkAddr(c, r.Addr, s.TLS.PlaintextLoopback, "replicas", i, "addr")
+	s.checkReplicas(c)
+	s.TLS.Check(c, "tls")
+	s.Log.Check(c, "log")
+}
+
+func (s *Settings) checkReplicas(c *settings.Check) {
+	for i, addr := range s.Replicas {
+		checkAddr(c, addr, s.TLS.PlaintextLoopback, "replicas", i)
 	}
-	if s.Bootstrap && s.Join {
+	for i, addr := range s.Join {
+		checkAddr(c, addr, s.TLS.PlaintextLoopback, "join", i)
+	}
+	if s.Bootstrap && len(s.Join) > 0 {
 		c.Add([]any{"join"}, "a replica either bootstraps a cluster or joins one")
 	}
-	s.TLS.Check(c, "tls")
-	s.Log.Check(c, "log")
+	if s.Bootstrap && len(s.Replicas) > 0 && !slices.Contains(s.Replicas, s.GRPCAddr) {
+		c.Add([]any{"replicas"}, "grpc_addr %q of this replica must be one of them", s.GRPCAddr)
+	}
+	if !s.Bootstrap && len(s.Join) == 0 && len(s.Replicas) == 0 {
+		c.Add([]any{"bootstrap"}, "set bootstrap for the first start of a cluster, or replicas, or join")
+	}
 }
 
 // checkAddr records a problem unless addr is an IP address and port, on
--- a/internal/process/follow/helpers_test.go
+++ b/internal/process/follow/helpers_test.go
@@ -11,7 +11,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
 	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/memlog"
+	"github.com/fescuejunction/fescuejunction/internal/process/replica"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
@@ -44,17 +44,32 @@
 	return lis.Addr().String()
 }
 
+// startControl runs a control replica with a real log.
 func startControl(t *testing.T) (*control.Server, string) {
 	t.Helper()
-	machine := state.New()
-	log := memlog.New(machine, "")
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, machine := lis.Addr().String(), state.New()
+	log, err := replica.Start(replica.Config{
+		DataDir: t.TempDir(), Addr: addr, InitialPeers: []string{addr}, Bootstrap: true,
+		Machine: machine, Dial: dialPlain, Log: logging.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	srv := control.New(control.Config{
 		Instance: "control-1", Log: log, Machine: machine, Auth: control.LoopbackTeam{Plaintext: true},
 		Replicas: func() []string { return nil }, Dial: dialPlain, Logger: logging.Discard(), Metrics: tally.NoopScope,
 	})
-	go func() { _ = log.Run(t.Context()) }()
+	g := grpc.NewServer()
+	srv.Register(g)
+	log.Register(g)
+	go func() { _ = g.Serve(lis) }()
 	go func() { _ = srv.Run(t.Context()) }()
-	return srv, serve(t, srv.Register)
+	t.Cleanup(func() { g.Stop(); log.Stop() })
+	return srv, addr
 }
 
 func newFollower(instance string, sources, peers []string) *Follower {
