--- /dev/null
+++ b/internal/process/follow/cost_test.go
@@ -0,0 +1,160 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/control"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+)
+
+const (
+	idleTime    = 4 * time.Second
+	costChanges = 20
+)
+
+// BenchmarkCost measures what following costs: bytes per second and follower
+// on connections to control when idle, bytes and processor time per change,
+// and the slopes against followers, sections and section size. Processor
+// time is that of control and the followers together. Run it once:
+//
+//	go test -run - -bench Cost -benchtime 1x ./internal/process/follow
+func BenchmarkCost(b *testing.B) {
+	for _, c := range []struct{ followers, sections, shifts int }{
+		{10, 10, 20}, {50, 10, 20}, {150, 10, 20},
+		{50, 100, 20}, {50, 400, 20},
+		{50, 10, 200}, {50, 10, 2000},
+	} {
+		b.Run(fmt.Sprintf("followers=%d/sections=%d/shifts=%d", c.followers, c.sections, c.shifts), func(b *testing.B) {
+			for b.Loop() {
+				measureCost(b, c.followers, c.sections, c.shifts)
+			}
+		})
+	}
+}
+
+// traffic counts the bytes of the followers' connections.
+type traffic struct{ in, out atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	t *traffic
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.t.in.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.t.out.Add(int64(n))
+	return n, err
+}
+
+func (t *traffic) dial(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+			return countedConn{conn, t}, err
+		}))
+}
+
+func measureCost(b *testing.B, count, sections, shifts int) {
+	srv, addr := startControl(b)
+	loadSections(b, srv, sections, shifts)
+	t := &traffic{}
+	followers := make([]*Follower, count)
+	for i := range followers {
+		followers[i] = newFollower(fmt.Sprintf("entry-%d", i), []string{addr}, nil)
+		followers[i].cfg.Self.DataCentre = fmt.Sprintf("dc-%d", i) // each a relay of its own
+		followers[i].cfg.Dial = t.dial
+		start(b, followers[i])
+	}
+	waitFor(b, followers, uint64(sections+count))
+	time.Sleep(time.Second)
+	in, out, cpu := t.in.Load(), t.out.Load(), cpuTime()
+	time.Sleep(idleTime)
+	perSecond := float64(count) * idleTime.Seconds()
+	b.ReportMetric(float64(t.in.Load()-in)/perSecond, "idle-B/s-down")
+	b.ReportMetric(float64(t.out.Load()-out)/perSecond, "idle-B/s-up")
+	b.ReportMetric(float64(cpuTime()-cpu)/float64(idleTime)*100/float64(count), "idle-%core")
+	in, out, cpu = t.in.Load(), t.out.Load(), cpuTime()
+	began := time.Now()
+	for i := range costChanges {
+		waitFor(b, followers, applyShifts(b, addr, "team-1", uint64(i+1), shifts))
+	}
+	time.Sleep(2 * ackDelay)
+	perChange := float64(count * costChanges)
+	b.ReportMetric(float64(t.in.Load()-in)/perChange, "B/change-down")
+	b.ReportMetric(float64(t.out.Load()-out)/perChange, "B/change-up")
+	b.ReportMetric(float64(cpuTime()-cpu)/1e6/perChange, "cpu-ms/change")
+	b.ReportMetric(float64(time.Since(began).Milliseconds())/costChanges, "ms/change")
+	var mem runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&mem)
+	b.ReportMetric(float64(mem.HeapAlloc)/1e6/float64(count), "heap-MB/follower")
+	b.ReportMetric(0, "ns/op")
+}
+
+func loadSections(b *testing.B, srv *control.Server, sections, shifts int) {
+	list := []control.InitialSection{{Team: "platform", YAML: []byte(platformYAML)}}
+	for i := 1; i < sections; i++ {
+		team := fmt.Sprintf("team-%d", i)
+		list = append(list, control.InitialSection{Team: team, YAML: shiftsYAML(team, shifts, 1)})
+	}
+	if err := srv.LoadInitial(b.Context(), list); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func shiftsYAML(team string, shifts, limit int) []byte {
+	var y strings.Builder
+	fmt.Fprintf(&y, "team: %s\nshifts:\n", team)
+	for i := range shifts {
+		fmt.Fprintf(&y, "  - {name: %s-%d, cap: %d}\n", team, i, limit)
+	}
+	return []byte(y.String())
+}
+
+// applyShifts changes a section and returns the new version.
+func applyShifts(b *testing.B, addr, team string, revision uint64, shifts int) uint64 {
+	conn, err := dialPlain(addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	reply, err := fescuepb.NewOperatorClient(conn).Apply(metadata.AppendToOutgoingContext(b.Context(), "fescue-team", team), &fescuepb.ApplyRequest{
+		Team: team, ExpectedRevision: revision, ChangeId: fmt.Sprint(revision), Yaml: shiftsYAML(team, shifts, int(revision+1)),
+	})
+	if err != nil || reply.Revision != revision+1 {
+		b.Fatal(reply, err)
+	}
+	return reply.Version
+}
+
+// waitFor waits until every follower acts on a version.
+func waitFor(b *testing.B, followers []*Follower, version uint64) {
+	for _, f := range followers {
+		eventually(b, 30*time.Second, "version in force", func() bool { return versionOf(f) >= version })
+	}
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	view      *view.View
+	builder   snapshot.Builder
 	fresh     freshness
 	ready     bool // a version is in force
 	confirmed bool // a version was confirmed by the counter since the start
@@ -140,7 +141,7 @@
 	if f.view.Version <= f.inForce {
 		return
 	}
-	snap, err := snapshot.Build(f.view.Version, f.view.LiveSections(), f.view.MemberList(), f.view.Blocks)
+	snap, err := f.builder.Build(f.view.Version, f.view.LiveSections(), f.view.MemberList(), f.view.Blocks)
 	if err != nil {
 		f.cfg.Log.WithError(err).WithField("version", f.view.Version).Error("version not put in force")
 		return
--- a/internal/process/follow/helpers_test.go
+++ b/internal/process/follow/helpers_test.go
@@ -45,7 +45,7 @@
 }
 
 // startControl runs a control replica with a real log.
-func startControl(t *testing.T) (*control.Server, string) {
+func startControl(t testing.TB) (*control.Server, string) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,7 +79,7 @@
 	})
 }
 
-func start(t *testing.T, f *Follower) {
+func start(t testing.TB, f *Follower) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -88,7 +88,7 @@
 }
 
 // eventually waits until cond holds.
-func eventually(t *testing.T, within time.Duration, what string, cond func() bool) {
+func eventually(t testing.TB, within time.Duration, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); !cond(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -71,6 +71,22 @@
 // Build compiles a snapshot. It fails with InvalidDocument if a section does
 // not parse; the document as a whole was validated when it was accepted.
 func Build(version uint64, sections []*fescuepb.Section, members []*fescuepb.Member, blocks *fescuepb.BlockTable) (*Snapshot, error) {
+	return new(Builder).Build(version, sections, members, blocks)
+}
+
+// Builder compiles successive snapshots. It keeps the parsed sections of the
+// last one: parsing all of them again took 0.4 ms of processor time per
+// section of 20 shifts, 166 ms per change with 400 sections. It is not safe
+// for concurrent use.
+type Builder struct{ parsed map[string]parsedSection }
+
+type parsedSection struct {
+	revision uint64
+	section  *document.Section
+}
+
+// Build compiles a snapshot like the function Build.
+func (b *Builder) Build(version uint64, sections []*fescuepb.Section, members []*fescuepb.Member, blocks *fescuepb.BlockTable) (*Snapshot, error) {
 	s := &Snapshot{
 		Version:  version,
 		Services: map[string]*Service{},
@@ -82,22 +98,38 @@
 		entries:  map[string][]*fescuepb.Member{},
 	}
 	s.Limits = (*document.Limits)(nil).WithDefaults()
+	parsed := map[string]parsedSection{}
 	for _, pb := range sections {
 		if pb.Deleted {
 			continue
 		}
-		src, problems := document.Parse(pb.Team, pb.Yaml)
-		if len(problems) > 0 {
-			return nil, errkind.New(errkind.InvalidDocument, "section of team %q: %s", pb.Team, problems[0])
+		sec, err := b.parse(pb)
+		if err != nil {
+			return nil, err
 		}
-		s.add(src.Section)
+		parsed[pb.Team] = parsedSection{pb.Revision, sec}
+		s.add(sec)
 	}
+	b.parsed = parsed
 	for _, m := range members {
 		s.addMember(proto.Clone(m).(*fescuepb.Member))
 	}
 	return s, nil
 }
 
+// parse returns the parsed section, from the last snapshot if its revision is
+// the same. Revision 0 is not one that was accepted, so it is parsed always.
+func (b *Builder) parse(pb *fescuepb.Section) (*document.Section, error) {
+	if p, ok := b.parsed[pb.Team]; ok && p.revision == pb.Revision && pb.Revision > 0 {
+		return p.section, nil
+	}
+	src, problems := document.Parse(pb.Team, pb.Yaml)
+	if len(problems) > 0 {
+		return nil, errkind.New(errkind.InvalidDocument, "section of team %q: %s", pb.Team, problems[0])
+	}
+	return src.Section, nil
+}
+
 func (s *Snapshot) add(sec *document.Section) {
 	if sec.Team == document.PlatformTeam {
 		s.Limits = sec.Limits.WithDefaults()
