--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -56,6 +56,22 @@
 	return &fescuepb.LeaveReply{Version: res.Version}, nil
 }
 
+// ClaimGroup commits who dispatches a group.
+func (m *members) ClaimGroup(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
+	if err := state.CheckClaim(c); err != nil {
+		return nil, rpcError(err)
+	}
+	res, err := m.s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Claim{Claim: c}})
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	m.s.cfg.Logger.WithFields(map[string]any{
+		"service": c.Group.Service, "data_centre": c.Group.DataCentre, "epoch": c.Epoch, "home": c.Home,
+		"accepted": res.Claim.Accepted, "previous_home": res.Claim.GetPrevious().GetHome(),
+	}).Info("group claimed")
+	return res.Claim, nil
+}
+
 func (s *Server) commit(ctx context.Context, cmd *fescuepb.Command) (*fescuepb.CommandResult, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -114,10 +114,13 @@
 }
 
 // Healthy reports whether the confirmed counter advanced recently.
-func (s *Server) Healthy() bool {
+func (s *Server) Healthy() bool { return s.ConfirmedWithin(healthyFor) }
+
+// ConfirmedWithin reports whether the confirmed counter advanced within d.
+func (s *Server) ConfirmedWithin(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.advanced) < healthyFor
+	return time.Since(s.advanced) < d
 }
 
 type follow struct {
--- a/internal/process/controlmain/cluster.go
+++ b/internal/process/controlmain/cluster.go
@@ -63,10 +63,11 @@
 	return out
 }
 
-// describe adds the replication to a status.
+// describe adds the replication and the pending caps to a status.
 func (p *process) describe(reply *fescuepb.StatusReply) {
 	st := p.replica.Status()
 	reply.Term = st.Term
+	reply.PendingCaps = p.budgets.PendingCaps()
 	for _, peer := range st.Peers {
 		reply.Replicas = append(reply.Replicas, &fescuepb.ReplicaStatus{
 			Id: peer.ID, Addr: peer.Addr, Voter: peer.Voter, MatchIndex: peer.Match,
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -5,7 +5,9 @@
 	"net"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/budget"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
 	"github.com/fescuejunction/fescuejunction/internal/process/replica"
@@ -31,6 +33,8 @@
 	server   *control.Server
 	grpc     *grpc.Server
 	calls    *drain
+	lead     *leadership
+	budgets  *budget.Server
 }
 
 // Run runs a control replica until ctx ends, then finishes the calls in
@@ -51,11 +55,13 @@
 		return err
 	}
 	defer p.replica.Stop()
+	defer p.lead.stop()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.grpc.Serve(lis) })
 	group.Go(func() error { return p.server.Run(ctx) })
 	group.Go(func() error { return serveAdmin(ctx, s, p.server, metricsHandler) })
 	group.Go(func() error { return loadInitial(ctx, s, p.server, log) })
+	group.Go(func() error { p.lead.run(ctx, p.budgets); return nil })
 	group.Go(func() error { p.joinSelf(ctx); return nil })
 	group.Go(func() error { return p.stopAfter(ctx) })
 	log.WithField("grpc_addr", lis.Addr().String()).Info("control replica started")
@@ -67,6 +73,9 @@
 // assemble starts the replica and builds the server on top of it.
 func assemble(s *Settings, log *logrus.Entry, scope tally.Scope) (*process, error) {
 	p := &process{settings: s, log: log, machine: state.New(), calls: newDrain()}
+	p.lead = newLeadership(p, log)
+	p.budgets = budget.NewServer(p.lead)
+	p.machine.Observe(p.lead.enqueue)
 	var err error
 	p.replica, err = replica.Start(replica.Config{
 		DataDir:      s.DataDir,
@@ -96,6 +105,7 @@
 	p.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(maxRequestBytes), grpc.UnaryInterceptor(p.calls.intercept))
 	p.server.Register(p.grpc)
 	p.replica.Register(p.grpc)
+	fescuepb.RegisterBudgetServer(p.grpc, p.budgets)
 	return p, nil
 }
 
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -36,6 +36,8 @@
 	departed map[string]bool
 	left     []string // of departed, oldest first
 	sources  map[string]*document.Source
+	claims   map[string]claimed // by group
+	observer func(*fescuepb.Update)
 }
 
 type outcomeKey struct{ team, changeID string }
@@ -48,12 +50,32 @@
 		outcomes: map[outcomeKey]*fescuepb.ChangeOutcome{},
 		departed: map[string]bool{},
 		sources:  map[string]*document.Source{},
+		claims:   map[string]claimed{},
+	}
+}
+
+// Observe makes the machine call observer with the full content of each
+// version, in order, before Apply or Restore returns. Call it before the
+// first command.
+func (m *Machine) Observe(observer func(*fescuepb.Update)) { m.observer = observer }
+
+// notify tells the observer of a new version.
+func (m *Machine) notify(before uint64) {
+	if m.observer != nil && m.Version() != before {
+		m.observer(m.Since(0))
 	}
 }
 
 // Apply executes the command in data, a fescuepb.Command, as log entry index
 // and returns an encoded fescuepb.CommandResult.
 func (m *Machine) Apply(index uint64, data []byte) []byte {
+	before := m.Version()
+	result := m.applyLocked(index, data)
+	m.notify(before)
+	return result
+}
+
+func (m *Machine) applyLocked(index uint64, data []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	res := m.apply(index, data)
@@ -79,6 +101,8 @@
 		return m.leave(index, body.Leave)
 	case *fescuepb.Command_BlockTable:
 		return m.setBlocks(index, body.BlockTable)
+	case *fescuepb.Command_Claim:
+		return m.claim(body.Claim)
 	}
 	return refuse(errkind.Internal, "the command is not known")
 }
@@ -165,6 +189,10 @@
 	for _, key := range m.order {
 		img.Outcomes = append(img.Outcomes, m.outcomes[key])
 	}
+	for _, group := range sortedKeys(m.claims) {
+		img.Claims = append(img.Claims, m.claims[group].claim)
+		img.PreviousClaims = append(img.PreviousClaims, m.claims[group].previous)
+	}
 	for _, instance := range sortedKeys(m.view.Removed) {
 		img.Removed = append(img.Removed, &fescuepb.RemovedMember{Instance: instance, Version: m.view.Removed[instance]})
 	}
@@ -181,12 +209,19 @@
 	if err := fresh.load(&img); err != nil {
 		return err
 	}
+	before := m.Version()
+	m.replace(fresh)
+	m.notify(before)
+	return nil
+}
+
+func (m *Machine) replace(fresh *Machine) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.view, m.history, m.sources = fresh.view, fresh.history, fresh.sources
 	m.outcomes, m.order = fresh.outcomes, fresh.order
 	m.departed, m.left = fresh.departed, fresh.left
-	return nil
+	m.claims = fresh.claims
 }
 
 func (m *Machine) load(img *fescuepb.StateImage) error {
@@ -217,6 +252,9 @@
 		m.departed[pair] = true
 	}
 	m.left = img.Departed
+	if err := m.loadClaims(img.Claims, img.PreviousClaims); err != nil {
+		return err
+	}
 	m.view.Version, m.view.Floor = img.Version, img.DeltaFloor
 	m.view.Blocks, m.view.BlocksChanged = img.BlockTable, img.BlocksChanged
 	return nil
