Try again when the log does not answer

A call is answered within 3 s. Attempts of 1 s let it pass to the next leader when the present one froze; a resent command is recognised by the state.

--- a/internal/process/control/log.go
+++ b/internal/process/control/log.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 )
 
-// confirmTimeout bounds how long a call waits for a quorum before anything
-// was proposed. It covers the election of a leader.
-const confirmTimeout = 5 * time.Second
-
 // Log is the replicated log that the server proposes commands to; package
 // replica provides it.
 type Log interface {
@@ -35,12 +30,16 @@
 
 // confirm waits until everything accepted before the call is applied here.
 func (s *Server) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	index, err := s.cfg.Log.Read(ctx)
+	var index uint64
+	err := attempt(ctx, func(ctx context.Context) (err error) {
+		index, err = s.cfg.Log.Read(ctx)
+		return err
+	})
 	if err != nil {
 		return errkind.New(errkind.NotReady, "no quorum confirmed the state; nothing was changed: %s", err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	for {
 		changed := s.cfg.Log.Changed()
 		if s.cfg.Log.Applied() >= index {
--- a/internal/process/control/memlog_test.go
+++ b/internal/process/control/memlog_test.go
@@ -23,7 +23,8 @@
 	counter uint64
 	changed chan struct{}
 
-	noQuorum atomic.Bool // reads fail and the counter stands still
+	noQuorum    atomic.Bool  // reads fail and the counter stands still
+	loseAnswers atomic.Int64 // proposals that are applied but fail
 }
 
 // newMemLog returns a log for machine; addr is the address of the leader.
@@ -66,6 +67,9 @@
 	l.index++
 	result := l.machine.Apply(l.index, data)
 	l.broadcast()
+	if l.loseAnswers.Add(-1) >= 0 {
+		return nil, 0, errkind.New(errkind.Timeout, "the answer was lost")
+	}
 	return result, l.index, nil
 }
 
--- a/internal/process/control/operator.go
+++ b/internal/process/control/operator.go
@@ -32,6 +32,8 @@
 // change checks a request against the confirmed state, so that most refusals
 // need no log entry, and proposes it. The state machine checks it again.
 func (s *Server) change(ctx context.Context, r *fescuepb.ApplyRequest, author string) (*fescuepb.ApplyReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if err := s.confirm(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -19,9 +19,6 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// proposeTimeout bounds a command whose caller set no earlier deadline.
-const proposeTimeout = 10 * time.Second
-
 // healthyFor is how long an advance of the counter proves contact with a
 // quorum.
 const healthyFor = 2 * time.Second
@@ -135,9 +132,11 @@
 
 // propose runs a command and decodes its result.
 func (s *Server) propose(ctx context.Context, data []byte) (*fescuepb.CommandResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	out, _, err := s.cfg.Log.Propose(ctx, data)
+	var out []byte
+	err := attempt(ctx, func(ctx context.Context) (err error) {
+		out, _, err = s.cfg.Log.Propose(ctx, data)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/control/server_test.go
+++ b/internal/process/control/server_test.go
@@ -108,15 +108,36 @@
 func TestNoQuorum(t *testing.T) {
 	s := newServer(t, true)
 	s.cfg.Log.(*memLog).noQuorum.Store(true)
-	o, ctx := &operator{s: s}, as(t.Context(), "a")
-	_, getErr := o.Get(ctx, &fescuepb.GetRequest{})
-	_, historyErr := o.History(ctx, &fescuepb.HistoryRequest{Team: "a"})
-	_, statusErr := o.Status(ctx, &fescuepb.StatusRequest{})
-	_, applyErr := o.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte("team: a\n")})
-	for i, err := range []error{getErr, historyErr, statusErr, applyErr} {
-		if status.Code(err) != codes.Unavailable || !strings.Contains(err.Error(), "nothing was changed") {
-			t.Errorf("call %d: %v", i, err)
-		}
+	o, ctx := &operator{s: s}, as(context.Background(), "a")
+	for name, call := range map[string]func() error{
+		"get":     func() error { _, err := o.Get(ctx, &fescuepb.GetRequest{}); return err },
+		"history": func() error { _, err := o.History(ctx, &fescuepb.HistoryRequest{Team: "a"}); return err },
+		"status":  func() error { _, err := o.Status(ctx, &fescuepb.StatusRequest{}); return err },
+		"apply": func() error {
+			_, err := o.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte("team: a\n")})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if err := call(); status.Code(err) != codes.Unavailable || !strings.Contains(err.Error(), "nothing was changed") {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// Guards against a change that is applied twice or refused when the answer to
+// its proposal is lost and it is proposed again.
+func TestLostAnswer(t *testing.T) {
+	s := newServer(t, true)
+	s.cfg.Log.(*memLog).loseAnswers.Store(2)
+	reply, err := (&operator{s: s}).Apply(as(t.Context(), "a"), &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte("team: a\n")})
+	if err != nil || reply.Revision != 1 || reply.Conflict != nil {
+		t.Fatalf("got %v, %v", reply, err)
+	}
+	if h := s.cfg.Machine.History("a", 0); len(h) != 1 {
+		t.Fatalf("applied %d times", len(h))
 	}
 }
 
