Distribute the client-block table in chunks

PutBlocks returns once a majority of the replicas holds the chunks durably and the log names them; a replica that misses chunks fetches them from the others, and entries fetch only chunks they lack, from their relay first. The log moves to data_dir/log beside data_dir/blocks.

--- a/internal/process/control/blocks.go
+++ b/internal/process/control/blocks.go
@@ -1,16 +1,239 @@
 package control
 
 import (
+	"context"
+	"io"
+	"time"
+
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 )
 
-// PutBlocks replaces the client-block table.
+const (
+	maxTableBytes = 256 << 20        // of the text of a client-block table; 3.4 million blocks take about 85 MB
+	holdTimeout   = 60 * time.Second // for another replica to fetch a table
+	pruneAge      = time.Hour        // of chunks that no accepted table names
+	fetchPause    = time.Second      // before missing chunks are asked for again
+)
+
+// PutBlocks replaces the client-block table by one in text form, with lines
+// "prefix,data centre". It returns once a majority of the replicas holds the
+// table and the log names it.
 func (o *operator) PutBlocks(stream grpc.ClientStreamingServer[fescuepb.PutBlocksRequest, fescuepb.PutBlocksReply]) error {
 	if err := o.s.requirePlatform(stream.Context()); err != nil {
 		return rpcError(err)
 	}
-	return status.Error(codes.Unimplemented, "the client-block table can not be replaced yet")
+	reply, err := o.s.putBlocks(stream.Context(), &partReader{stream: stream})
+	if err != nil {
+		return rpcError(err)
+	}
+	return stream.SendAndClose(reply)
+}
+
+// partReader reads the parts of a table as one text.
+type partReader struct {
+	stream grpc.ClientStreamingServer[fescuepb.PutBlocksRequest, fescuepb.PutBlocksReply]
+	rest   []byte
+	total  int
+}
+
+func (r *partReader) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		req, err := r.stream.Recv()
+		if err != nil {
+			return 0, err // io.EOF after the last part
+		}
+		r.rest = req.Data
+		r.total += len(r.rest)
+		if r.total > maxTableBytes {
+			return 0, errkind.New(errkind.BadRequest, "the table exceeds the limit of %d bytes", maxTableBytes)
+		}
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+func (s *Server) putBlocks(ctx context.Context, text io.Reader) (*fescuepb.PutBlocksReply, error) {
+	if s.cfg.Chunks == nil {
+		return nil, errkind.New(errkind.NotFound, "this replica keeps no client-block table")
+	}
+	table, err := blocks.ParseText(text)
+	if err != nil {
+		return nil, err
+	}
+	chunks, err := blocks.Encode(table)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.cfg.Chunks.Put(chunks); err != nil {
+		return nil, err
+	}
+	t := &fescuepb.BlockTable{Blocks: uint64(table.Len())}
+	for _, c := range chunks {
+		t.ChunkHashes = append(t.ChunkHashes, c.Hash[:])
+	}
+	if err := s.holdAtMajority(ctx, t.ChunkHashes); err != nil {
+		return nil, err
+	}
+	res, err := s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_BlockTable{BlockTable: t}})
+	if err != nil {
+		return nil, err
+	}
+	s.cfg.Logger.WithFields(map[string]any{"blocks": t.Blocks, "chunks": len(chunks), "version": res.Version}).Info("client-block table replaced")
+	return &fescuepb.PutBlocksReply{Version: res.Version, Blocks: t.Blocks}, nil
+}
+
+// holdAtMajority returns once a majority of the voters, this replica
+// included, holds the chunks.
+func (s *Server) holdAtMajority(ctx context.Context, hashes [][]byte) error {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	voters := s.cfg.OtherVoters()
+	results := ring.New[error](len(voters))
+	for _, addr := range voters {
+		go func() { results.Offer(s.askHold(ctx, addr, hashes)) }()
+	}
+	needed := (len(voters) + 1) / 2 // besides this replica
+	var last error
+	for range voters {
+		if needed <= 0 {
+			return nil
+		}
+		err, ctxErr := results.Take(ctx)
+		if ctxErr != nil {
+			return errkind.New(errkind.NotReady, "no majority holds the table in time; nothing was changed")
+		}
+		if err == nil {
+			needed--
+		} else {
+			last = err
+		}
+	}
+	if needed > 0 {
+		return errkind.New(errkind.NotReady, "no majority holds the table; nothing was changed: %v", last)
+	}
+	return nil
+}
+
+func (s *Server) askHold(ctx context.Context, addr string, hashes [][]byte) error {
+	conn, err := s.peers.get(addr)
+	if err != nil {
+		return err
+	}
+	_, err = fescuepb.NewControlPeersClient(conn).HoldChunks(ctx, &fescuepb.HoldChunksRequest{Hashes: hashes, Source: s.cfg.Addr})
+	return err
+}
+
+// HoldChunks fetches the missing chunks from the caller.
+func (c *controlPeers) HoldChunks(ctx context.Context, r *fescuepb.HoldChunksRequest) (*fescuepb.HoldChunksReply, error) {
+	if c.s.cfg.Chunks == nil {
+		return nil, rpcError(errkind.New(errkind.NotFound, "this replica keeps no client-block table"))
+	}
+	if err := c.s.fetchChunks(ctx, r.Hashes, r.Source); err != nil {
+		return nil, rpcError(err)
+	}
+	return &fescuepb.HoldChunksReply{}, nil
+}
+
+// fetchChunks stores the missing chunks of hashes from the replica at addr.
+func (s *Server) fetchChunks(ctx context.Context, hashes [][]byte, addr string) error {
+	conn, err := s.peers.get(addr)
+	if err != nil {
+		return err
+	}
+	client := fescuepb.NewFollowClient(conn)
+	for _, h := range hashes {
+		if len(h) != len(blocks.Hash{}) {
+			return errkind.New(errkind.BadRequest, "a chunk hash has %d bytes", len(h))
+		}
+		hash := blocks.Hash(h)
+		if s.cfg.Chunks.Has(hash) {
+			continue
+		}
+		reply, err := client.BlockChunk(ctx, &fescuepb.BlockChunkRequest{Hash: h})
+		if err != nil {
+			return err
+		}
+		if err := s.cfg.Chunks.Put([]blocks.Chunk{{Hash: hash, Data: reply.Data}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BlockChunk returns a chunk of the client-block table.
+func (f *follow) BlockChunk(_ context.Context, r *fescuepb.BlockChunkRequest) (*fescuepb.BlockChunkReply, error) {
+	if f.s.cfg.Chunks == nil || len(r.Hash) != len(blocks.Hash{}) {
+		return nil, rpcError(errkind.New(errkind.NotFound, "the chunk is not here"))
+	}
+	data, err := f.s.cfg.Chunks.Get(blocks.Hash(r.Hash))
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return &fescuepb.BlockChunkReply{Data: data}, nil
+}
+
+// keepChunks fetches the chunks of the accepted table that this replica
+// misses, and removes those of older tables, until ctx ends.
+func (s *Server) keepChunks(ctx context.Context) {
+	kept := uint64(0)
+	for {
+		changed := s.cfg.Log.Changed()
+		t := s.cfg.Machine.Blocks()
+		if t != nil && t.Version != kept {
+			if s.completeTable(ctx, t) {
+				kept = t.Version
+				continue
+			}
+			changed = nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(fetchPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) completeTable(ctx context.Context, t *fescuepb.BlockTable) bool {
+	if err := s.fetchFromAny(ctx, t.ChunkHashes); err != nil {
+		s.cfg.Logger.WithError(err).WithField("version", t.Version).Warn("chunks of the client-block table are missing")
+		return false
+	}
+	keep := map[blocks.Hash]bool{}
+	for _, h := range t.ChunkHashes {
+		keep[blocks.Hash(h)] = true
+	}
+	if err := s.cfg.Chunks.Prune(keep, pruneAge); err != nil {
+		s.cfg.Logger.WithError(err).Warn("old chunks were not removed")
+	}
+	return true
+}
+
+// fetchFromAny asks the other replicas in turn for the missing chunks.
+func (s *Server) fetchFromAny(ctx context.Context, hashes [][]byte) error {
+	if s.holdsAll(hashes) {
+		return nil
+	}
+	err := errkind.New(errkind.NotFound, "no other replica is known")
+	for _, addr := range s.cfg.Replicas() {
+		if err = s.fetchChunks(ctx, hashes, addr); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (s *Server) holdsAll(hashes [][]byte) bool {
+	for _, h := range hashes {
+		if !s.cfg.Chunks.Has(blocks.Hash(h)) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/chunkstore"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
@@ -26,12 +27,17 @@
 // Config configures a server.
 type Config struct {
 	Instance string
+	Addr     string // gRPC address at which other replicas reach this one
 	Log      Log
 	Machine  *state.Machine
 	Auth     Authenticator
 	// Replicas returns the gRPC addresses of the other control replicas,
 	// which Status asks for their acknowledgements.
 	Replicas func() []string
+	// OtherVoters returns the addresses of the other voting replicas.
+	OtherVoters func() []string
+	// Chunks keeps the client-block table; nil if there is none.
+	Chunks *chunkstore.Store
 	// Describe adds what the log knows to a status; it may be nil.
 	Describe func(*fescuepb.StatusReply)
 	Dial     func(addr string) (*grpc.ClientConn, error)
@@ -82,6 +88,9 @@
 func (s *Server) Run(ctx context.Context) error {
 	defer s.peers.close()
 	defer s.hub.Stop()
+	if s.cfg.Chunks != nil {
+		go s.keepChunks(ctx)
+	}
 	tick := time.NewTicker(feed.PushInterval)
 	defer tick.Stop()
 	pushed := uint64(0)
--- a/internal/process/controlmain/cluster.go
+++ b/internal/process/controlmain/cluster.go
@@ -63,6 +63,17 @@
 	return out
 }
 
+// otherVoters returns the addresses of the other voting replicas.
+func (p *process) otherVoters() []string {
+	var out []string
+	for _, peer := range p.replica.Status().Peers {
+		if peer.Voter && peer.Addr != p.settings.GRPCAddr {
+			out = append(out, peer.Addr)
+		}
+	}
+	return out
+}
+
 // describe adds the replication and the pending caps to a status.
 func (p *process) describe(reply *fescuepb.StatusReply) {
 	st := p.replica.Status()
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"net"
+	"path/filepath"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
+	"github.com/fescuejunction/fescuejunction/internal/process/chunkstore"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
 	"github.com/fescuejunction/fescuejunction/internal/process/replica"
+	"github.com/fescuejunction/fescuejunction/internal/process/storage"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -76,9 +79,15 @@
 	p.lead = newLeadership(p, log)
 	p.budgets = budget.NewServer(p.lead)
 	p.machine.Observe(p.lead.enqueue)
-	var err error
+	if err := (storage.OS{}).MkdirAll(s.DataDir); err != nil {
+		return nil, errkind.Wrap(errkind.StorageFailed, err, "create data_dir")
+	}
+	chunks, err := chunkstore.Open(filepath.Join(s.DataDir, "blocks"))
+	if err != nil {
+		return nil, err
+	}
 	p.replica, err = replica.Start(replica.Config{
-		DataDir:      s.DataDir,
+		DataDir:      filepath.Join(s.DataDir, "log"),
 		Addr:         s.GRPCAddr,
 		InitialPeers: s.initialReplicas(),
 		Join:         s.Join,
@@ -92,15 +101,18 @@
 		return nil, err
 	}
 	p.server = control.New(control.Config{
-		Instance: s.Instance,
-		Log:      p.replica,
-		Machine:  p.machine,
-		Auth:     control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback},
-		Replicas: p.otherReplicas,
-		Describe: p.describe,
-		Dial:     dial,
-		Logger:   log,
-		Metrics:  scope,
+		Instance:    s.Instance,
+		Addr:        s.GRPCAddr,
+		Log:         p.replica,
+		Machine:     p.machine,
+		Auth:        control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback},
+		Replicas:    p.otherReplicas,
+		OtherVoters: p.otherVoters,
+		Chunks:      chunks,
+		Describe:    p.describe,
+		Dial:        dial,
+		Logger:      log,
+		Metrics:     scope,
 	})
 	p.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(maxRequestBytes), grpc.UnaryInterceptor(p.calls.intercept))
 	p.server.Register(p.grpc)
--- a/internal/process/controlmain/run_test.go
+++ b/internal/process/controlmain/run_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,9 +16,12 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/follow"
 	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 )
 
 const platformYAML = "team: platform\nregions:\n  - name: south\n    data_centres: [dc1]\n"
@@ -78,19 +83,51 @@
 }
 
 // entry follows only replica i.
-func (c *cluster) entry(t *testing.T, i int) *follow.Follower {
+func (c *cluster) entry(t *testing.T, i int) *atomic.Pointer[blocks.Table] {
+	table := new(atomic.Pointer[blocks.Table])
 	f := follow.New(follow.Config{
 		Self: &fescuepb.Member{
 			Instance: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc%d", i),
 			Role: fescuepb.Role_ROLE_ENTRY, Incarnation: 1,
 		},
-		Sources: c.addrs[i : i+1], Dial: dial, Store: new(snapshot.Store), Log: logging.Discard(), Metrics: tally.NoopScope,
+		Sources: c.addrs[i : i+1], Dial: dial, Store: new(snapshot.Store), Blocks: table, Log: logging.Discard(), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return f
+	return table
+}
+
+// putBlocks replaces the client-block table through one replica and waits
+// until every entry has it from its own replica.
+func (c *cluster) putBlocks(t *testing.T, entries []*atomic.Pointer[blocks.Table]) {
+	put := func(team string) (*fescuepb.PutBlocksReply, error) {
+		stream, err := c.operator(t, 1).PutBlocks(metadata.AppendToOutgoingContext(t.Context(), "fescue-team", team))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range []string{"10.0.0.0/8,dc1\n10.1", ".0.0/16,dc0\n", "2001:db8::/32,dc1\n"} {
+			_ = stream.Send(&fescuepb.PutBlocksRequest{Data: []byte(part)})
+		}
+		return stream.CloseAndRecv()
+	}
+	if _, err := put("a"); status.Code(err) != codes.PermissionDenied {
+		t.Fatalf("blocks of another team: %v", err)
+	}
+	reply, err := put("platform")
+	if err != nil || reply.Blocks != 3 {
+		t.Fatalf("put blocks: %v, %v", reply, err)
+	}
+	for _, table := range entries {
+		eventually(t, 5*time.Second, "client blocks at the entry", func() bool {
+			if table.Load() == nil {
+				return false
+			}
+			dc, _ := table.Load().Lookup(netip.MustParseAddr("10.1.2.3"))
+			return dc == "dc0" && table.Load().Len() == 3
+		})
+	}
 }
 
 func eventually(t *testing.T, within time.Duration, what string, cond func() bool) {
@@ -103,12 +140,13 @@
 }
 
 // Guards against replicas that don't forward writes, that don't load the
-// initial document, that don't see acknowledgements which arrived elsewhere,
+// initial document or the client blocks, that don't see acknowledgements which arrived elsewhere,
 // and against writes that stay blocked or are lost when the leader stops.
 func TestCluster(t *testing.T) {
 	c := startCluster(t)
+	var entries []*atomic.Pointer[blocks.Table]
 	for i := range 3 {
-		c.entry(t, i)
+		entries = append(entries, c.entry(t, i))
 	}
 	ctx := metadata.AppendToOutgoingContext(t.Context(), "fescue-team", "a")
 	var last *fescuepb.StatusReply
@@ -129,6 +167,7 @@
 	for i := range 3 {
 		eventually(t, 8*time.Second, "all in force as seen at one replica", func() bool { return allInForce(i) })
 	}
+	c.putBlocks(t, entries)
 	yaml := "team: a\nshifts: [{name: s, cap: 1}]\n"
 	for i := range 3 {
 		reply, err := c.operator(t, i).Apply(ctx, &fescuepb.ApplyRequest{
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -98,7 +98,7 @@
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, GrpcAddr: s.GRPCAddr, Incarnation: incarnation,
 	}
 	p.follower = follow.New(follow.Config{
-		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: dial, Store: p.store, Log: p.log, Metrics: p.scope,
+		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: dial, Store: p.store, Blocks: &p.blocks, Log: p.log, Metrics: p.scope,
 	})
 	p.shared = budget.NewShared(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"github.com/sirupsen/logrus"
@@ -24,6 +26,7 @@
 	Peers   []string // gRPC addresses of entries in the data centre, for when control is out of reach
 	Dial    func(addr string) (*grpc.ClientConn, error)
 	Store   *snapshot.Store
+	Blocks  *atomic.Pointer[blocks.Table] // receives the client-block table; nil if it isn't wanted
 	Log     *logrus.Entry
 	Metrics tally.Scope
 }
@@ -34,6 +37,9 @@
 	hub *feed.Hub
 	ack chan struct{} // the versions to acknowledge changed; holds one
 
+	chunks        chunks
+	blocksChanged chan struct{} // the snapshot names another table; holds one
+
 	mu        sync.Mutex
 	view      *view.View
 	builder   snapshot.Builder
@@ -48,7 +54,8 @@
 
 // New returns a follower; Run starts it.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, view: view.New(), ack: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, view: view.New(), ack: make(chan struct{}, 1), blocksChanged: make(chan struct{}, 1)}
+	f.chunks.data = map[blocks.Hash][]byte{}
 	f.plan = planSources(cfg.Self, nil, cfg.Sources, cfg.Peers)
 	f.hub = feed.NewHub(feed.Config{
 		Instance:      cfg.Self.Instance,
@@ -73,6 +80,9 @@
 		}
 	})
 	wg.Go(func() { f.askPeers(ctx) })
+	if f.cfg.Blocks != nil {
+		wg.Go(func() { f.keepBlocks(ctx) })
+	}
 	newLoop(f).run(ctx)
 	if err := context.Cause(ctx); err != context.Canceled {
 		return err
@@ -101,9 +111,12 @@
 }
 
 // acknowledge makes the watches send the versions in force soon.
-func (f *Follower) acknowledge() {
+func (f *Follower) acknowledge() { signal(f.ack) }
+
+// signal fills a channel that holds one element.
+func signal(ch chan<- struct{}) {
 	select {
-	case f.ack <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -147,6 +160,7 @@
 		return
 	}
 	f.cfg.Store.Swap(snap)
+	signal(f.blocksChanged)
 	f.inForce, f.ready = f.view.Version, true
 	f.cfg.Metrics.Gauge("follow_version").Update(float64(f.inForce))
 	f.cfg.Log.WithField("version", f.inForce).Info("version in force")
--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -18,8 +18,11 @@
 	f := newFollower("entry-1", []string{addr}, nil)
 	start(t, f)
 	eventually(t, 3*time.Second, "ready with itself as member", func() bool {
+		if !f.Ready() {
+			return false
+		}
 		s := f.cfg.Store.Load()
-		return f.Ready() && f.Confirmed() && s.Member("entry-1") != nil && s.Region("dc2") == "south"
+		return f.Confirmed() && s.Member("entry-1") != nil && s.Region("dc2") == "south"
 	})
 	if err := f.Leave(t.Context(), true); err != nil {
 		t.Fatal(err)
--- a/internal/process/follow/watch.go
+++ b/internal/process/follow/watch.go
@@ -103,9 +103,4 @@
 }
 
 // acknowledge makes the watch send an acknowledgement.
-func (w *watch) acknowledge() {
-	select {
-	case w.acks <- struct{}{}:
-	default:
-	}
-}
+func (w *watch) acknowledge() { signal(w.acks) }
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"crypto/sha256"
 	"sort"
 	"sync"
 
@@ -112,6 +113,11 @@
 }
 
 func (m *Machine) setBlocks(index uint64, t *fescuepb.BlockTable) *fescuepb.CommandResult {
+	for _, h := range t.ChunkHashes {
+		if len(h) != sha256.Size {
+			return refuse(errkind.BadRequest, "a chunk hash has the wrong length")
+		}
+	}
 	t.Version = index
 	m.view.SetBlocks(t, index)
 	return &fescuepb.CommandResult{}
@@ -124,6 +130,13 @@
 	return m.view.Version
 }
 
+// Blocks returns the client-block table in force, or nil.
+func (m *Machine) Blocks() *fescuepb.BlockTable {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.Blocks
+}
+
 // Since returns the update from version base to the present one.
 func (m *Machine) Since(base uint64) *fescuepb.Update {
 	m.mu.RLock()
