--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/chunkstore"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
@@ -19,9 +20,6 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// proposeTimeout bounds a command whose caller set no earlier deadline.
-const proposeTimeout = 10 * time.Second
-
 // healthyFor is how long an advance of the counter proves contact with a
 // quorum.
 const healthyFor = 2 * time.Second
@@ -29,12 +27,19 @@
 // Config configures a server.
 type Config struct {
 	Instance string
+	Addr     string // gRPC address at which other replicas reach this one
 	Log      Log
 	Machine  *state.Machine
 	Auth     Authenticator
 	// Replicas returns the gRPC addresses of the other control replicas,
 	// which Status asks for their acknowledgements.
 	Replicas func() []string
+	// OtherVoters returns the addresses of the other voting replicas.
+	OtherVoters func() []string
+	// Chunks keeps the client-block table; nil if there is none.
+	Chunks *chunkstore.Store
+	// Describe adds what the log knows to a status; it may be nil.
+	Describe func(*fescuepb.StatusReply)
 	Dial     func(addr string) (*grpc.ClientConn, error)
 	Logger   *logrus.Entry
 	Metrics  tally.Scope
@@ -83,6 +88,9 @@
 func (s *Server) Run(ctx context.Context) error {
 	defer s.peers.close()
 	defer s.hub.Stop()
+	if s.cfg.Chunks != nil {
+		go s.keepChunks(ctx)
+	}
 	tick := time.NewTicker(feed.PushInterval)
 	defer tick.Stop()
 	pushed := uint64(0)
@@ -112,10 +120,13 @@
 }
 
 // Healthy reports whether the confirmed counter advanced recently.
-func (s *Server) Healthy() bool {
+func (s *Server) Healthy() bool { return s.ConfirmedWithin(healthyFor) }
+
+// ConfirmedWithin reports whether the confirmed counter advanced within d.
+func (s *Server) ConfirmedWithin(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.advanced) < healthyFor
+	return time.Since(s.advanced) < d
 }
 
 type follow struct {
@@ -130,9 +141,11 @@
 
 // propose runs a command and decodes its result.
 func (s *Server) propose(ctx context.Context, data []byte) (*fescuepb.CommandResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	out, _, err := s.cfg.Log.Propose(ctx, data)
+	var out []byte
+	err := attempt(ctx, func(ctx context.Context) (err error) {
+		out, _, err = s.cfg.Log.Propose(ctx, data)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/version/state/claims.go
+++ b/internal/version/state/claims.go
@@ -1,43 +1,70 @@
 package state
 
 import (
-	"cmp"
-	"maps"
-	"slices"
+	"fmt"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"google.golang.org/protobuf/proto"
 )
 
-type groupKey struct{ service, dc string }
+// claimed is the last accepted claim of a dispatch group and the one before
+// it. A claim without a group stands for none.
+type claimed struct{ claim, previous *fescuepb.GroupClaim }
 
-// claim records a new dispatcher of a group. It is accepted only with a
-// higher epoch than the last one's; the result names the claim before it.
+func groupKey(g *fescuepb.GroupId) string { return g.GetService() + "\x00" + g.GetDataCentre() }
+
+// CheckClaim returns an error of kind BadRequest if a claim is malformed.
+func CheckClaim(c *fescuepb.GroupClaim) error {
+	g := c.GetGroup()
+	switch {
+	case g.GetService() == "" || len(g.GetService()) > maxNameBytes:
+		return errkind.New(errkind.BadRequest, "group.service: 1 to %d bytes are required", maxNameBytes)
+	case g.GetDataCentre() == "" || len(g.GetDataCentre()) > maxNameBytes:
+		return errkind.New(errkind.BadRequest, "group.data_centre: 1 to %d bytes are required", maxNameBytes)
+	case c.Home == "" || len(c.Home) > maxNameBytes || c.HomeIncarnation == 0:
+		return errkind.New(errkind.BadRequest, "home and home_incarnation are required")
+	case c.Epoch == 0:
+		return errkind.New(errkind.BadRequest, "epoch: must not be 0")
+	}
+	return nil
+}
+
+// claim accepts a claim with a higher epoch than the last one's. A resent
+// claim that was accepted and not replaced is accepted with the same reply.
+// Claims are not part of the content that followers see.
 func (m *Machine) claim(c *fescuepb.GroupClaim) *fescuepb.CommandResult {
-	if c.GetGroup().GetService() == "" || c.Group.DataCentre == "" || c.Home == "" {
-		return refuse(errkind.BadRequest, "a claim needs a service, a data centre and an instance")
+	if err := CheckClaim(c); err != nil {
+		return refuse(errkind.BadRequest, err.Error())
 	}
-	key := groupKey{c.Group.Service, c.Group.DataCentre}
-	before := m.claims[key]
-	reply := &fescuepb.ClaimReply{Previous: before}
-	if c.Epoch > before.GetEpoch() {
-		m.claims[key] = c
-		reply.Accepted = true
+	if m.departed[pairKey(c.Home, c.HomeIncarnation)] {
+		return refuse(errkind.Conflict, fmt.Sprintf("incarnation %d of instance %q has left", c.HomeIncarnation, c.Home))
 	}
-	return &fescuepb.CommandResult{Claim: reply}
+	key := groupKey(c.Group)
+	last, known := m.claims[key]
+	switch {
+	case known && proto.Equal(last.claim, c):
+		return claimResult(true, last.previous)
+	case known && c.Epoch <= last.claim.Epoch:
+		return claimResult(false, last.claim)
+	}
+	m.claims[key] = claimed{claim: c, previous: last.claim}
+	return claimResult(true, last.claim)
 }
 
-// claimList returns the claims in a fixed order.
-func (m *Machine) claimList() []*fescuepb.GroupClaim {
-	out := make([]*fescuepb.GroupClaim, 0, len(m.claims))
-	for _, key := range sortedGroups(m.claims) {
-		out = append(out, m.claims[key])
+func claimResult(accepted bool, previous *fescuepb.GroupClaim) *fescuepb.CommandResult {
+	if previous.GetGroup() == nil {
+		previous = nil
 	}
-	return out
+	return &fescuepb.CommandResult{Claim: &fescuepb.ClaimReply{Accepted: accepted, Previous: previous}}
 }
 
-func sortedGroups(claims map[groupKey]*fescuepb.GroupClaim) []groupKey {
-	return slices.SortedFunc(maps.Keys(claims), func(a, b groupKey) int {
-		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.dc, b.dc))
-	})
+func (m *Machine) loadClaims(claims, previous []*fescuepb.GroupClaim) error {
+	if len(claims) != len(previous) {
+		return errkind.New(errkind.CorruptLog, "the state snapshot has %d claims and %d previous ones", len(claims), len(previous))
+	}
+	for i, c := range claims {
+		m.claims[groupKey(c.Group)] = claimed{claim: c, previous: previous[i]}
+	}
+	return nil
 }
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"crypto/sha256"
 	"sort"
 	"sync"
 
@@ -36,7 +37,8 @@
 	departed map[string]bool
 	left     []string // of departed, oldest first
 	sources  map[string]*document.Source
-	claims   map[groupKey]*fescuepb.GroupClaim
+	claims   map[string]claimed // by group
+	observer func(*fescuepb.Update)
 }
 
 type outcomeKey struct{ team, changeID string }
@@ -49,13 +51,32 @@
 		outcomes: map[outcomeKey]*fescuepb.ChangeOutcome{},
 		departed: map[string]bool{},
 		sources:  map[string]*document.Source{},
-		claims:   map[groupKey]*fescuepb.GroupClaim{},
+		claims:   map[string]claimed{},
+	}
+}
+
+// Observe makes the machine call observer with the full content of each
+// version, in order, before Apply or Restore returns. Call it before the
+// first command.
+func (m *Machine) Observe(observer func(*fescuepb.Update)) { m.observer = observer }
+
+// notify tells the observer of a new version.
+func (m *Machine) notify(before uint64) {
+	if m.observer != nil && m.Version() != before {
+		m.observer(m.Since(0))
 	}
 }
 
 // Apply executes the command in data, a fescuepb.Command, as log entry index
 // and returns an encoded fescuepb.CommandResult.
 func (m *Machine) Apply(index uint64, data []byte) []byte {
+	before := m.Version()
+	result := m.applyLocked(index, data)
+	m.notify(before)
+	return result
+}
+
+func (m *Machine) applyLocked(index uint64, data []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	res := m.apply(index, data)
@@ -79,10 +100,10 @@
 		return m.join(index, body.Join.GetMember())
 	case *fescuepb.Command_Leave:
 		return m.leave(index, body.Leave)
-	case *fescuepb.Command_Claim:
-		return m.claim(body.Claim)
 	case *fescuepb.Command_BlockTable:
 		return m.setBlocks(index, body.BlockTable)
+	case *fescuepb.Command_Claim:
+		return m.claim(body.Claim)
 	}
 	return refuse(errkind.Internal, "the command is not known")
 }
@@ -92,6 +113,11 @@
 }
 
 func (m *Machine) setBlocks(index uint64, t *fescuepb.BlockTable) *fescuepb.CommandResult {
+	for _, h := range t.ChunkHashes {
+		if len(h) != sha256.Size {
+			return refuse(errkind.BadRequest, "a chunk hash has the wrong length")
+		}
+	}
 	t.Version = index
 	m.view.SetBlocks(t, index)
 	return &fescuepb.CommandResult{}
@@ -104,6 +130,13 @@
 	return m.view.Version
 }
 
+// Blocks returns the client-block table in force, or nil.
+func (m *Machine) Blocks() *fescuepb.BlockTable {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view.Blocks
+}
+
 // Since returns the update from version base to the present one.
 func (m *Machine) Since(base uint64) *fescuepb.Update {
 	m.mu.RLock()
@@ -161,7 +194,6 @@
 		BlocksChanged: m.view.BlocksChanged,
 		DeltaFloor:    m.view.Floor,
 		Departed:      m.left,
-		Claims:        m.claimList(),
 	}
 	for _, team := range sortedKeys(m.view.Sections) {
 		img.Sections = append(img.Sections, m.view.Sections[team])
@@ -170,6 +202,10 @@
 	for _, key := range m.order {
 		img.Outcomes = append(img.Outcomes, m.outcomes[key])
 	}
+	for _, group := range sortedKeys(m.claims) {
+		img.Claims = append(img.Claims, m.claims[group].claim)
+		img.PreviousClaims = append(img.PreviousClaims, m.claims[group].previous)
+	}
 	for _, instance := range sortedKeys(m.view.Removed) {
 		img.Removed = append(img.Removed, &fescuepb.RemovedMember{Instance: instance, Version: m.view.Removed[instance]})
 	}
@@ -186,19 +222,22 @@
 	if err := fresh.load(&img); err != nil {
 		return err
 	}
+	before := m.Version()
+	m.replace(fresh)
+	m.notify(before)
+	return nil
+}
+
+func (m *Machine) replace(fresh *Machine) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.view, m.history, m.sources = fresh.view, fresh.history, fresh.sources
 	m.outcomes, m.order = fresh.outcomes, fresh.order
 	m.departed, m.left = fresh.departed, fresh.left
 	m.claims = fresh.claims
-	return nil
 }
 
 func (m *Machine) load(img *fescuepb.StateImage) error {
-	for _, c := range img.Claims {
-		m.claims[groupKey{c.Group.GetService(), c.Group.GetDataCentre()}] = c
-	}
 	for _, s := range img.Sections {
 		m.view.Sections[s.Team] = s
 		if s.Deleted {
@@ -226,6 +265,9 @@
 		m.departed[pair] = true
 	}
 	m.left = img.Departed
+	if err := m.loadClaims(img.Claims, img.PreviousClaims); err != nil {
+		return err
+	}
 	m.view.Version, m.view.Floor = img.Version, img.DeltaFloor
 	m.view.Blocks, m.view.BlocksChanged = img.BlockTable, img.BlocksChanged
 	return nil
--- a/internal/version/state/rapid_test.go
+++ b/internal/version/state/rapid_test.go
@@ -15,7 +15,9 @@
 func drawCommand(t *rapid.T, m *Machine) *fescuepb.Command {
 	instance := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(t, "instance"))
 	incarnation := uint64(rapid.IntRange(1, 4).Draw(t, "incarnation"))
-	switch rapid.IntRange(0, 4).Draw(t, "command") {
+	switch rapid.IntRange(0, 5).Draw(t, "command") {
+	case 5:
+		return claimCmd(incarnation, instance, 1)
 	case 0:
 		return joinCmd(instance, incarnation)
 	case 1:
--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -182,6 +182,43 @@
 	}
 }
 
+func claimCmd(epoch uint64, home string, incarnation uint64) *fescuepb.Command {
+	return &fescuepb.Command{Body: &fescuepb.Command_Claim{Claim: &fescuepb.GroupClaim{
+		Group: &fescuepb.GroupId{Service: "rota", DataCentre: "dc1"}, Epoch: epoch, Home: home, HomeIncarnation: incarnation,
+	}}}
+}
+
+// Guards against two dispatchers that both claim a group, and against a
+// repeated claim that names the wrong predecessor.
+func TestClaims(t *testing.T) {
+	m := New()
+	for i, c := range []struct {
+		cmd      *fescuepb.Command
+		accepted bool
+		previous string
+		kind     errkind.Kind
+	}{
+		{claimCmd(1, "a", 1), true, "", ""},
+		{claimCmd(1, "a", 1), true, "", ""},
+		{claimCmd(1, "b", 1), false, "a", ""},
+		{claimCmd(3, "b", 1), true, "a", ""},
+		{claimCmd(3, "b", 1), true, "a", ""},
+		{claimCmd(3, "b", 2), false, "b", ""},
+		{claimCmd(2, "a", 1), false, "b", ""},
+		{leaveCmd("a", 1, true), false, "", ""},
+		{claimCmd(4, "a", 1), false, "", errkind.Conflict},
+		{claimCmd(0, "b", 1), false, "", errkind.BadRequest},
+	} {
+		res := run(t, m, uint64(i+1), c.cmd)
+		if res.GetClaim().GetAccepted() != c.accepted || res.GetClaim().GetPrevious().GetHome() != c.previous || errkind.Kind(res.ErrorKind) != c.kind {
+			t.Errorf("step %d: %v", i, res)
+		}
+	}
+	if m.Version() != 0 {
+		t.Errorf("claims changed the version to %d", m.Version())
+	}
+}
+
 // Guards against state that grows with the number of changes and restarts.
 func TestBounds(t *testing.T) {
 	m := New()
