--- /dev/null
+++ b/internal/lab/check/check_test.go
@@ -0,0 +1,91 @@
+package check
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/lab/journal"
+)
+
+const ms = int64(time.Millisecond)
+
+func start(at int64, call string) journal.Target {
+	return journal.Target{Time: at * ms, Event: journal.Start, Target: "t", Run: 1, Seq: at, Call: call, Attempt: 1, Shift: "s", InProgress: 1, Slots: 2}
+}
+
+func finish(at int64, of journal.Target) journal.Target {
+	of.Time, of.Event, of.InProgress = at*ms, journal.Finish, 0
+	return of
+}
+
+func keyed(t journal.Target, key string) journal.Target {
+	t.Key = key
+	return t
+}
+
+func caller(call, kind, didRun string) journal.Caller {
+	return journal.Caller{Call: call, Attempt: 1, Kind: kind, DidRun: didRun, Status: 200, Sent: 50 * ms, Last: true}
+}
+
+// Guards against a check that passes a broken guarantee, or that reports one
+// that holds.
+func TestRules(t *testing.T) {
+	a, b := start(1, "a"), start(2, "b")
+	over := start(3, "c")
+	over.InProgress = 3
+	faulty := start(1, "a")
+	faulty.Fault = "short_broken"
+	restarted := start(5, "b")
+	restarted.Run = 2
+	leaving := journal.Target{Time: 0, Event: journal.Leaving, Target: "t", Run: 1}
+	back := journal.Target{Time: 10 * ms, Event: journal.Back, Target: "t", Run: 1}
+	keyNo := caller("b", "queue_full", "no")
+	keyNo.Key = "k"
+	wrong := caller("a", "", "yes")
+	wrong.Wrong = "truncated"
+	unfinished := caller("a", "queue_full", "no")
+	unfinished.Last = false
+	bodied := caller("a", "", "yes")
+	bodied.BodyBytes = 7
+	tests := []struct {
+		name    string
+		targets []journal.Target
+		callers []journal.Caller
+		want    []Rule
+	}{
+		{"clean", []journal.Target{a, finish(9, a)}, []journal.Caller{caller("a", "", "yes")}, nil},
+		{"key ran twice", []journal.Target{keyed(a, "k"), keyed(b, "k")}, nil, []Rule{KeyTwice}},
+		{"not run but ran", []journal.Target{a}, []journal.Caller{caller("a", "queue_full", "no")}, []Rule{NotRunRan}},
+		{"key not run but ran", []journal.Target{keyed(a, "k")}, []journal.Caller{keyNo}, []Rule{KeyNotRunRan}},
+		{"slots", []journal.Target{over}, nil, []Rule{Slots}},
+		{"shed", []journal.Target{{Event: journal.Shed, InProgress: 2, Slots: 2, Run: 1}}, nil, []Rule{Slots}},
+		{"cap", []journal.Target{a, b}, nil, []Rule{ShiftCap}},
+		{"cap after finish", []journal.Target{a, finish(2, a), start(3, "b")}, nil, nil},
+		{"cap after restart of the target", []journal.Target{a, restarted}, nil, nil},
+		{"wrong answer", nil, []journal.Caller{wrong}, []Rule{WrongAnswer}},
+		{"lost answer", nil, []journal.Caller{caller("a", connectionLost, "unknown")}, []Rule{LostAnswer}},
+		{"lost by a fault that was set", []journal.Target{faulty}, []journal.Caller{caller("a", connectionLost, "unknown")}, nil},
+		{"bad error", nil, []journal.Caller{caller("a", badErrorBody, "unknown")}, []Rule{BadError}},
+		{"no end", nil, []journal.Caller{unfinished}, []Rule{Unfinished}},
+		{"request body", []journal.Target{a, finish(2, a)}, []journal.Caller{bodied}, []Rule{RequestBody}},
+		{"drain within bound", []journal.Target{leaving, start(4, "a")}, nil, nil},
+		{"drain", []journal.Target{leaving, start(6, "a")}, nil, []Rule{Drain}},
+		{"back after drain", []journal.Target{leaving, back, start(11, "a")}, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			opts := Options{Caps: map[string]int{"s": 1}, DrainBound: 5 * time.Millisecond}
+			if tt.name == "key ran twice" {
+				opts.Caps = nil
+			}
+			var got []Rule
+			for _, f := range Run(tt.targets, tt.callers, opts).Findings {
+				got = append(got, f.Rule)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Fatalf("findings %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -22,6 +22,7 @@
 	Shed    Event = "shed"    // a request was rejected because every slot was taken
 	Refuse  Event = "refuse"  // a connection over the limit was closed
 	Leaving Event = "leaving" // the target must get no new requests from now on
+	Back    Event = "back"    // the target may get new requests again
 	Cold    Event = "cold"    // the target restarted cold
 )
 
@@ -33,6 +34,7 @@
 	Run        int64  `json:"run,omitempty"`  // start time of the target's process, nanoseconds
 	Seq        int64  `json:"seq,omitempty"`  // joins start and finish, unique in a run
 	Call       string `json:"call,omitempty"` // the load tool's name of the request
+	Attempt    int    `json:"attempt,omitempty"`
 	RequestID  string `json:"request_id,omitempty"`
 	Key        string `json:"key,omitempty"`
 	Shift      string `json:"shift,omitempty"`
--- a/internal/lab/target/behaviour.go
+++ b/internal/lab/target/behaviour.go
@@ -19,7 +19,8 @@
 type control struct {
 	Behaviour
 	Cold        bool `json:"cold"`         // restart cold: the penalty applies again
-	MarkLeaving bool `json:"mark_leaving"` // only note in the journal that the target leaves
+	MarkLeaving bool `json:"mark_leaving"` // only note in the journal that the target leaves, for example by a drain in the document
+	MarkBack    bool `json:"mark_back"`    // only note that it may get new requests again
 }
 
 // Names of the ways to cut an answer short.
--- a/internal/lab/target/handler.go
+++ b/internal/lab/target/handler.go
@@ -22,6 +22,7 @@
 	HeaderWork      = "Lab-Work-Ms"      // service time that the caller asks for, milliseconds
 	HeaderSize      = "Lab-Answer-Bytes" // length of the answer that the caller asks for
 	HeaderCall      = "Lab-Call"         // the load tool's name of the request
+	HeaderAttempt   = "Lab-Attempt"      // the number of the attempt at it
 )
 
 // Handler returns the HTTP interface of the target.
@@ -94,8 +95,10 @@
 
 func recordOf(r *http.Request) journal.Target {
 	deadline, _ := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	attempt, _ := strconv.Atoi(r.Header.Get(HeaderAttempt))
 	return journal.Target{
 		Call:       r.Header.Get(HeaderCall),
+		Attempt:    attempt,
 		RequestID:  r.Header.Get(headerRequestID),
 		Key:        r.Header.Get(headerKey),
 		Shift:      r.Header.Get(headerShift),
--- a/internal/lab/target/target.go
+++ b/internal/lab/target/target.go
@@ -177,15 +177,19 @@
 func (t *Target) apply(c control) Behaviour {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	left := c.Leaving && !t.behaviour.Leaving
+	left := c.MarkLeaving || c.Leaving && !t.behaviour.Leaving
+	back := c.MarkBack || !c.Leaving && t.behaviour.Leaving
 	t.behaviour = c.Behaviour
 	if c.Cold {
 		t.coldSince = time.Now()
 		t.write(journal.Target{}, journal.Cold)
 	}
-	if left || c.MarkLeaving {
+	if left {
 		t.write(journal.Target{}, journal.Leaving)
 	}
+	if back {
+		t.write(journal.Target{}, journal.Back)
+	}
 	t.sample()
 	return t.behaviour
 }
--- /dev/null
+++ b/scenarios/process_test.go
@@ -0,0 +1,126 @@
+package scenarios
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// stopLimit bounds how long a process may take to stop.
+const stopLimit = 90 * time.Second
+
+// processes are the processes that a script started.
+type processes struct {
+	mu     sync.Mutex
+	byName map[string]*process
+}
+
+type processesKey struct{}
+
+// process is one started process. Only its own identifier is signalled.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the process has ended
+	err  error         // of Wait; valid after done
+}
+
+// start NAME PROGRAM ARGS... starts a process in the background that logs to
+// NAME.log. A name can be used again after its process has ended; the log is
+// appended to.
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) >= 2, "start NAME PROGRAM ARGS...")
+	log, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	ts.Check(err)
+	defer log.Close() // the process has its own copy
+	cmd := exec.Command(filepath.Join(binDir, args[1]), args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Stdout, cmd.Stderr = log, log
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	procs := ts.Value(processesKey{}).(*processes)
+	procs.mu.Lock()
+	defer procs.mu.Unlock()
+	if old := procs.byName[args[0]]; old != nil && !old.ended() {
+		_ = cmd.Process.Kill()
+		ts.Fatalf("process %s still runs", args[0])
+	}
+	procs.byName[args[0]] = p
+}
+
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func find(ts *testscript.TestScript, name string) *process {
+	procs := ts.Value(processesKey{}).(*processes)
+	procs.mu.Lock()
+	defer procs.mu.Unlock()
+	p := procs.byName[name]
+	if p == nil {
+		ts.Fatalf("no process %s was started", name)
+	}
+	return p
+}
+
+// await NAME [LIMIT] waits until a process ends with exit code 0; ! await
+// wants another one.
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, len(args) == 1 || len(args) == 2, "await NAME [LIMIT]")
+	limit := stopLimit
+	if len(args) == 2 {
+		limit = duration(ts, args[1])
+	}
+	p := find(ts, args[0])
+	select {
+	case <-p.done:
+	case <-time.After(limit):
+		ts.Fatalf("process %s did not end within %s", args[0], limit)
+	}
+	if (p.err != nil) != neg {
+		log, _ := os.ReadFile(ts.MkAbs(args[0] + ".log"))
+		ts.Fatalf("process %s ended with %v:\n%s", args[0], p.err, tail(log))
+	}
+}
+
+// shutdown NAME [LIMIT] sends SIGTERM and waits.
+func cmdShutdown(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, len(args) == 1 || len(args) == 2, "shutdown NAME [LIMIT]")
+	ts.Check(find(ts, args[0]).cmd.Process.Signal(syscall.SIGTERM))
+	cmdAwait(ts, neg, args)
+}
+
+// signalCommand returns the command NAME... that sends sig to processes.
+func signalCommand(sig syscall.Signal) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		usage(ts, !neg && len(args) > 0, "sigterm|sigkill|freeze|thaw NAME...")
+		for _, name := range args {
+			ts.Check(find(ts, name).cmd.Process.Signal(sig))
+		}
+	}
+}
+
+// killAll ends the processes that still run at the end of a script.
+func (ps *processes) killAll() {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.byName {
+		if !p.ended() {
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+	}
+}
