--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -36,8 +36,9 @@
 // relay connects both sides and moves bytes until both directions end.
 func (c *conn) relay() {
 	defer c.link.remove(c)
-	defer c.reset()
+	defer c.end(false)
 	if !c.dial() {
+		c.reset()
 		return
 	}
 	var wg sync.WaitGroup
@@ -90,8 +91,12 @@
 	}
 }
 
-// reset ends the connection for both sides.
-func (c *conn) reset() {
+// reset ends the connection for both sides at once.
+func (c *conn) reset() { c.end(true) }
+
+// end closes both sides. Bytes that the system still has to send are
+// dropped if abort is set.
+func (c *conn) end(abort bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -100,10 +105,13 @@
 	c.closed = true
 	close(c.done)
 	for _, side := range []*net.TCPConn{c.near, c.far} {
-		if side != nil {
+		if side == nil {
+			continue
+		}
+		if abort {
 			_ = side.SetLinger(0) // the close becomes a reset
-			_ = side.Close()
 		}
+		_ = side.Close()
 	}
 }
 
--- a/internal/lab/target/handler.go
+++ b/internal/lab/target/handler.go
@@ -37,7 +37,8 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	rec, b, ok := t.admit(recordOf(r))
+	rec := recordOf(r)
+	b, ok := t.admit(r.Context(), &rec)
 	if !ok {
 		shed(w)
 		return
--- a/internal/lab/target/settings.go
+++ b/internal/lab/target/settings.go
@@ -36,6 +36,7 @@
 	Service     string            `yaml:"service"`
 	DataCentre  string            `yaml:"data_centre"`
 	Slots       int               `yaml:"slots"`
+	Queue       int               `yaml:"queue,omitempty"` // requests that may wait for a slot; 0: shed at once
 	Journal     string            `yaml:"journal,omitempty"`
 	Work        document.Duration `yaml:"work,omitempty"`       // median service time
 	WorkSigma   float64           `yaml:"work_sigma,omitempty"` // of a log-normal distribution; 0: constant
@@ -83,6 +84,7 @@
 	c.Require(s.Service, field("service")...)
 	c.Require(s.DataCentre, field("data_centre")...)
 	c.IntRange(s.Slots, 1, maxSlots, field("slots")...)
+	c.IntRange(s.Queue, 0, maxConnections, field("queue")...)
 	c.IntRange(s.Connections, 1, maxConnections, field("connections")...)
 	c.DurationRange(s.Work, 0, maxTime, field("work")...)
 	c.DurationRange(s.ColdPenalty, 0, maxTime, field("cold_penalty")...)
--- a/internal/lab/target/target.go
+++ b/internal/lab/target/target.go
@@ -1,8 +1,10 @@
 package target
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +21,8 @@
 	mu          sync.Mutex
 	behaviour   Behaviour
 	inProgress  int
-	most        int // highest inProgress so far
+	waiting     []*waiter // in order of arrival
+	most        int       // highest inProgress so far
 	seq         int64
 	served      int64
 	shed        int64
@@ -30,6 +33,12 @@
 	refused     int64
 }
 
+// waiter is a request that waits for a slot.
+type waiter struct {
+	rec   *journal.Target
+	ready chan struct{} // closed when the request has the slot
+}
+
 // New returns a target that writes to j.
 func New(spec Spec, run int64, j *journal.Writer) *Target {
 	return &Target{
@@ -42,28 +51,54 @@
 	}
 }
 
-// admit takes a slot. The journal record is written under the lock, so that
-// the records are in the order of the events.
-func (t *Target) admit(rec journal.Target) (journal.Target, Behaviour, bool) {
+// admit takes a slot, waiting for it if the target has a queue. The journal
+// record is written under the lock, so that the records are in the order of
+// the events.
+func (t *Target) admit(ctx context.Context, rec *journal.Target) (Behaviour, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.seq++
 	rec.Seq = t.seq
 	rec.Fault = t.behaviour.faultName()
-	if t.inProgress >= t.spec.Slots {
-		t.shed++
-		t.write(rec, journal.Shed)
-		return rec, t.behaviour, false
+	if t.inProgress < t.spec.Slots {
+		t.begin(rec)
+		return t.behaviour, true
+	}
+	if len(t.waiting) < t.spec.Queue {
+		return t.behaviour, t.wait(ctx, rec)
+	}
+	t.shed++
+	t.write(*rec, journal.Shed)
+	return t.behaviour, false
+}
+
+// wait queues for a slot. The lock is held on entry and on return.
+func (t *Target) wait(ctx context.Context, rec *journal.Target) bool {
+	w := &waiter{rec: rec, ready: make(chan struct{})}
+	t.waiting = append(t.waiting, w)
+	t.mu.Unlock()
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
 	}
+	t.mu.Lock()
+	if i := slices.Index(t.waiting, w); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+		return false
+	}
+	return true
+}
+
+func (t *Target) begin(rec *journal.Target) {
 	t.inProgress++
 	t.most = max(t.most, t.inProgress)
 	t.sample()
-	t.write(rec, journal.Start)
-	return rec, t.behaviour, true
+	t.write(*rec, journal.Start)
 }
 
-// release gives the slot back. It runs before the answer is written, so that
-// a caller that has the answer never finds the slot still taken.
+// release gives the slot back, or to the request that has waited longest. It
+// runs before the answer is written, so that a caller that has the answer
+// never finds the slot still taken.
 func (t *Target) release(rec journal.Target, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,6 +107,12 @@
 	t.average(took)
 	t.sample()
 	t.write(rec, journal.Finish)
+	if len(t.waiting) > 0 {
+		next := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		t.begin(next.rec)
+		close(next.ready)
+	}
 }
 
 func (t *Target) write(rec journal.Target, event journal.Event) {
--- a/internal/lab/target/target_test.go
+++ b/internal/lab/target/target_test.go
@@ -100,6 +100,30 @@
 	}
 }
 
+// Guards against a queue that runs more requests than there are slots, or
+// forgets one.
+func TestQueueHandsSlotsOver(t *testing.T) {
+	f := start(t, Spec{Slots: 2, Queue: 10, Work: document.Duration(20 * time.Millisecond)})
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			if resp, _, err := f.get(t, "/a", "r"); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("%v, %v", resp, err)
+			}
+		})
+	}
+	wg.Wait()
+	recs, err := journal.Read[journal.Target](f.path)
+	if err != nil || len(recs) != 20 {
+		t.Fatalf("%d records, %v; want 20", len(recs), err)
+	}
+	for _, r := range recs {
+		if r.InProgress > 2 {
+			t.Fatalf("%d in progress in 2 slots", r.InProgress)
+		}
+	}
+}
+
 // Guards against faults that a caller could not notice, or would notice
 // although none is set.
 func TestFaults(t *testing.T) {
