--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -69,6 +70,7 @@
 	if testing.Short() {
 		t.Skip("scenarios start real processes")
 	}
+	readSources(t)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "scripts",
 		RequireExplicitExec: true,
@@ -79,6 +81,23 @@
 	})
 }
 
+// readSources visits the sources of the programs, so that a change to them
+// makes go test run the scenarios again instead of using a cached result: it
+// knows only the files that the test process itself looks at.
+func readSources(t *testing.T) {
+	for _, dir := range []string{"../api", "../cmd", "../internal"} {
+		err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
+			if err == nil {
+				_, err = os.Stat(path)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // condition knows [program:NAME], true if the repository has that program.
 func condition(name string) (bool, error) {
 	var program string
