--- a/cmd/fescue-lab/check.go
+++ b/cmd/fescue-lab/check.go
@@ -17,6 +17,7 @@
 	targets []string
 	callers []string
 	caps    []string
+	logs    []string
 	json    string
 	opts    check.Options
 }
@@ -31,6 +32,8 @@
 	sub.Duration(&f.opts.DrainBound, "", "drain-bound", "time from a leaving mark to the last new request")
 	sub.Bool(&f.opts.AllowLost, "", "allow-lost", "connections may end early, because a process was killed")
 	sub.Bool(&f.opts.AllowShed, "", "allow-shed", "targets may shed, because nothing limits the load")
+	sub.Duration(&f.opts.MaxGap, "", "max-gap", "longest time without a whole answer")
+	sub.StringSlice(&f.logs, "", "entry-log", "log of an entry, to check its decision lines; repeatable")
 	sub.String(&f.json, "", "json", "file for the report as JSON")
 	return command{parser: sub, run: f.run}
 }
@@ -48,6 +51,16 @@
 	if err != nil {
 		return err
 	}
+	if len(f.logs) > 0 {
+		f.opts.Decisions = []check.Decided{}
+	}
+	for _, path := range f.logs {
+		decided, err := check.ReadDecisions(path)
+		if err != nil {
+			return err
+		}
+		f.opts.Decisions = append(f.opts.Decisions, decided...)
+	}
 	report := check.Run(targets, callers, f.opts)
 	report.Print(os.Stdout)
 	if err := writeJSON(f.json, report); err != nil {
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -30,6 +30,8 @@
 	RequestBody  Rule = "request_body_changed"
 	Drain        Rule = "new_request_on_leaving_target"
 	Unfinished   Rule = "call_without_end"
+	Gap          Rule = "gap_in_service"      // no whole answer for too long
+	Decision     Rule = "decision_not_logged" // not exactly one line for a request that reached a target
 )
 
 // Finding is one broken rule.
@@ -44,6 +46,8 @@
 	DrainBound time.Duration  // from a leaving mark to the last new request
 	AllowLost  bool           // connections may end early: a process was killed
 	AllowShed  bool           // targets may shed: nothing limits the load
+	MaxGap     time.Duration  // between whole answers; 0: any
+	Decisions  []Decided      // decisions that entries logged; nil: not checked
 }
 
 // DefaultDrainBound is the bound of guarantee 6.
@@ -62,7 +66,8 @@
 	MostByShift  map[string]int `json:"most_by_shift"`
 	MostByTarget map[string]int `json:"most_by_target"`
 	Drains       int            `json:"drains"`
-	LastNewMs    float64        `json:"last_new_ms"` // greatest time from a leaving mark to a new request there
+	LastNewMs    float64        `json:"last_new_ms"`    // greatest time from a leaving mark to a new request there
+	LongestGapMs float64        `json:"longest_gap_ms"` // between whole answers
 	Findings     []Finding      `json:"findings"`
 }
 
@@ -103,6 +108,8 @@
 	c.answers()
 	c.bodies()
 	c.drains()
+	c.gaps()
+	c.decisions()
 	return c.report
 }
 
@@ -158,6 +165,9 @@
 	if r.Drains > 0 {
 		fmt.Fprintf(w, "drains: %d, last new request %.1f ms after the mark\n", r.Drains, r.LastNewMs)
 	}
+	if r.Calls > 0 {
+		fmt.Fprintf(w, "longest time without a whole answer: %.1f ms\n", r.LongestGapMs)
+	}
 	counts := map[Rule]int{}
 	for _, f := range r.Findings {
 		counts[f.Rule]++
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -48,6 +48,12 @@
 	unfinished.Last = false
 	bodied := caller("a", "", "yes")
 	bodied.BodyBytes = 7
+	gap := caller("b", "", "yes")
+	gap.Done = 2000 * ms
+	logged := start(1, "a")
+	logged.RequestID = "r"
+	unlogged := start(2, "b")
+	unlogged.RequestID = "other"
 	tests := []struct {
 		name    string
 		targets []journal.Target
@@ -71,13 +77,20 @@
 		{"request body", []journal.Target{a, finish(2, a)}, []journal.Caller{bodied}, []Rule{RequestBody}},
 		{"drain within bound", []journal.Target{leaving, start(4, "a")}, nil, nil},
 		{"drain", []journal.Target{leaving, start(6, "a")}, nil, []Rule{Drain}},
+		{"gap", nil, []journal.Caller{gap}, []Rule{Gap}},
+		{"decision", []journal.Target{logged, finish(2, logged), unlogged}, nil, []Rule{Decision}},
 		{"back after drain", []journal.Target{leaving, back, start(11, "a")}, nil, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			opts := Options{Caps: map[string]int{"s": 1}, DrainBound: 5 * time.Millisecond}
-			if tt.name == "key ran twice" {
+			switch tt.name {
+			case "key ran twice":
 				opts.Caps = nil
+			case "gap":
+				opts.MaxGap = time.Second
+			case "decision":
+				opts.Decisions = []Decided{{decisionMessage, "r", "t"}}
 			}
 			var got []Rule
 			for _, f := range Run(tt.targets, tt.callers, opts).Findings {
--- a/internal/lab/load/lookup.go
+++ b/internal/lab/load/lookup.go
@@ -52,8 +52,8 @@
 	Entries []struct {
 		Address string `json:"address"`
 	} `json:"entries"`
-	TTLMs     int64  `json:"ttl_ms"`
-	KeyPrefix string `json:"key_prefix"`
+	TTLSeconds float64 `json:"ttl_seconds"`
+	KeyPrefix  string  `json:"key_prefix"`
 }
 
 const (
@@ -196,8 +196,8 @@
 // ttlOf returns how long an answer may be kept: the exact TTL, or max-age,
 // which has whole seconds only.
 func ttlOf(h http.Header, answer lookupAnswer) time.Duration {
-	if answer.TTLMs > 0 {
-		return time.Duration(answer.TTLMs) * time.Millisecond
+	if answer.TTLSeconds > 0 {
+		return time.Duration(answer.TTLSeconds * float64(time.Second))
 	}
 	for part := range strings.SplitSeq(h.Get("Cache-Control"), ",") {
 		if age, ok := strings.CutPrefix(strings.TrimSpace(part), "max-age="); ok {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -42,6 +43,9 @@
 	"ports":    cmdPorts,
 	"expand":   cmdExpand,
 	"sleep":    cmdSleep,
+
+	"system":     cmdSystem,
+	"dispatcher": cmdDispatcher,
 }
 
 func usage(ts *testscript.TestScript, ok bool, text string) {
@@ -246,10 +250,16 @@
 	return 0
 }
 
-// expand FILE... replaces ${NAME} by the environment variable in the files.
+// expand FILE... replaces ${NAME} by the environment variable in the files. A
+// file that the script does not have comes from templates/.
 func cmdExpand(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && len(args) > 0, "expand FILE...")
 	for _, name := range args {
+		if _, err := os.Stat(ts.MkAbs(name)); err != nil {
+			data, err := os.ReadFile(filepath.Join(templateDir, name))
+			ts.Check(err)
+			ts.Check(os.WriteFile(ts.MkAbs(name), data, 0o644))
+		}
 		text := os.Expand(ts.ReadFile(name), func(key string) string {
 			value := ts.Getenv(key)
 			if value == "" {
