--- a/internal/lab/load/attempt.go
+++ b/internal/lab/load/attempt.go
@@ -26,6 +26,7 @@
 	kindWrongAnswer    = "caller_wrong_answer"    // a cleanly ended answer that is wrong
 	kindNoEntry        = "caller_no_entry"        // no look-up succeeded
 	kindNotJSON        = "caller_bad_error_body"  // an error without the documented JSON body
+	kindTargetStatus   = "target_status_"         // an error that the target itself answered, with its status
 )
 
 // timeoutGrace is how much longer than the deadline the caller waits for an
@@ -148,6 +149,10 @@
 		out.rec.Kind, out.rec.DidRun = directKind(resp)
 		return out
 	}
+	if resp.Header.Get("Fescue-Target") != "" {
+		out.rec.Kind, out.rec.DidRun = kindTargetStatus+strconv.Itoa(resp.StatusCode), string(errkind.Yes)
+		return out
+	}
 	var e errorBody
 	if err := json.Unmarshal(body, &e); err != nil || e.Kind == "" {
 		out.rec.Kind, out.rec.DidRun = kindNotJSON, string(errkind.Unknown)
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -172,7 +172,7 @@
 }
 
 // rawhttp ADDRESS FILE [PAUSE] sends the bytes of FILE, with a pause after
-// each line if one is given, and prints what comes back until the other side
+// each line of the body if one is given, and prints what comes back until the other side
 // closes. In the file, @N@ stands for N times the letter a; line ends become
 // CRLF.
 func cmdRawHTTP(ts *testscript.TestScript, neg bool, args []string) {
@@ -189,14 +189,7 @@
 	ts.Check(err)
 	defer conn.Close()
 	ts.Check(conn.SetDeadline(time.Now().Add(4 * defaultWait)))
-	go func() {
-		for line := range strings.SplitAfterSeq(strings.ReplaceAll(data, "\n", "\r\n"), "\n") {
-			if _, err := io.WriteString(conn, line); err != nil {
-				return // the server may answer and close before the end
-			}
-			time.Sleep(pause)
-		}
-	}()
+	go sendSlowly(conn, strings.ReplaceAll(data, "\n", "\r\n"), pause)
 	var got bytes.Buffer
 	_, err = io.Copy(&got, conn)
 	_, _ = ts.Stdout().Write(got.Bytes())
@@ -205,6 +198,21 @@
 	}
 }
 
+// sendSlowly sends the head at once and the body line by line. An error ends
+// it: the server may answer and close before the end.
+func sendSlowly(conn net.Conn, data string, pause time.Duration) {
+	head, body, _ := strings.Cut(data, "\r\n\r\n")
+	if _, err := io.WriteString(conn, head+"\r\n\r\n"); err != nil {
+		return
+	}
+	for line := range strings.SplitAfterSeq(body, "\n") {
+		time.Sleep(pause)
+		if _, err := io.WriteString(conn, line); err != nil {
+			return
+		}
+	}
+}
+
 var fillRE = regexp.MustCompile(`@\d+@`)
 
 // Ports are given out below the usual range of outgoing connections, so that
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -43,8 +46,40 @@
 		cmdWaitHTTP(ts, false, []string{admin + "/healthz"})
 		cmdWaitHTTP(ts, false, []string{admin + "/status", allTargetsHealthy})
 	}
+	for _, shift := range []string{"north-guards", "south-guards"} {
+		waitServing(ts, ts.Getenv("E1"), shift)
+		waitServing(ts, ts.Getenv("E2"), shift)
+	}
+}
+
+// waitServing waits until the entry answers a request of the shift. A fresh
+// entry has no unit of a shift's cap before it has asked for one.
+func waitServing(ts *testscript.TestScript, address, shift string) {
+	var last string
+	if !poll(servingLimit, func() bool {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/rota/chairs", nil)
+		ts.Check(err)
+		req.Header.Set("Fescue-Service", "rota")
+		req.Header.Set("Fescue-Shift", shift)
+		resp, err := shortClient.Do(req)
+		if err != nil {
+			last = err.Error()
+			return false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		last = fmt.Sprintf("status %d, body %.200s, error %v", resp.StatusCode, body, err)
+		return err == nil && resp.StatusCode == http.StatusOK
+	}) {
+		ts.Fatalf("entry at %s does not serve shift %s within %s; last: %s", address, shift, servingLimit, last)
+	}
 }
 
+// servingLimit bounds the time from the start of the system to the first
+// answer to a request. A new control leader may wait for the longest lease
+// and the longest deadline, together 12 s with the settings in templates/.
+const servingLimit = 30 * time.Second
+
 // dispatcher SERVICE sets DISPATCHER and OTHER to the names of the entries.
 func cmdDispatcher(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && len(args) == 1, "dispatcher SERVICE")
