--- a/internal/lab/load/generator.go
+++ b/internal/lab/load/generator.go
@@ -71,8 +71,10 @@
 	return summary, j.Close()
 }
 
-// openLoop starts calls at their planned times, whatever the answers do.
+// openLoop starts calls at their planned times, whatever the answers do. The
+// end of ctx ends the loop but not the calls in flight.
 func (g *generator) openLoop(ctx context.Context) {
+	calls := context.WithoutCancel(ctx)
 	plan := newPlanner(g.settings, g.run, 0)
 	limit := make(chan struct{}, g.settings.MaxInFlight)
 	var wg sync.WaitGroup
@@ -89,7 +91,7 @@
 			continue
 		}
 		wg.Go(func() {
-			g.call(ctx, &c)
+			g.call(calls, &c)
 			<-limit
 		})
 	}
@@ -105,7 +107,7 @@
 			for ctx.Err() == nil && time.Since(g.start) < g.settings.Duration.D() {
 				c := plan.next()
 				c.at = time.Since(g.start)
-				g.call(ctx, &c)
+				g.call(context.WithoutCancel(ctx), &c)
 			}
 		})
 	}
--- a/internal/lab/target/handler.go
+++ b/internal/lab/target/handler.go
@@ -47,7 +47,11 @@
 	rec.BodyBytes, _ = io.Copy(io.Discard, r.Body)
 	ctx, cancel := withDeadline(r.Context(), rec.DeadlineMs)
 	defer cancel()
-	work(ctx, t.workTime(askedWork(r)), b.Hang)
+	if b.Hang {
+		work(r.Context(), 0, true) // a hung target does not watch deadlines
+	} else {
+		work(ctx, t.workTime(askedWork(r)), false)
+	}
 	own := reply{requestID: rec.RequestID, body: answer.Body(rec.RequestID, rec.URI, askedSize(r))}
 	if b.Swap {
 		own = t.swap.exchange(ctx, own)
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -46,6 +46,7 @@
 
 	"system":     cmdSystem,
 	"dispatcher": cmdDispatcher,
+	"restart":    cmdRestart,
 }
 
 func usage(ts *testscript.TestScript, ok bool, text string) {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -71,8 +71,21 @@
 		t.Skip("scenarios start real processes")
 	}
 	readSources(t)
+	run(t, "scripts")
+}
+
+// TestExperiments runs the measurements of docs/MEASUREMENTS.md. They take
+// minutes and want a quiet machine, so they run only on request.
+func TestExperiments(t *testing.T) {
+	if os.Getenv("FESCUE_EXPERIMENTS") == "" {
+		t.Skip("set FESCUE_EXPERIMENTS=1 to run the measurements")
+	}
+	run(t, "experiments")
+}
+
+func run(t *testing.T, dir string) {
 	testscript.Run(t, testscript.Params{
-		Dir:                 "scripts",
+		Dir:                 dir,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Setup:               setup,
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -14,10 +15,12 @@
 const templateDir = "templates"
 
 // Names in that system: one control replica, the entries e1 and e2 and the
-// targets t1 to t4 of service rota, in data centre n1.
+// targets t1 to t4 of service rota, in data centre n1. A script that brings
+// its own platform.yaml and targets.yaml may use the ports up to T12.
 var (
 	systemPorts = []string{
-		"CTL", "CTL_ADMIN", "PLATFORM", "T1", "T2", "T3", "T4", "T_ADMIN",
+		"CTL", "CTL_ADMIN", "PLATFORM", "T_ADMIN",
+		"T1", "T2", "T3", "T4", "T5", "T6", "T7", "T8", "T9", "T10", "T11", "T12",
 		"E1", "E1_PEER", "E1_GRPC", "E1_ADMIN", "E2", "E2_PEER", "E2_GRPC", "E2_ADMIN",
 	}
 	systemFiles = []string{
@@ -26,14 +29,19 @@
 	}
 )
 
-// allTargetsHealthy matches the status of an entry that sees four targets and
-// knows the dispatcher.
-const allTargetsHealthy = `"dispatcher":"e[12]".*("status":"healthy".*){4}`
+// allHealthy matches the status of an entry that sees so many healthy targets
+// and knows the dispatcher.
+const allHealthy = `"dispatcher":"e[12]".*("status":"healthy".*){%s}`
 
-// system starts the system and waits until both entries serve. A script
-// replaces a settings file by having a file of that name.
+// system [TARGETS] starts the system and waits until both entries serve and
+// see the targets, 4 if no number is given. A script replaces a settings file
+// by having a file of that name.
 func cmdSystem(ts *testscript.TestScript, neg bool, args []string) {
-	usage(ts, !neg && len(args) == 0, "system")
+	usage(ts, !neg && len(args) <= 1, "system [TARGETS]")
+	ts.Setenv("TARGETS", "4")
+	if len(args) == 1 {
+		ts.Setenv("TARGETS", args[0])
+	}
 	cmdPorts(ts, false, systemPorts)
 	cmdExpand(ts, false, systemFiles)
 	cmdStart(ts, false, []string{"platform", "fescue-lab", "platform", "-c", "platform.yaml"})
@@ -41,10 +49,8 @@
 	cmdStart(ts, false, []string{"control", "fescue-control", "-c", "control.yaml"})
 	cmdStart(ts, false, []string{"e1", "fescue-entry", "-c", "e1.yaml"})
 	cmdStart(ts, false, []string{"e2", "fescue-entry", "-c", "e2.yaml"})
-	for _, entry := range []string{"E1_ADMIN", "E2_ADMIN"} {
-		admin := "http://" + ts.Getenv(entry)
-		cmdWaitHTTP(ts, false, []string{admin + "/healthz"})
-		cmdWaitHTTP(ts, false, []string{admin + "/status", allTargetsHealthy})
+	for _, admin := range []string{ts.Getenv("E1_ADMIN"), ts.Getenv("E2_ADMIN")} {
+		waitEntry(ts, admin)
 	}
 	for _, shift := range []string{"north-guards", "south-guards"} {
 		waitServing(ts, ts.Getenv("E1"), shift)
@@ -52,6 +58,28 @@
 	}
 }
 
+// waitEntry waits until the entry is ready and sees every target.
+func waitEntry(ts *testscript.TestScript, admin string) {
+	cmdWaitHTTP(ts, false, []string{"http://" + admin + "/healthz"})
+	cmdWaitHTTP(ts, false, []string{"http://" + admin + "/status", fmt.Sprintf(allHealthy, ts.Getenv("TARGETS"))})
+}
+
+// restart COUNT stops and starts e1 and e2 in turn, COUNT times in all.
+func cmdRestart(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) == 1, "restart COUNT")
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for i := range count {
+		name, admin := "e1", ts.Getenv("E1_ADMIN")
+		if i%2 == 1 {
+			name, admin = "e2", ts.Getenv("E2_ADMIN")
+		}
+		cmdShutdown(ts, false, []string{name})
+		cmdStart(ts, false, []string{name, "fescue-entry", "-c", name + ".yaml"})
+		waitEntry(ts, admin)
+	}
+}
+
 // waitServing waits until the entry answers a request of the shift. A fresh
 // entry has no unit of a shift's cap before it has asked for one.
 func waitServing(ts *testscript.TestScript, address, shift string) {
