--- a/internal/lab/target/handler.go
+++ b/internal/lab/target/handler.go
@@ -22,6 +22,7 @@
 	HeaderWork      = "Lab-Work-Ms"      // service time that the caller asks for, milliseconds
 	HeaderSize      = "Lab-Answer-Bytes" // length of the answer that the caller asks for
 	HeaderCall      = "Lab-Call"         // the load tool's name of the request
+	HeaderAttempt   = "Lab-Attempt"      // the number of the attempt at it
 )
 
 // Handler returns the HTTP interface of the target.
@@ -36,7 +37,8 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	rec, b, ok := t.admit(recordOf(r))
+	rec := recordOf(r)
+	b, ok := t.admit(r.Context(), &rec)
 	if !ok {
 		shed(w)
 		return
@@ -45,7 +47,11 @@
 	rec.BodyBytes, _ = io.Copy(io.Discard, r.Body)
 	ctx, cancel := withDeadline(r.Context(), rec.DeadlineMs)
 	defer cancel()
-	work(ctx, t.workTime(askedWork(r)), b.Hang)
+	if b.Hang {
+		work(r.Context(), 0, true) // a hung target does not watch deadlines
+	} else {
+		work(ctx, t.workTime(askedWork(r)), false)
+	}
 	own := reply{requestID: rec.RequestID, body: answer.Body(rec.RequestID, rec.URI, askedSize(r))}
 	if b.Swap {
 		own = t.swap.exchange(ctx, own)
@@ -94,8 +100,10 @@
 
 func recordOf(r *http.Request) journal.Target {
 	deadline, _ := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	attempt, _ := strconv.Atoi(r.Header.Get(HeaderAttempt))
 	return journal.Target{
 		Call:       r.Header.Get(HeaderCall),
+		Attempt:    attempt,
 		RequestID:  r.Header.Get(headerRequestID),
 		Key:        r.Header.Get(headerKey),
 		Shift:      r.Header.Get(headerShift),
