--- a/internal/lab/check/rules.go
+++ b/internal/lab/check/rules.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -43,7 +44,7 @@
 // slots finds targets that had more requests than slots, and requests that
 // they had to shed.
 func (c *checker) slots() {
-	for _, t := range c.targets {
+	for i, t := range c.targets {
 		if t.Event != journal.Start && t.Event != journal.Shed {
 			continue
 		}
@@ -52,9 +53,27 @@
 			c.find(Slots, "target %s had %d requests in progress in %d slots", t.Target, t.InProgress, t.Slots)
 		}
 		if t.Event == journal.Shed && !c.opts.AllowShed {
-			c.find(Slots, "target %s with %d slots shed call %s", t.Target, t.Slots, t.Call)
+			c.find(Slots, "target %s with %d slots shed call %s%s", t.Target, t.Slots, t.Call, c.nextFinish(i))
+		}
+	}
+}
+
+// nextFinish describes the first request that ended on the same target after
+// record i: a slot that was given back before the target noticed a
+// cancellation shows up there.
+func (c *checker) nextFinish(i int) string {
+	shed := c.targets[i]
+	for _, t := range c.targets[i+1:] {
+		if t.Target != shed.Target || t.Event != journal.Finish {
+			continue
+		}
+		end := "ended"
+		if t.Cancelled {
+			end = "was cancelled"
 		}
+		return fmt.Sprintf("; the next request there %s %.3f ms later", end, milliseconds(t.Time-shed.Time))
 	}
+	return ""
 }
 
 // caps counts the requests in progress of each shift over all targets.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -3,6 +3,7 @@
 package scenarios
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"io/fs"
@@ -123,6 +124,7 @@
 
 func setup(env *testscript.Env) error {
 	env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
+	env.Setenv("RESTARTS", cmp.Or(os.Getenv("RESTARTS"), "200"))
 	procs := &processes{byName: map[string]*process{}}
 	env.Values[processesKey{}] = procs
 	env.Defer(procs.killAll)
