--- a/internal/connection/peer/links.go
+++ b/internal/connection/peer/links.go
@@ -79,20 +79,30 @@
 	}
 }
 
-// Dial returns the connection to a gRPC address, host:port. It connects in
-// the background and is shared; don't close it.
-func (l *Links) Dial(addr string) (*grpc.ClientConn, error) {
+// Open returns a connection of the caller's own to a gRPC address, host:port.
+// It connects in the background; the caller closes it.
+func (l *Links) Open(addr string) (*grpc.ClientConn, error) {
 	if l.src == nil && !isLoopback(addr) {
 		return nil, errPlaintext(addr)
 	}
+	c, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions()...)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "dial %s", addr)
+	}
+	return c, nil
+}
+
+// Dial returns the shared connection to a gRPC address, host:port. It
+// connects in the background; don't close it.
+func (l *Links) Dial(addr string) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.conns[addr]; c != nil {
 		return c, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions()...)
+	c, err := l.Open(addr)
 	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "dial %s", addr)
+		return nil, err
 	}
 	l.conns[addr] = c
 	return c, nil
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"net"
 	"path/filepath"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
 	"github.com/fescuejunction/fescuejunction/internal/process/chunkstore"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
+	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
 	"github.com/fescuejunction/fescuejunction/internal/process/replica"
 	"github.com/fescuejunction/fescuejunction/internal/process/storage"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
@@ -19,7 +20,6 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
 const (
@@ -43,16 +43,18 @@
 // Run runs a control replica until ctx ends, then finishes the calls in
 // flight.
 func Run(ctx context.Context, s *Settings, log *logrus.Entry) error {
-	if !s.TLS.PlaintextLoopback {
-		return errkind.New(errkind.InvalidSettings, "tls: mutual TLS is not available in this build; set plaintext_loopback")
+	links, err := peer.NewLinks(s.TLS, log)
+	if err != nil {
+		return err
 	}
+	defer links.Close()
 	scope, metricsHandler, closer := metrics.New("control")
 	defer func() { _ = closer.Close() }()
-	lis, err := net.Listen("tcp", s.GRPCAddr)
+	lis, err := links.ListenGRPC(s.GRPCAddr)
 	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on grpc_addr")
+		return err
 	}
-	p, err := assemble(s, log, scope)
+	p, err := assemble(s, links, log, scope)
 	if err != nil {
 		_ = lis.Close()
 		return err
@@ -74,11 +76,15 @@
 }
 
 // assemble starts the replica and builds the server on top of it.
-func assemble(s *Settings, log *logrus.Entry, scope tally.Scope) (*process, error) {
+func assemble(s *Settings, links *peer.Links, log *logrus.Entry, scope tally.Scope) (*process, error) {
 	p := &process{settings: s, log: log, machine: state.New(), calls: newDrain()}
 	p.lead = newLeadership(p, log)
 	p.budgets = budget.NewServer(p.lead)
 	p.machine.Observe(p.lead.enqueue)
+	auth, err := authenticator(s, log)
+	if err != nil {
+		return nil, err
+	}
 	if err := (storage.OS{}).MkdirAll(s.DataDir); err != nil {
 		return nil, errkind.Wrap(errkind.StorageFailed, err, "create data_dir")
 	}
@@ -93,7 +99,7 @@
 		Join:         s.Join,
 		Bootstrap:    s.Bootstrap,
 		Machine:      p.machine,
-		Dial:         dial,
+		Dial:         links.Open,
 		Log:          log,
 		Seed:         uint64(time.Now().UnixNano()),
 	})
@@ -105,22 +111,31 @@
 		Addr:        s.GRPCAddr,
 		Log:         p.replica,
 		Machine:     p.machine,
-		Auth:        control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback},
+		Auth:        auth,
 		Replicas:    p.otherReplicas,
 		OtherVoters: p.otherVoters,
 		Chunks:      chunks,
 		Describe:    p.describe,
-		Dial:        dial,
+		Dial:        links.Open,
 		Logger:      log,
 		Metrics:     scope,
 	})
-	p.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(maxRequestBytes), grpc.UnaryInterceptor(p.calls.intercept))
+	p.grpc = grpc.NewServer(append(links.ServerOptions(), grpc.ChainUnaryInterceptor(p.calls.intercept))...)
 	p.server.Register(p.grpc)
 	p.replica.Register(p.grpc)
 	fescuepb.RegisterBudgetServer(p.grpc, p.budgets)
 	return p, nil
 }
 
+// authenticator identifies operators by the keys file. Without one, on
+// plaintext loopback links only, they name their team themselves.
+func authenticator(s *Settings, log *logrus.Entry) (control.Authenticator, error) {
+	if s.OperatorKeys == "" {
+		return control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback}, nil
+	}
+	return operatorauth.New(s.OperatorKeys, log)
+}
+
 // stopAfter waits for the end of ctx or of the replica, lets the calls in
 // flight finish and ends the rest. The streams of the other replicas would
 // keep a graceful stop of the gRPC server waiting.
@@ -136,10 +151,6 @@
 	return err
 }
 
-func dial(addr string) (*grpc.ClientConn, error) {
-	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-}
-
 func ignoreCancel(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return nil
--- a/internal/process/controlmain/run_test.go
+++ b/internal/process/controlmain/run_test.go
@@ -74,7 +74,7 @@
 
 func (c *cluster) operator(t *testing.T, i int) fescuepb.OperatorClient {
 	t.Helper()
-	conn, err := dial(c.addrs[i])
+	conn, err := grpc.NewClient(c.addrs[i], grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 			Instance: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc%d", i),
 			Role: fescuepb.Role_ROLE_ENTRY, Incarnation: 1,
 		},
-		Sources: c.addrs[i : i+1], Dial: dial, Store: new(snapshot.Store), Blocks: table, Log: logging.Discard(), Metrics: tally.NoopScope,
+		Sources: c.addrs[i : i+1], Dial: dialPlain, Store: new(snapshot.Store), Blocks: table, Log: logging.Discard(), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/process/controlmain/settings.go
+++ b/internal/process/controlmain/settings.go
@@ -27,6 +27,7 @@
 	Join []string `yaml:"join,omitempty"`
 	// InitialDocument lists section files that are loaded into an empty state.
 	InitialDocument []string     `yaml:"initial_document,omitempty"`
+	OperatorKeys    string       `yaml:"operator_keys,omitempty"` // keys file of the teams
 	TLS             settings.TLS `yaml:"tls"`
 	Log             settings.Log `yaml:"log,omitempty"`
 }
@@ -40,6 +41,9 @@
 	checkAddr(c, s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	checkAddr(c, s.AdminAddr, false, "admin_addr")
 	s.checkReplicas(c)
+	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback {
+		c.Add([]any{"operator_keys"}, "a value is required unless tls.plaintext_loopback is set")
+	}
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -30,7 +30,6 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
 // Timeouts of the HTTP servers and of the graceful stop.
@@ -58,9 +57,7 @@
 	ledger   *once.Service
 	links    *linkBudget
 	self     *fescuepb.Member
-
-	connMu sync.Mutex
-	conns  map[string]*grpc.ClientConn
+	peers    *peer.Links
 }
 
 // Run runs an entry until ctx ends, then stops it gracefully.
@@ -68,9 +65,14 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
 	}
+	links, err := peer.NewLinks(s.TLS, log)
+	if err != nil {
+		return err
+	}
+	defer links.Close()
 	scope, metricsHandler, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }()
-	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, conns: map[string]*grpc.ClientConn{}, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
 	if err := p.loadBlocks(); err != nil {
 		return err
 	}
@@ -104,7 +106,7 @@
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, GrpcAddr: s.GRPCAddr, Incarnation: incarnation,
 	}
 	p.follower = follow.New(follow.Config{
-		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: p.dial, Store: p.store, Blocks: &p.blocks, Log: p.log, Metrics: p.scope,
+		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: p.peers.Open, Store: p.store, Blocks: &p.blocks, Log: p.log, Metrics: p.scope,
 	})
 	p.shared = budget.NewShared(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
@@ -115,14 +117,14 @@
 	}
 	p.groups = group.NewManager(group.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
-		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: p.dial, NewToken: newToken,
+		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: p.peers.Dial, NewToken: newToken,
 		HomeChanged: func(string) { p.ledger.Wake() }, Log: p.log,
 	})
 	p.ledger = once.New(once.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
 		Role: p.role, Dead: p.groups.Dead,
 		DiedInContact: p.groups.DiedInContact, AllSeen: p.groups.AllSeen, Raise: p.groups.Raise, Leaving: p.groups.Leaving,
-		Peer:    func(m *fescuepb.Member) once.Peer { return once.Remote{Dial: p.dial, Addr: m.GrpcAddr} },
+		Peer:    func(m *fescuepb.Member) once.Peer { return once.Remote{Dial: p.peers.Dial, Addr: m.GrpcAddr} },
 		Refused: once.AddressRefuses, Now: time.Now, Claim: p.claim, Log: p.log,
 	})
 }
@@ -140,7 +142,7 @@
 func (p *process) claim(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
 	var last error
 	for _, addr := range p.set.Control {
-		conn, err := p.dial(addr)
+		conn, err := p.peers.Dial(addr)
 		if err != nil {
 			return nil, err
 		}
@@ -161,20 +163,6 @@
 	return id[len(id)-tokenLength:]
 }
 
-// dial returns the shared connection to an address.
-func (p *process) dial(addr string) (*grpc.ClientConn, error) {
-	p.connMu.Lock()
-	defer p.connMu.Unlock()
-	if c := p.conns[addr]; c != nil {
-		return c, nil
-	}
-	c, err := grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err == nil {
-		p.conns[addr] = c
-	}
-	return c, err
-}
-
 // followVersions gives each snapshot to the parts that depend on it.
 func (p *process) followVersions(ctx context.Context) error {
 	for {
@@ -197,8 +185,8 @@
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Stopping: p.stopping.Load, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: p.ledger,
-		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: target.NewTransport(),
-		PeerScheme: "http", Now: time.Now, Log: p.log, Metrics: p.scope,
+		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
+		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Blocks: &p.blocks,
@@ -217,7 +205,7 @@
 	defer cancel()
 	group, run := errgroup.WithContext(run)
 	callers, peers := p.handlers()
-	g := grpc.NewServer()
+	g := grpc.NewServer(p.peers.ServerOptions()...)
 	p.follower.Register(g)
 	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	servers := []*http.Server{
@@ -228,9 +216,9 @@
 			return err
 		}
 	}
-	lis, err := net.Listen("tcp", p.set.GRPCAddr)
+	lis, err := p.peers.ListenGRPC(p.set.GRPCAddr)
 	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on grpc_addr")
+		return err
 	}
 	group.Go(func() error { return g.Serve(lis) })
 	group.Go(func() error { return p.follower.Run(run) })
@@ -238,7 +226,7 @@
 	group.Go(func() error { p.targets.Run(run); return nil })
 	group.Go(func() error { p.groups.Run(run); return nil })
 	group.Go(func() error { p.ledger.Run(run); return nil })
-	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: p.dial, Log: p.log}
+	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: p.peers.Dial, Log: p.log}
 	group.Go(func() error { client.Run(run); return nil })
 	p.log.WithFields(logrus.Fields{"caller_addr": p.set.CallerAddr, "dc": p.set.DataCentre}).Info("entry started")
 	select {
@@ -258,7 +246,7 @@
 }
 
 func (p *process) listen(group *errgroup.Group, srv *http.Server) error {
-	lis, err := net.Listen("tcp", srv.Addr)
+	lis, err := p.listener(srv.Addr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", srv.Addr)
 	}
@@ -271,6 +259,15 @@
 	return nil
 }
 
+// listener returns the listener of an HTTP address. Only other instances
+// reach the peer listener.
+func (p *process) listener(addr string) (net.Listener, error) {
+	if addr == p.set.PeerAddr {
+		return p.peers.Listen(addr)
+	}
+	return net.Listen("tcp", addr)
+}
+
 // stop takes the entry out of look-ups, hands its services over and waits
 // until nothing is in flight.
 func (p *process) stop(servers []*http.Server) {
