--- a/cmd/fescue-lab/check.go
+++ b/cmd/fescue-lab/check.go
@@ -32,7 +32,7 @@
 	sub.Duration(&f.opts.DrainBound, "", "drain-bound", "time from a leaving mark to the last new request")
 	sub.Bool(&f.opts.AllowLost, "", "allow-lost", "connections may end early, because a process was killed")
 	sub.Bool(&f.opts.AllowShed, "", "allow-shed", "targets may shed, because nothing limits the load")
-	sub.Duration(&f.opts.MaxGap, "", "max-gap", "longest time without a whole answer")
+	sub.Duration(&f.opts.MaxGap, "", "max-gap", "longest time without a whole answer on a route")
 	sub.StringSlice(&f.logs, "", "entry-log", "log of an entry, to check its decision lines; repeatable")
 	sub.String(&f.json, "", "json", "file for the report as JSON")
 	return command{parser: sub, run: f.run}
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -46,7 +46,7 @@
 	DrainBound time.Duration  // from a leaving mark to the last new request
 	AllowLost  bool           // connections may end early: a process was killed
 	AllowShed  bool           // targets may shed: nothing limits the load
-	MaxGap     time.Duration  // between whole answers; 0: any
+	MaxGap     time.Duration  // between whole answers of a route; 0: any
 	Decisions  []Decided      // decisions that entries logged; nil: not checked
 }
 
@@ -67,7 +67,7 @@
 	MostByTarget map[string]int `json:"most_by_target"`
 	Drains       int            `json:"drains"`
 	LastNewMs    float64        `json:"last_new_ms"`    // greatest time from a leaving mark to a new request there
-	LongestGapMs float64        `json:"longest_gap_ms"` // between whole answers
+	LongestGapMs float64        `json:"longest_gap_ms"` // between whole answers of a route
 	Findings     []Finding      `json:"findings"`
 }
 
@@ -166,7 +166,7 @@
 		fmt.Fprintf(w, "drains: %d, last new request %.1f ms after the mark\n", r.Drains, r.LastNewMs)
 	}
 	if r.Calls > 0 {
-		fmt.Fprintf(w, "longest time without a whole answer: %.1f ms\n", r.LongestGapMs)
+		fmt.Fprintf(w, "longest time without a whole answer on a route: %.1f ms\n", r.LongestGapMs)
 	}
 	counts := map[Rule]int{}
 	for _, f := range r.Findings {
--- a/internal/lab/check/gaps.go
+++ b/internal/lab/check/gaps.go
@@ -1,19 +1,34 @@
 package check
 
 import (
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/lab/journal"
 )
 
-// gaps finds times without a whole answer, between the first attempt and the
-// last.
+// gaps finds times in which a route got no whole answer, between its first
+// attempt and its last.
 func (c *checker) gaps() {
-	if len(c.callers) == 0 {
-		return
+	byRoute := map[string][]journal.Caller{}
+	for _, a := range c.callers {
+		byRoute[a.Route] = append(byRoute[a.Route], a)
+	}
+	for _, route := range slices.Sorted(maps.Keys(byRoute)) {
+		longest, at := longestGap(byRoute[route])
+		c.report.LongestGapMs = max(c.report.LongestGapMs, milliseconds(int64(longest)))
+		if c.opts.MaxGap > 0 && longest > c.opts.MaxGap {
+			c.find(Gap, "route %s got no whole answer for %s from %s on", route, longest, at.UTC().Format(time.RFC3339Nano))
+		}
 	}
+}
+
+// longestGap returns the longest time without a whole answer and its start.
+func longestGap(attempts []journal.Caller) (time.Duration, time.Time) {
 	var done []int64
-	first, last := c.callers[0].Sent, c.callers[0].Done
-	for _, a := range c.callers {
+	first, last := attempts[0].Sent, attempts[0].Done
+	for _, a := range attempts {
 		first, last = min(first, a.Sent), max(last, a.Done)
 		if a.Kind == "" && a.Wrong == "" {
 			done = append(done, a.Done)
@@ -27,8 +42,5 @@
 		}
 		previous = t
 	}
-	c.report.LongestGapMs = milliseconds(longest)
-	if c.opts.MaxGap > 0 && longest > int64(c.opts.MaxGap) {
-		c.find(Gap, "no whole answer for %s from %s on", time.Duration(longest), time.Unix(0, at).Format(time.RFC3339Nano))
-	}
+	return time.Duration(longest), time.Unix(0, at)
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -91,13 +91,12 @@
 		data, err := os.ReadFile(file)
 		return err == nil && re.Match(data)
 	}) {
-		data, _ := os.ReadFile(file)
-		ts.Fatalf("log of %s does not match %q within %s:\n%s", args[0], args[1], limit, tail(data))
+		fail(ts, "log of %s does not match %q within %s", args[0], args[1], limit)
 	}
 }
 
 // tailLength bounds how much of a log a failure prints, in bytes.
-const tailLength = 4000
+const tailLength = 2000
 
 func tail(data []byte) []byte {
 	if len(data) > tailLength {
@@ -131,7 +130,7 @@
 		last = fmt.Sprintf("status %d, body %s, error %v", resp.StatusCode, body, err)
 		return err == nil && resp.StatusCode == http.StatusOK && re.Match(body)
 	}) {
-		ts.Fatalf("GET %s does not match %q within %s; last: %s", args[0], pattern, limit, last)
+		fail(ts, "GET %s does not match %q within %s; last: %s", args[0], pattern, limit, last)
 	}
 }
 
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -1,9 +1,11 @@
 package scenarios
 
 import (
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -88,11 +90,10 @@
 	select {
 	case <-p.done:
 	case <-time.After(limit):
-		ts.Fatalf("process %s did not end within %s", args[0], limit)
+		fail(ts, "process %s did not end within %s", args[0], limit)
 	}
 	if (p.err != nil) != neg {
-		log, _ := os.ReadFile(ts.MkAbs(args[0] + ".log"))
-		ts.Fatalf("process %s ended with %v:\n%s", args[0], p.err, tail(log))
+		fail(ts, "process %s ended with %v", args[0], p.err)
 	}
 }
 
@@ -113,6 +114,18 @@
 	}
 }
 
+// fail ends the script with the ends of the logs of its processes.
+func fail(ts *testscript.TestScript, format string, args ...any) {
+	procs := ts.Value(processesKey{}).(*processes)
+	procs.mu.Lock()
+	defer procs.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(procs.byName)) {
+		log, _ := os.ReadFile(ts.MkAbs(name + ".log"))
+		ts.Logf("log of %s (ended: %t):\n%s", name, procs.byName[name].ended(), tail(log))
+	}
+	ts.Fatalf(format, args...)
+}
+
 // killAll ends the processes that still run at the end of a script.
 func (ps *processes) killAll() {
 	ps.mu.Lock()
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -99,7 +99,7 @@
 		last = fmt.Sprintf("status %d, body %.200s, error %v", resp.StatusCode, body, err)
 		return err == nil && resp.StatusCode == http.StatusOK
 	}) {
-		ts.Fatalf("entry at %s does not serve shift %s within %s; last: %s", address, shift, servingLimit, last)
+		fail(ts, "entry at %s does not serve shift %s within %s; last: %s", address, shift, servingLimit, last)
 	}
 }
 
