once: name the backup's process in each record

Ruled out: the check with control, which had refused correctly. Records now carry the incarnation that the home relies on.

--- a/internal/request/once/backup.go
+++ b/internal/request/once/backup.go
@@ -15,8 +15,9 @@
 	if r.Record != nil && s.takeOutcome(r) {
 		return &fescuepb.RecordReply{Accepted: true}, nil
 	}
+	// A process that replaced the backup may hold a copy that does not count.
 	h := s.held[keyOf(r.Group)]
-	if h == nil {
+	if h == nil || r.BackupIncarnation != s.cfg.Incarnation {
 		return &fescuepb.RecordReply{}, nil
 	}
 	if h.fenced || h.epoch != r.Epoch || h.home != r.Home || h.incarnation != r.HomeIncarnation {
--- a/internal/request/once/service.go
+++ b/internal/request/once/service.go
@@ -217,6 +217,7 @@
 	defer cancel()
 	reply, err := s.cfg.Peer(backup).Record(ctx, &fescuepb.RecordRequest{
 		Group: s.group(service), Epoch: epoch, Home: s.cfg.Instance, HomeIncarnation: s.cfg.Incarnation, Record: m,
+		BackupIncarnation: backup.Incarnation,
 	})
 	if err != nil {
 		s.Wake()
