Add fescuectl

Commands: validate, diff, apply, get, history, status, drain, explain, certs and keygen, with fail-over between control instances. A lost answer to apply is sent again with the same change identifier.

--- /dev/null
+++ b/internal/process/operator/app.go
@@ -0,0 +1,191 @@
+// Package operator is the operators' command line tool. Each command is one
+// file; they share the settings, the client with fail-over and the output.
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/integrii/flaggy"
+)
+
+// App is one run of fescuectl.
+type App struct {
+	Version string
+	Stdout  io.Writer
+	Stderr  io.Writer
+}
+
+// command is one subcommand.
+type command interface {
+	// define returns the subcommand with its arguments.
+	define() *flaggy.Subcommand
+	run(e *env) error
+}
+
+// env is what a command runs with.
+type env struct {
+	Config
+	g      globals
+	out    io.Writer
+	notes  io.Writer // progress and hints, not part of the output
+	client *client
+}
+
+const examples = `
+Examples:
+  fescuectl validate --file platform.yaml --file kerala.yaml
+  fescuectl --config ctl.yaml diff kerala.yaml
+  fescuectl --config ctl.yaml apply kerala.yaml --wait
+  fescuectl --config ctl.yaml drain --service rota --data-centre kochi-1 --wait
+  fescuectl --config ctl.yaml explain --service rota --path /rota/7 --shift coast --data-centre kochi-1
+  fescuectl certs --dir pki --instance c1 --host 10.0.0.1
+  fescuectl keygen --team kerala --out kerala.key
+
+Settings file (--config), arguments take precedence:
+  servers: [10.0.0.1:7300, 10.0.1.1:7300]
+  team: kerala
+  key_file: kerala.key
+  tls: {cert_file: op.crt, key_file: op.key, ca_file: ca.crt}
+  timeout: 10s
+
+Exit codes: 0 ok, 1 usage, 2 document invalid, 3 conflict with another change,
+4 accepted but not in force in time, 5 no server answered, 6 refused.`
+
+// Run runs one command and returns the exit code.
+func (a *App) Run(args []string) int {
+	e := &env{out: a.Stdout, notes: a.Stderr, g: globals{output: "text"}}
+	p := newParser(a.Version, &e.g)
+	commands := []command{
+		&validateCmd{}, &diffCmd{}, &applyCmd{}, &getCmd{}, &historyCmd{}, &statusCmd{},
+		&drainCmd{}, &explainCmd{}, &certsCmd{}, &keygenCmd{},
+	}
+	subs := make([]*flaggy.Subcommand, len(commands))
+	for i, c := range commands {
+		subs[i] = c.define()
+		p.AttachSubcommand(subs[i], 1)
+	}
+	if code, done := parse(p, args); done {
+		return code
+	}
+	for i, c := range commands {
+		if subs[i].Used {
+			return a.finish(e, e.execute(c))
+		}
+	}
+	p.ShowHelpWithMessage("A command is required.")
+	return ExitUsage
+}
+
+func (e *env) execute(c command) error {
+	cfg, err := e.g.resolve()
+	if err != nil {
+		return err
+	}
+	e.Config = cfg
+	defer func() {
+		if e.client != nil {
+			e.client.close()
+		}
+	}()
+	return c.run(e)
+}
+
+func newParser(version string, g *globals) *flaggy.Parser {
+	p := flaggy.NewParser("fescuectl")
+	p.Description = "Validates, compares and applies sections of the steering document."
+	p.Version = version
+	p.ShowCompletion = false
+	p.AdditionalHelpAppend = examples
+	p.String(&g.config, "", "config", "Settings file (YAML).")
+	p.StringSlice(&g.servers, "", "server", "Control instance, host:port; repeat it for fail-over.")
+	p.String(&g.team, "", "team", "Team whose section is meant.")
+	p.String(&g.keyFile, "", "key-file", "File with the operator key.")
+	p.String(&g.tls.CertFile, "", "tls-cert", "Operator certificate.")
+	p.String(&g.tls.KeyFile, "", "tls-key", "Private key of the certificate.")
+	p.String(&g.tls.CAFile, "", "tls-ca", "Certificate authority of the instances.")
+	p.Bool(&g.tls.PlaintextLoopback, "", "plaintext-loopback", "Use no TLS; loopback addresses only.")
+	p.Duration(&g.timeout, "", "timeout", "Time limit of the calls to the servers; 10s unless set.")
+	p.String(&g.output, "", "output", "text or json.")
+	return p
+}
+
+// parse parses the arguments. It reports true with the exit code if the run
+// ends here: after help, version or a usage error.
+func parse(p *flaggy.Parser, args []string) (code int, done bool) {
+	// The parser exits with code 2 on wrong usage, which means an invalid
+	// document here.
+	flaggy.PanicInsteadOfExit = true
+	defer func() {
+		if r := recover(); r != nil {
+			code, done = ExitUsage, true
+			if strings.HasSuffix(fmt.Sprint(r), ": 0") {
+				code = ExitOK
+			}
+		}
+	}()
+	if err := p.ParseArgs(args); err != nil {
+		p.ShowHelpWithMessage(err.Error())
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+// finish reports the error of a command and returns the exit code.
+func (a *App) finish(e *env, err error) int {
+	code := exitCode(err)
+	if err == nil || errors.Is(err, errReported) {
+		return code
+	}
+	if e.g.output == "json" {
+		e.print(map[string]any{"error": err.Error(), "exit_code": code}, nil)
+		return code
+	}
+	fmt.Fprintln(a.Stderr, "fescuectl:", err)
+	return code
+}
+
+// print writes a result as JSON or by the text function.
+func (e *env) print(v any, text func(w io.Writer)) {
+	if e.g.output == "json" {
+		enc := json.NewEncoder(e.out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(v); err != nil {
+			fmt.Fprintln(e.notes, "fescuectl: write output:", err)
+		}
+		return
+	}
+	text(e.out)
+}
+
+// connect returns the client, making it at the first call.
+func (e *env) connect() (*client, error) {
+	if e.client != nil {
+		return e.client, nil
+	}
+	c, err := newClient(e.Config, logging.New(e.notes, "error", "fescuectl", ""))
+	if err != nil {
+		return nil, err
+	}
+	e.client = c
+	return c, nil
+}
+
+func (e *env) needTeam() error {
+	if e.Team == "" {
+		return fail(ExitUsage, "set the team with --team or team in the settings")
+	}
+	return nil
+}
+
+// sub returns a subcommand with a description and an example.
+func sub(name, description, example string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	s.AdditionalHelpAppend = "\nExample:\n  " + example
+	return s
+}
--- /dev/null
+++ b/internal/process/operator/apply.go
@@ -0,0 +1,216 @@
+package operator
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/integrii/flaggy"
+)
+
+const (
+	defaultWaitLimit = 10 * time.Second
+	pollInterval     = 100 * time.Millisecond
+)
+
+// applyOptions are the arguments of every command that changes a section.
+type applyOptions struct {
+	expect   string
+	changeID string
+	wait     bool
+	limit    time.Duration
+}
+
+func (o *applyOptions) define(s *flaggy.Subcommand) {
+	o.limit = defaultWaitLimit
+	s.String(&o.expect, "", "expect-revision", "Revision that the change is based on; the present one if absent.")
+	s.String(&o.changeID, "", "change-id", "Identifier of the change; repeat it to send a change again.")
+	s.Bool(&o.wait, "", "wait", "Wait until the change is in force at all live instances.")
+	s.Duration(&o.limit, "", "wait-limit", "Time limit of --wait.")
+}
+
+// applyCmd replaces or deletes a section.
+type applyCmd struct {
+	applyOptions
+	file   string
+	delete bool
+}
+
+func (c *applyCmd) define() *flaggy.Subcommand {
+	s := sub("apply", "Replaces the team's section by a file.",
+		"fescuectl --config ctl.yaml apply kerala.yaml --expect-revision 7 --wait --wait-limit 5s")
+	s.AddPositionalValue(&c.file, "file", 1, false, "File with the section.")
+	s.Bool(&c.delete, "", "delete", "Delete the section of --team instead.")
+	c.applyOptions.define(s)
+	return s
+}
+
+func (c *applyCmd) run(e *env) error {
+	if c.delete == (c.file != "") {
+		return fail(ExitUsage, "name a file, or use --delete without one")
+	}
+	req := &fescuepb.ApplyRequest{Team: e.Team, Delete: c.delete}
+	if c.delete {
+		if err := e.needTeam(); err != nil {
+			return err
+		}
+	} else {
+		local, err := readSections([]string{c.file})
+		if err != nil {
+			return err
+		}
+		if e.Team != "" && e.Team != local[0].team() {
+			return fail(ExitUsage, "%s is the section of team %q, not of %q", c.file, local[0].team(), e.Team)
+		}
+		req.Team, req.Yaml = local[0].team(), local[0].data
+	}
+	return c.applyOptions.apply(e, req, nil)
+}
+
+// outcome is the result of a change.
+type outcome struct {
+	Team     string   `json:"team"`
+	Revision uint64   `json:"revision"`
+	Version  uint64   `json:"version"`
+	ChangeID string   `json:"change_id"`
+	Repeated bool     `json:"repeated"` // the change had been applied before
+	InForce  bool     `json:"in_force"` // only known with --wait
+	Waited   bool     `json:"waited"`
+	Missing  []string `json:"missing,omitempty"`
+	Pending  []string `json:"pending_caps,omitempty"`
+	Error    string   `json:"error,omitempty"`
+	ExitCode int      `json:"exit_code"`
+}
+
+// apply sends the change. base is the section that the change was made from,
+// or nil to use the revision at the server.
+func (o *applyOptions) apply(e *env, req *fescuepb.ApplyRequest, base *fescuepb.Section) error {
+	cl, err := e.connect()
+	if err != nil {
+		return err
+	}
+	if err := o.complete(cl, req, base); err != nil {
+		return err
+	}
+	// Before sending, so that the change can be repeated if the answer is lost.
+	fmt.Fprintf(e.notes, "change id %s, expected revision %d\n", req.ChangeId, req.ExpectedRevision)
+	reply, err := call(cl, fescuepb.OperatorClient.Apply, req)
+	if exitCode(err) == ExitUnreachable {
+		return fail(ExitUnreachable, "%w\nthe outcome is unknown: repeat the command with --change-id %s --expect-revision %d", err, req.ChangeId, req.ExpectedRevision)
+	}
+	if err != nil {
+		return err
+	}
+	if reply.Conflict != nil {
+		return conflict(req.Team, req.ExpectedRevision, reply.Conflict)
+	}
+	if len(reply.Problems) > 0 {
+		return invalid(serverProblems("section:"+req.Team, reply.Problems))
+	}
+	return o.report(e, cl, req, reply)
+}
+
+// complete fills in the expected revision and the change identifier.
+func (o *applyOptions) complete(cl *client, req *fescuepb.ApplyRequest, base *fescuepb.Section) error {
+	req.ChangeId = o.changeID
+	if req.ChangeId == "" {
+		req.ChangeId = strings.ToLower(rand.Text())
+	}
+	if o.expect != "" {
+		n, err := strconv.ParseUint(o.expect, 10, 64)
+		if err != nil {
+			return fail(ExitUsage, "--expect-revision %q is not a number", o.expect)
+		}
+		req.ExpectedRevision = n
+		return nil
+	}
+	if base == nil {
+		var err error
+		if base, err = cl.section(req.Team); err != nil {
+			return err
+		}
+	}
+	req.ExpectedRevision = base.Revision
+	return nil
+}
+
+func (o *applyOptions) report(e *env, cl *client, req *fescuepb.ApplyRequest, reply *fescuepb.ApplyReply) error {
+	out := &outcome{Team: req.Team, Revision: reply.Revision, Version: reply.Version, ChangeID: req.ChangeId, Repeated: reply.RepeatedChange}
+	var err error
+	if o.wait {
+		err = o.await(cl, out)
+	}
+	if err != nil {
+		out.Error, out.ExitCode = err.Error(), exitCode(err)
+	}
+	if err == nil || e.g.output == "json" {
+		e.print(out, out.write)
+	} else {
+		out.write(e.notes)
+	}
+	if err != nil && e.g.output == "json" {
+		return &exitError{code: out.ExitCode, err: errReported}
+	}
+	return err
+}
+
+func (o *outcome) write(w io.Writer) {
+	verb := "accepted"
+	if o.Repeated {
+		verb = "had been accepted before"
+	}
+	fmt.Fprintf(w, "section of team %q %s: revision %d, version %d\n", o.Team, verb, o.Revision, o.Version)
+	if o.InForce {
+		fmt.Fprintln(w, "in force at all live instances")
+	}
+	for _, p := range o.Pending {
+		fmt.Fprintln(w, "pending cap:", p)
+	}
+}
+
+// await waits until every live instance acts on the version of the change.
+func (o *applyOptions) await(cl *client, out *outcome) error {
+	out.Waited = true
+	end := time.Now().Add(o.limit)
+	for {
+		st, err := call(cl, fescuepb.OperatorClient.Status, &fescuepb.StatusRequest{})
+		if err != nil {
+			return fail(ExitNotInForce, "accepted as version %d, but the status is not known: %w", out.Version, err)
+		}
+		out.Missing, out.Pending = missing(st, out.Version), pendingCaps(st)
+		if len(out.Missing) == 0 && st.Version >= out.Version {
+			out.InForce = true
+			return nil
+		}
+		if time.Now().After(end) {
+			return fail(ExitNotInForce, "version %d is not in force within %s; the status is of version %d; missing: %s",
+				out.Version, o.limit, st.Version, strings.Join(out.Missing, ", "))
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// missing returns the live instances that do not act on the version yet.
+func missing(st *fescuepb.StatusReply, version uint64) []string {
+	var out []string
+	for _, i := range st.Instances {
+		if i.Alive && i.VersionInForce < version {
+			out = append(out, i.Member.GetInstance())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func pendingCaps(st *fescuepb.StatusReply) []string {
+	var out []string
+	for _, p := range st.PendingCaps {
+		out = append(out, fmt.Sprintf("shift %s from %d to %d, missing: %s", p.Shift, p.OldCap, p.NewCap, strings.Join(p.Missing, ", ")))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/operator/pki.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
+	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"github.com/integrii/flaggy"
+)
+
+const (
+	defaultDays = 30
+	maxDays     = 3650
+	day         = 24 * time.Hour
+	privateMode = 0o600
+	publicMode  = 0o644
+	dirMode     = 0o755
+)
+
+// certsCmd makes certificates for tests and small deployments.
+type certsCmd struct {
+	dir      string
+	instance string
+	operator string
+	hosts    []string
+	days     int
+}
+
+func (c *certsCmd) define() *flaggy.Subcommand {
+	c.days = defaultDays
+	s := sub("certs", "Makes a test certificate authority, and an instance's or operator's certificate signed by it.",
+		"fescuectl certs --dir pki --instance c1 --host 10.0.0.1\n  fescuectl certs --dir pki --operator asha")
+	s.String(&c.dir, "", "dir", "Directory of the files; the authority in it is used again.")
+	s.String(&c.instance, "", "instance", "Instance to make a certificate for.")
+	s.String(&c.operator, "", "operator", "Operator to make a certificate for.")
+	s.StringSlice(&c.hosts, "", "host", "IP address or name that others dial the instance by; repeat it for more.")
+	s.Int(&c.days, "", "days", "Days until the certificates expire.")
+	return s
+}
+
+func (c *certsCmd) run(e *env) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.dir, dirMode); err != nil {
+		return fail(ExitUsage, "make directory: %w", err)
+	}
+	ca, err := c.authority()
+	if err != nil {
+		return err
+	}
+	files := []string{filepath.Join(c.dir, "ca.crt")}
+	if c.instance != "" {
+		files, err = c.issue(ca, c.instance, tlsconf.Instance, files)
+	}
+	if err == nil && c.operator != "" {
+		files, err = c.issue(ca, c.operator, tlsconf.Operator, files)
+	}
+	if err != nil {
+		return err
+	}
+	e.print(map[string]any{"files": files}, func(w io.Writer) { fmt.Fprintln(w, strings.Join(files, "\n")) })
+	return nil
+}
+
+func (c *certsCmd) check() error {
+	if c.dir == "" {
+		return fail(ExitUsage, "set --dir")
+	}
+	if c.days < 1 || c.days > maxDays {
+		return fail(ExitUsage, "--days %d is outside the allowed range 1 to %d", c.days, maxDays)
+	}
+	if c.instance != "" && len(c.hosts) == 0 {
+		return fail(ExitUsage, "set --host to the address that others dial instance %q by", c.instance)
+	}
+	for _, name := range []string{c.instance, c.operator} {
+		if name != filepath.Base(name) && name != "" || name == ".." || name == "ca" {
+			return fail(ExitUsage, "%q cannot be the name of a certificate file", name)
+		}
+	}
+	return nil
+}
+
+// authority reads the authority of the directory, or makes it.
+func (c *certsCmd) authority() (*tlsconf.Authority, error) {
+	cert, certErr := os.ReadFile(filepath.Join(c.dir, "ca.crt"))
+	key, keyErr := os.ReadFile(filepath.Join(c.dir, "ca.key"))
+	if errors.Is(certErr, fs.ErrNotExist) && errors.Is(keyErr, fs.ErrNotExist) {
+		ca, err := tlsconf.NewAuthority("fescuejunction test authority", time.Duration(c.days)*day)
+		if err != nil {
+			return nil, err
+		}
+		_, err = c.write("ca", ca.Pair, nil)
+		return ca, err
+	}
+	if err := errors.Join(certErr, keyErr); err != nil {
+		return nil, fail(ExitUsage, "read authority: %w", err)
+	}
+	return tlsconf.ParseAuthority(tlsconf.Pair{Cert: cert, Key: key})
+}
+
+func (c *certsCmd) issue(ca *tlsconf.Authority, name string, role tlsconf.Role, files []string) ([]string, error) {
+	hosts := c.hosts
+	if role == tlsconf.Operator {
+		hosts = nil
+	}
+	pair, err := ca.Issue(name, role, hosts, time.Duration(c.days)*day)
+	if err != nil {
+		return files, err
+	}
+	return c.write(name, pair, files)
+}
+
+func (c *certsCmd) write(name string, p tlsconf.Pair, files []string) ([]string, error) {
+	certFile, keyFile := filepath.Join(c.dir, name+".crt"), filepath.Join(c.dir, name+".key")
+	if err := replaceFile(keyFile, p.Key, privateMode); err != nil {
+		return files, err
+	}
+	if err := replaceFile(certFile, p.Cert, publicMode); err != nil {
+		return files, err
+	}
+	return append(files, certFile, keyFile), nil
+}
+
+// replaceFile writes a file that never exists in part.
+func replaceFile(name string, data []byte, mode fs.FileMode) error {
+	tmp := name + ".tmp"
+	if err := os.WriteFile(tmp, data, mode); err != nil {
+		return fail(ExitUsage, "write file: %w", err)
+	}
+	if err := os.Rename(tmp, name); err != nil {
+		return fail(ExitUsage, "write file: %w", err)
+	}
+	return nil
+}
+
+// keygenCmd makes an operator key.
+type keygenCmd struct{ file string }
+
+func (c *keygenCmd) define() *flaggy.Subcommand {
+	s := sub("keygen", "Makes the operator key of --team and the entry for the keys file of control.", "fescuectl keygen --team kerala --out kerala.key >> keys.yaml")
+	s.String(&c.file, "", "out", "File for the key; it must not exist.")
+	return s
+}
+
+func (c *keygenCmd) run(e *env) error {
+	if err := e.needTeam(); err != nil {
+		return err
+	}
+	if c.file == "" {
+		return fail(ExitUsage, "set --out to the file for the key")
+	}
+	key, entry, err := operatorauth.NewKey(e.Team)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(c.file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, privateMode)
+	if err != nil {
+		return fail(ExitUsage, "write key: %w", err)
+	}
+	_, err = fmt.Fprintln(f, key)
+	if err := errors.Join(err, f.Close()); err != nil {
+		return fail(ExitUsage, "write key: %w", err)
+	}
+	fmt.Fprintf(e.notes, "key written to %s; add this entry to the keys file of control\n", c.file)
+	e.print(map[string]any{"team": entry.Team, "key_sha256": entry.KeySHA256, "key_file": c.file}, func(w io.Writer) {
+		fmt.Fprintf(w, "- {team: %s, key_sha256: %q}\n", entry.Team, entry.KeySHA256)
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/process/operator/status.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/integrii/flaggy"
+)
+
+// statusCmd shows what is in force where.
+type statusCmd struct{}
+
+func (c *statusCmd) define() *flaggy.Subcommand {
+	return sub("status", "Shows instances, versions in force, pending caps and replicas.", "fescuectl --config ctl.yaml status --output json")
+}
+
+type instanceView struct {
+	Instance    string `json:"instance"`
+	Region      string `json:"region"`
+	DataCentre  string `json:"data_centre"`
+	Role        string `json:"role"`
+	Alive       bool   `json:"alive"`
+	Leaving     bool   `json:"leaving"`
+	InForce     uint64 `json:"version_in_force"`
+	LastHeardMs int64  `json:"last_heard_ms"`
+	GRPCAddr    string `json:"grpc_addr"`
+	CallerAddr  string `json:"caller_addr,omitempty"`
+}
+
+type replicaView struct {
+	ID         string `json:"id"`
+	Addr       string `json:"addr"`
+	Voter      bool   `json:"voter"`
+	MatchIndex uint64 `json:"match_index"`
+}
+
+type statusView struct {
+	Version   uint64         `json:"version"`
+	Counter   uint64         `json:"counter"`
+	Leader    string         `json:"leader"`
+	Term      uint64         `json:"term"`
+	Instances []instanceView `json:"instances"`
+	Pending   []string       `json:"pending_caps"`
+	Replicas  []replicaView  `json:"replicas"`
+}
+
+func roleName(r fescuepb.Role) string {
+	switch r {
+	case fescuepb.Role_ROLE_ENTRY:
+		return "entry"
+	case fescuepb.Role_ROLE_CONTROL:
+		return "control"
+	}
+	return "unknown"
+}
+
+func statusOf(st *fescuepb.StatusReply) statusView {
+	v := statusView{Version: st.Version, Counter: st.Counter, Leader: st.Leader, Term: st.Term, Pending: pendingCaps(st)}
+	for _, i := range st.Instances {
+		m := i.Member
+		v.Instances = append(v.Instances, instanceView{
+			Instance: m.GetInstance(), Region: m.GetRegion(), DataCentre: m.GetDataCentre(), Role: roleName(m.GetRole()),
+			Alive: i.Alive, Leaving: m.GetLeaving(), InForce: i.VersionInForce, LastHeardMs: i.LastHeardMs,
+			GRPCAddr: m.GetGrpcAddr(), CallerAddr: m.GetCallerAddr(),
+		})
+	}
+	for _, r := range st.Replicas {
+		v.Replicas = append(v.Replicas, replicaView{ID: r.Id, Addr: r.Addr, Voter: r.Voter, MatchIndex: r.MatchIndex})
+	}
+	return v
+}
+
+func (c *statusCmd) run(e *env) error {
+	cl, err := e.connect()
+	if err != nil {
+		return err
+	}
+	st, err := call(cl, fescuepb.OperatorClient.Status, &fescuepb.StatusRequest{})
+	if err != nil {
+		return err
+	}
+	v := statusOf(st)
+	e.print(v, v.write)
+	return nil
+}
+
+func (v statusView) write(w io.Writer) {
+	fmt.Fprintf(w, "version %d, counter %d, leader %s in term %d\n\n", v.Version, v.Counter, v.Leader, v.Term)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tIN FORCE\tLAST HEARD")
+	for _, i := range v.Instances {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d ms\n", i.Instance, i.Role, i.DataCentre, i.state(), i.InForce, i.LastHeardMs)
+	}
+	t.Flush()
+	for _, p := range v.Pending {
+		fmt.Fprintln(w, "pending cap:", p)
+	}
+	for _, r := range v.Replicas {
+		kind := "learner"
+		if r.Voter {
+			kind = "voter"
+		}
+		fmt.Fprintf(w, "replica %s at %s: %s, index %d\n", r.ID, r.Addr, kind, r.MatchIndex)
+	}
+}
+
+func (i instanceView) state() string {
+	switch {
+	case !i.Alive:
+		return "not heard"
+	case i.Leaving:
+		return "leaving"
+	}
+	return "live"
+}
--- /dev/null
+++ b/internal/process/operator/validate.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"github.com/integrii/flaggy"
+)
+
+// validateCmd checks local files as a whole document, and against the
+// sections of the other teams if servers are set.
+type validateCmd struct {
+	file  string
+	files []string
+	local bool
+}
+
+func (c *validateCmd) define() *flaggy.Subcommand {
+	s := sub("validate", "Checks sections, alone or with the servers' document.",
+		"fescuectl validate --file platform.yaml --file kerala.yaml --local")
+	s.AddPositionalValue(&c.file, "file", 1, false, "File with a section.")
+	s.StringSlice(&c.files, "", "file", "File with a section; repeat it for more.")
+	s.Bool(&c.local, "", "local", "Don't ask the servers.")
+	return s
+}
+
+func (c *validateCmd) run(e *env) error {
+	files := c.files
+	if c.file != "" {
+		files = append(files, c.file)
+	}
+	if len(files) == 0 {
+		return fail(ExitUsage, "name at least one file")
+	}
+	sources, err := readSections(files)
+	if err != nil {
+		return err
+	}
+	if c.local || len(e.Servers) == 0 {
+		if err := validateWhole(sources); err != nil {
+			return err
+		}
+	} else if err := c.withServer(e, sources); err != nil {
+		return err
+	}
+	e.print(map[string]any{"valid": true, "files": files}, func(w io.Writer) { fmt.Fprintln(w, "valid") })
+	return nil
+}
+
+// withServer validates the files in place of the servers' sections of the
+// same teams, here for all files together and at the server one by one.
+func (c *validateCmd) withServer(e *env, local []*localSection) error {
+	cl, err := e.connect()
+	if err != nil {
+		return err
+	}
+	reply, err := cl.sections("")
+	if err != nil {
+		return err
+	}
+	all, err := merge(reply.Sections, local)
+	if err != nil {
+		return err
+	}
+	if err := validateWhole(all); err != nil || len(local) > 1 {
+		return err // the server sees one section at a time
+	}
+	return validateAt(cl, local[0])
+}
+
+func validateAt(cl *client, s *localSection) error {
+	reply, err := call(cl, fescuepb.OperatorClient.Validate, &fescuepb.ValidateRequest{Team: s.team(), Yaml: s.data})
+	if err != nil {
+		return err
+	}
+	if len(reply.Problems) > 0 {
+		return invalid(serverProblems(s.file, reply.Problems))
+	}
+	return nil
+}
+
+// localSection is a section with its text.
+type localSection struct {
+	file string
+	data []byte
+	src  *document.Source
+}
+
+func (s *localSection) team() string { return s.src.Section.Team }
+
+func readSections(files []string) ([]*localSection, error) {
+	var out []*localSection
+	var problems []string
+	for _, f := range files {
+		s, found, err := readSection(f)
+		if err != nil {
+			return nil, err
+		}
+		problems = append(problems, found...)
+		out = append(out, s)
+	}
+	if len(problems) > 0 {
+		return nil, invalid(problems)
+	}
+	return out, nil
+}
+
+func readSection(file string) (*localSection, []string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, fail(ExitUsage, "read section: %w", err)
+	}
+	s, problems := parseSection(file, data)
+	return s, problems, nil
+}
+
+func parseSection(file string, data []byte) (*localSection, []string) {
+	src, found := document.Parse(file, data)
+	var problems []string
+	for _, p := range found {
+		problems = append(problems, p.String())
+	}
+	return &localSection{file: file, data: data, src: src}, problems
+}
+
+// merge returns the sections of the servers with the local ones in the place
+// of those of the same team.
+func merge(remote []*fescuepb.Section, local []*localSection) ([]*localSection, error) {
+	out := append([]*localSection(nil), local...)
+	mine := map[string]bool{}
+	for _, s := range local {
+		mine[s.team()] = true
+	}
+	for _, r := range remote {
+		if mine[r.Team] {
+			continue
+		}
+		s, problems := parseSection("server:"+r.Team, r.Yaml)
+		if len(problems) > 0 {
+			return nil, invalid(problems)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func validateWhole(sections []*localSection) error {
+	var sources []*document.Source
+	for _, s := range sections {
+		sources = append(sources, s.src)
+	}
+	var problems []string
+	for _, p := range document.Validate(sources) {
+		problems = append(problems, p.String())
+	}
+	if len(problems) > 0 {
+		return invalid(problems)
+	}
+	return nil
+}
+
+// serverProblems formats findings of a server, which knows the local file
+// only by its team.
+func serverProblems(file string, problems []*fescuepb.FieldProblem) []string {
+	var out []string
+	for _, p := range problems {
+		f := document.Problem{File: p.File, Line: int(p.Line), Field: p.Field, Message: p.Message}
+		if f.File == "" {
+			f.File = file
+		}
+		out = append(out, f.String())
+	}
+	return out
+}
