--- /dev/null
+++ b/internal/process/membership/membership.go
@@ -0,0 +1,247 @@
+// Package membership merges the platform's list of instances, which lags,
+// with the results of the system's own probes. It does no I/O and reads no
+// clock. The probes decide: the list names instances and may stop new
+// requests to one, but only an answer makes an instance live, and no list
+// removes an instance that answers.
+package membership
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// FreshFor is how long an answer proves that an instance is there. It is
+	// the bound for the end of new requests to a leaving target.
+	FreshFor = 3 * time.Second
+	// keepFor is how long an instance that has left is remembered, so that an
+	// old list does not make it new. It is well above the lag of the list.
+	keepFor = 10 * time.Minute
+)
+
+// Values of Listed.Role and Listed.Status.
+const (
+	RoleEntry     = "entry"
+	RoleTarget    = "target"
+	StatusLive    = "live"
+	StatusLeaving = "leaving"
+)
+
+// Listed is one instance in the platform's list.
+type Listed struct {
+	ID         string `json:"id"`
+	Role       string `json:"role"`
+	Service    string `json:"service,omitempty"` // of a target
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"` // host:port
+	Slots      int    `json:"slots,omitempty"`
+	Status     string `json:"status"`
+}
+
+// Key identifies an instance at an address.
+type Key struct{ ID, Address string }
+
+// Outcome is what became of a probe.
+type Outcome int
+
+// The outcomes of a probe.
+const (
+	NoAnswer Outcome = iota // nothing in time; the process may be running
+	Refused                 // the connection was refused: no process listens
+	Answered
+)
+
+// Probe is the result of one probe.
+type Probe struct {
+	Key
+	Sent        time.Time
+	Outcome     Outcome
+	Incarnation string // of the process that answered; empty if it names none
+	Leaving     bool   // the process says that it is leaving
+}
+
+// State is what may be done with an instance.
+type State int
+
+// The states of an instance.
+const (
+	Gone    State = iota // no requests, and its slots are free
+	Silent               // listed, but no fresh answer: no new requests
+	Leaving              // answers, but gets no new requests
+	Live                 // gets new requests
+)
+
+// String returns the name of the state.
+func (s State) String() string { return [...]string{"gone", "silent", "leaving", "live"}[s] }
+
+// Instance is an instance in the merged view.
+type Instance struct {
+	Listed
+	State       State
+	Incarnation string
+}
+
+// record is what is known of an instance at an address.
+type record struct {
+	listed      Listed // as last listed
+	inList      bool
+	firstListed int // number of the list that named it first
+
+	probed      time.Time // when the newest processed probe was sent
+	answered    time.Time // when the newest answered probe was sent
+	refused     bool      // since the last answer
+	incarnation string
+	earlier     map[string]bool // incarnations that were replaced
+
+	// leaving is sticky: only another process at the address clears it. A
+	// process without an incarnation that is replaced between two probes, so
+	// that no connection is refused, is taken for the earlier one.
+	leaving bool
+}
+
+// Table is the merge of lists and probes. It is not safe for concurrent use.
+type Table struct {
+	records map[Key]*record
+	lists   int
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{records: map[Key]*record{}} }
+
+// List takes a list of the platform. It may be older than one taken before.
+func (t *Table) List(list []Listed) {
+	t.lists++
+	seen := map[Key]bool{}
+	for _, l := range list {
+		k := Key{l.ID, l.Address}
+		seen[k] = true
+		r := t.records[k]
+		if r == nil {
+			r = &record{firstListed: t.lists, earlier: map[string]bool{}}
+			t.records[k] = r
+		}
+		r.list(l)
+	}
+	for k, r := range t.records {
+		if !seen[k] {
+			r.inList = false
+		}
+	}
+}
+
+// list takes the list's entry. A status that stays leaving while the process
+// is replaced speaks of the earlier process; only its change to leaving
+// marks the present one.
+func (r *record) list(l Listed) {
+	already := r.listed.Status == StatusLeaving
+	if l.Status == StatusLeaving && !already {
+		r.leaving = true
+	}
+	r.listed, r.inList = l, true
+}
+
+// Probe takes the result of a probe. Results of probes of unknown instances,
+// and results that arrive after one of a later probe, are ignored.
+func (t *Table) Probe(p Probe) {
+	r := t.records[p.Key]
+	if r == nil || p.Sent.Before(r.probed) {
+		return
+	}
+	r.probed = p.Sent
+	switch p.Outcome {
+	case Refused:
+		r.refused = true
+	case Answered:
+		r.answer(p)
+	}
+}
+
+func (r *record) answer(p Probe) {
+	if r.earlier[p.Incarnation] {
+		return // a process that was replaced, through a delayed connection
+	}
+	if r.replaced(p) {
+		if r.incarnation != "" {
+			r.earlier[r.incarnation] = true
+		}
+		r.leaving = false
+	}
+	if p.Incarnation != "" {
+		r.incarnation = p.Incarnation
+	}
+	r.leaving = r.leaving || p.Leaving
+	r.answered, r.refused = p.Sent, false
+}
+
+// replaced reports whether another process than before has answered. Of
+// processes without an incarnation, one that answers after a refused
+// connection is another one.
+func (r *record) replaced(p Probe) bool {
+	if r.answered.IsZero() {
+		return false
+	}
+	if p.Incarnation != "" && r.incarnation != "" {
+		return p.Incarnation != r.incarnation
+	}
+	return r.refused
+}
+
+// View returns every known instance, ordered by identifier and address. It
+// forgets those that left long ago.
+func (t *Table) View(now time.Time) []Instance {
+	owners := t.owners()
+	out := make([]Instance, 0, len(t.records))
+	for k, r := range t.records {
+		if !r.inList && now.Sub(r.answered) > keepFor && now.Sub(r.probed) > keepFor {
+			delete(t.records, k)
+			continue
+		}
+		state := r.state(now)
+		if owners[k.Address] != k {
+			state = Gone // the address answers for a newer instance
+		}
+		out = append(out, Instance{Listed: r.listed, State: state, Incarnation: r.incarnation})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].ID != out[j].ID {
+			return out[i].ID < out[j].ID
+		}
+		return out[i].Address < out[j].Address
+	})
+	return out
+}
+
+// owners returns the newest instance at each address: the one that was
+// listed first in the latest list. Its answers must not be taken for those of
+// an earlier instance, or the slots of one process would count twice.
+func (t *Table) owners() map[string]Key {
+	out := map[string]Key{}
+	for k, r := range t.records {
+		cur, ok := out[k.Address]
+		if !ok || newer(k, r, cur, t.records[cur]) {
+			out[k.Address] = k
+		}
+	}
+	return out
+}
+
+func newer(a Key, ra *record, b Key, rb *record) bool {
+	if ra.firstListed != rb.firstListed {
+		return ra.firstListed > rb.firstListed
+	}
+	return a.ID > b.ID
+}
+
+func (r *record) state(now time.Time) State {
+	answers := !r.refused && !r.answered.IsZero() && now.Sub(r.answered) < FreshFor
+	switch {
+	case answers && r.leaving:
+		return Leaving
+	case answers:
+		return Live
+	case r.inList && !r.leaving:
+		return Silent
+	default:
+		return Gone
+	}
+}
--- /dev/null
+++ b/internal/process/membership/membership_test.go
@@ -0,0 +1,202 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// process is a real process at an address.
+type process struct {
+	alive   bool
+	number  int
+	leaving bool
+}
+
+func (p process) incarnation(named bool) string {
+	if !named {
+		return ""
+	}
+	return fmt.Sprint(p.number)
+}
+
+var testKeys = []Key{{"t1", "10.0.0.1:80"}, {"t2", "10.0.0.2:80"}}
+
+// Guards against a lagging list that brings back an instance that has left
+// or removes one that answers, and against an instance that gets requests
+// after it was seen leaving.
+func TestListLagsBehindProbes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := New()
+		real := map[Key]*process{}
+		toldLeaving := map[Key]int{} // number of the process last seen leaving by a probe
+		fresh := map[Key]time.Time{} // last answered probe
+		listSaysLeaving := map[Key]bool{}
+		var lists [][]Listed
+		named := rapid.Bool().Draw(t, "processes name their incarnation")
+		for _, k := range testKeys {
+			real[k] = &process{alive: true, number: 1}
+		}
+		publish := func() {
+			var l []Listed
+			for _, k := range testKeys {
+				if p := real[k]; p.alive {
+					status := StatusLive
+					if p.leaving {
+						status = StatusLeaving
+					}
+					l = append(l, Listed{ID: k.ID, Address: k.Address, Role: RoleTarget, Status: status})
+				}
+			}
+			lists = append(lists, l)
+		}
+		publish()
+		table.List(lists[0])
+		probe := func(k Key) {
+			p := real[k]
+			res := Probe{Key: k, Sent: now, Outcome: Refused}
+			if p.alive {
+				res.Outcome, res.Incarnation, res.Leaving = Answered, p.incarnation(named), p.leaving
+				fresh[k] = now
+				if p.leaving {
+					toldLeaving[k] = p.number
+				}
+			} else {
+				delete(fresh, k)
+			}
+			table.Probe(res)
+		}
+		key := func(t *rapid.T) Key { return rapid.SampledFrom(testKeys).Draw(t, "key") }
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"probe": func(t *rapid.T) { probe(key(t)) },
+			"lost":  func(t *rapid.T) { table.Probe(Probe{Key: key(t), Sent: now, Outcome: NoAnswer}) },
+			"late": func(t *rapid.T) {
+				table.Probe(Probe{Key: key(t), Sent: now.Add(-time.Hour), Outcome: Answered, Incarnation: "old"})
+			},
+			"leave": func(t *rapid.T) { real[key(t)].leaving = true; publish() },
+			"exit":  func(t *rapid.T) { real[key(t)].alive = false; publish() },
+			"start": func(t *rapid.T) {
+				k := key(t)
+				if real[k].alive {
+					t.Skip("runs already")
+				}
+				probe(k) // the gap is seen
+				real[k] = &process{alive: true, number: real[k].number + 1}
+				publish()
+			},
+			"list": func(t *rapid.T) {
+				l := lists[rapid.IntRange(0, len(lists)-1).Draw(t, "list")]
+				for _, e := range l {
+					if e.Status == StatusLeaving {
+						listSaysLeaving[Key{e.ID, e.Address}] = true
+					}
+				}
+				table.List(l)
+			},
+			"": func(t *rapid.T) {
+				for _, i := range table.View(now) {
+					k := Key{i.ID, i.Address}
+					p, at := real[k], fresh[k]
+					answers := !at.IsZero() && now.Sub(at) < FreshFor
+					if i.State == Live && (!answers || toldLeaving[k] == p.number) {
+						t.Fatalf("%v is live: fresh answer %t, seen leaving %t", k, answers, toldLeaving[k] == p.number)
+					}
+					if answers && i.State != Live && toldLeaving[k] != p.number && !listSaysLeaving[k] {
+						t.Fatalf("%v answers and never said that it leaves, but is %s", k, i.State)
+					}
+				}
+			},
+		})
+	})
+}
+
+func stateOf(t *testing.T, table *Table, now time.Time, id string) State {
+	t.Helper()
+	for _, i := range table.View(now) {
+		if i.ID == id {
+			return i.State
+		}
+	}
+	return Gone
+}
+
+// Guards against the loss of what is known of a leaving instance, step by
+// step.
+func TestLeavingIsSticky(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	entry := Listed{ID: "t1", Address: "a:1", Role: RoleTarget, Status: StatusLive}
+	leaving := entry
+	leaving.Status = StatusLeaving
+	answer := func(inc string) func() {
+		return func() { table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered, Incarnation: inc}) }
+	}
+	list := func(l ...Listed) func() { return func() { table.List(l) } }
+	for i, step := range []struct {
+		do   func()
+		want State
+	}{
+		{list(entry), Silent},
+		{answer("1"), Live},
+		{list(), Live}, // dropped by the list, but answers
+		{list(leaving), Leaving},
+		{list(entry), Leaving}, // an older list
+		{answer("1"), Leaving},
+		{func() { table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Refused}) }, Gone},
+		{list(entry), Gone},
+		{list(leaving), Gone},
+		{answer("2"), Live},   // another process
+		{list(leaving), Live}, // still about the first one
+		{func() {
+			table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered, Incarnation: "1", Leaving: true})
+		}, Live}, // the first one, late
+		{list(entry), Live},
+		{list(leaving), Leaving}, // about the second one
+		{func() {
+			table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered, Incarnation: "3", Leaving: true})
+		}, Leaving},
+		{answer("3"), Leaving},
+	} {
+		now = now.Add(100 * time.Millisecond)
+		step.do()
+		if got := stateOf(t, table, now, "t1"); got != step.want {
+			t.Fatalf("step %d: %s, want %s", i, got, step.want)
+		}
+	}
+}
+
+// Guards against an instance that stays live without a fresh answer.
+func TestAnswersAgeOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	table.List([]Listed{{ID: "t1", Address: "a:1", Status: StatusLive}})
+	table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered})
+	if got := stateOf(t, table, now.Add(2900*time.Millisecond), "t1"); got != Live {
+		t.Errorf("%s after 2.9 s, want live", got)
+	}
+	if got := stateOf(t, table, now.Add(3*time.Second), "t1"); got != Silent {
+		t.Errorf("%s after 3 s, want silent", got)
+	}
+}
+
+// Guards against slots of one process that count for two instances.
+func TestAddressUsedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	old := Listed{ID: "t1", Address: "a:1", Status: StatusLive}
+	next := Listed{ID: "t2", Address: "a:1", Status: StatusLive}
+	table.List([]Listed{old})
+	table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered})
+	table.List([]Listed{next})
+	table.Probe(Probe{Key: Key{"t2", "a:1"}, Sent: now, Outcome: Answered})
+	table.List([]Listed{old}) // an older list
+	if a, b := stateOf(t, table, now, "t1"), stateOf(t, table, now, "t2"); a != Gone || b != Live {
+		t.Errorf("t1 is %s and t2 %s, want gone and live", a, b)
+	}
+}
--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -48,7 +48,7 @@
 	applied  int
 	lose     int // answers to Apply that are lost after the change was made
 	down     bool
-	lag      uint64 // versions that the status is behind, as at a follower
+	lag      uint64            // versions that the status is behind, as at a follower
 	behind   map[string]uint64 // how many versions an instance is behind
 }
 
