--- a/internal/process/budget/account.go
+++ b/internal/process/budget/account.go
@@ -28,7 +28,8 @@
 	earlier      int
 	earlierUntil time.Time
 
-	want int
+	want    int
+	counted int // part of ledger.total
 	// floor is the highest pinned share that the holder may have been granted
 	// by any leader, used if this granter becomes the leader.
 	floor int
@@ -113,5 +114,5 @@
 // unknown makes the account that of a holder about which a new leader knows
 // only the versions that it has seen committed.
 func (a *account) unknown() {
-	*a = account{floor: a.floor, guessed: true, states: []possible{{pinned: a.floor}}}
+	*a = account{floor: a.floor, counted: a.counted, guessed: true, states: []possible{{pinned: a.floor}}}
 }
--- a/internal/process/budget/alloc.go
+++ b/internal/process/budget/alloc.go
@@ -11,25 +11,26 @@
 // fill splits pool over the claims with max-min fairness: nobody gets more
 // than it wants, and nobody gets less than another but for its own want.
 // Units that cannot be split evenly go to the holders that rank highest for
-// key, so that a changing key rotates them.
-func fill(pool int, claims []claim, key string) map[string]int {
+// key, so that a changing key rotates them. It also returns the units left
+// over, and the even share if some got less than they want.
+func fill(pool int, claims []claim, key string) (got map[string]int, rest, level int) {
 	sort.Slice(claims, func(i, j int) bool {
 		if claims[i].want != claims[j].want {
 			return claims[i].want < claims[j].want
 		}
 		return claims[i].instance < claims[j].instance
 	})
-	out := make(map[string]int, len(claims))
+	got = make(map[string]int, len(claims))
 	for i, c := range claims {
 		share := pool / (len(claims) - i)
 		if c.want > share {
-			fillEvenly(pool, claims[i:], key, out)
-			return out
+			fillEvenly(pool, claims[i:], key, got)
+			return got, 0, share
 		}
-		out[c.instance] = c.want
+		got[c.instance] = c.want
 		pool -= c.want
 	}
-	return out
+	return got, pool, 0
 }
 
 // fillEvenly splits pool over claims that each want more than an even share.
--- a/internal/process/budget/budget_test.go
+++ b/internal/process/budget/budget_test.go
@@ -119,6 +119,12 @@
 			t.Errorf("entry %s of three busy ones may use %d of 9", n, got)
 		}
 	}
+	w.cutOff("e1") // its leased units, but not its share, come back
+	busy("e2", "e3")
+	want := 9 - Pinned(w.versions[0], "a", "e1")
+	if got := w.holders["e2"].Limit("a", w.now) + w.holders["e3"].Limit("a", w.now); got != want {
+		t.Errorf("two busy entries may use %d beside a silent one, want %d", got, want)
+	}
 }
 
 // Guards against a small cap that gives every entry zero pinned units, and
--- a/internal/process/budget/granter.go
+++ b/internal/process/budget/granter.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strconv"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -23,6 +22,8 @@
 	ClockMargin = 100 * time.Millisecond
 	// rotation is how often indivisible units move on to the next holder.
 	rotation = 5 * time.Second
+	// pruneInterval is how often accounts without use are looked for.
+	pruneInterval = time.Second
 )
 
 // holderInfo is what the granter knows of a holder for all shifts.
@@ -54,18 +55,19 @@
 	term       uint64
 
 	holders  map[string]*holderInfo
-	accounts map[string]map[string]*account // by shift, by instance
-	pinned   map[string]map[string]int      // of the present version
+	shifts   map[string]*ledger
+	pinned   map[string]map[string]int // of the present version
 	pending  map[string]lowered
+	prunedAt time.Time
 }
 
 // NewGranter returns a granter that does not lead.
 func NewGranter() *Granter {
 	return &Granter{
-		holders:  map[string]*holderInfo{},
-		accounts: map[string]map[string]*account{},
-		pinned:   map[string]map[string]int{},
-		pending:  map[string]lowered{},
+		holders: map[string]*holderInfo{},
+		shifts:  map[string]*ledger{},
+		pinned:  map[string]map[string]int{},
+		pending: map[string]lowered{},
 	}
 }
 
@@ -79,6 +81,9 @@
 	g.snap = s
 	g.entries = entryNames(s)
 	g.deadline = max(g.deadline, s.Limits.LongestDeadline.D()+ClockMargin)
+	for _, l := range g.shifts {
+		l.stale()
+	}
 	g.pinned = make(map[string]map[string]int, len(s.Shifts))
 	for name, sh := range s.Shifts {
 		split := splitPinned(name, sh.Cap, g.entries)
@@ -111,10 +116,11 @@
 	for _, h := range g.holders {
 		*h = holderInfo{}
 	}
-	for _, byInst := range g.accounts {
-		for _, a := range byInst {
+	for _, l := range g.shifts {
+		for _, a := range l.accounts {
 			a.unknown()
 		}
+		l.stale()
 	}
 }
 
@@ -132,9 +138,9 @@
 // Call it after the version without the instance was observed.
 func (g *Granter) Gone(instance string, now time.Time) {
 	delete(g.holders, instance)
-	for _, byInst := range g.accounts {
-		if a := byInst[instance]; a != nil {
-			a.restart(now, g.deadline)
+	g.restart(instance, now)
+	for _, l := range g.shifts {
+		if a := l.accounts[instance]; a != nil {
 			a.floor = 0
 		}
 	}
@@ -184,7 +190,7 @@
 	}
 	var out []*fescuepb.LeaseGrant
 	for shift := range g.pending {
-		a := g.accounts[shift][req.Instance]
+		a := g.ledger(shift).accounts[req.Instance]
 		if asked[shift] || a == nil || len(a.states) == 0 {
 			continue
 		}
@@ -221,9 +227,10 @@
 }
 
 func (g *Granter) restart(instance string, now time.Time) {
-	for _, byInst := range g.accounts {
-		if a := byInst[instance]; a != nil {
+	for _, l := range g.shifts {
+		if a := l.accounts[instance]; a != nil {
 			a.restart(now, g.deadline)
+			l.stale()
 		}
 	}
 }
@@ -234,6 +241,7 @@
 		a.firstReport(int(ask.Pinned), now, g.deadline)
 	}
 	a.report(ask, now, g.deadline)
+	g.ledger(ask.Shift).recount(a, now, g.deadline)
 	a.floor = max(int(ask.Pinned), g.pinned[ask.Shift][instance])
 }
 
@@ -243,11 +251,14 @@
 	pinned, leased := g.target(instance, shift, now)
 	// Growth must fit beside everything that others may have in use. Up to
 	// the holder's present charge nothing is added to the sum.
-	room := g.cap(shift) - g.sum(shift, now) + a.own(now, g.deadline)
+	l := g.ledger(shift)
+	l.recount(a, now, g.deadline)
+	room := g.cap(shift) - l.sum(now, g.deadline) + a.own(now, g.deadline)
 	allowed := max(room, a.states[0].pinned+g.liveLease(a, now))
 	pinned = min(pinned, allowed)
 	leased = min(leased, allowed-pinned)
 	a.granted(possible{pinned: pinned, leased: leased, expiry: now.Add(LeaseDuration)})
+	l.recount(a, now, g.deadline)
 	return &fescuepb.LeaseGrant{
 		Shift:      shift,
 		Granted:    uint32(leased),
@@ -256,32 +267,6 @@
 	}
 }
 
-// target returns the limits that a holder should have once every reachable
-// holder has taken its own. Silent holders keep what they may use.
-func (g *Granter) target(instance, shift string, now time.Time) (pinned, leased int) {
-	pool := g.cap(shift)
-	var shares, wants []claim
-	for inst, a := range g.accounts[shift] {
-		share := g.pinned[shift][inst]
-		if !g.reachable(inst, now) {
-			pool -= max(a.charge(now, g.deadline), share)
-			continue
-		}
-		pool -= a.before(now)
-		shares = append(shares, claim{inst, share})
-		if g.snap.Member(inst) != nil {
-			wants = append(wants, claim{inst, a.want})
-		}
-	}
-	pool = max(pool, 0)
-	byShare := fill(pool, shares, shift)
-	for _, units := range byShare {
-		pool -= units
-	}
-	turn := shift + "\x00" + strconv.FormatInt(int64(now.Sub(g.leaderFrom)/rotation), 10)
-	return byShare[instance], fill(pool, wants, turn)[instance]
-}
-
 func (g *Granter) reachable(instance string, now time.Time) bool {
 	h := g.holders[instance]
 	return h != nil && h.incarnation != 0 && now.Before(h.heard.Add(LeaseDuration))
@@ -295,11 +280,7 @@
 }
 
 func (g *Granter) sum(shift string, now time.Time) int {
-	total := 0
-	for _, a := range g.accounts[shift] {
-		total += a.charge(now, g.deadline)
-	}
-	return total
+	return g.ledger(shift).sum(now, g.deadline)
 }
 
 func (g *Granter) cap(shift string) int { return g.snap.Shifts[shift].Cap }
@@ -312,13 +293,18 @@
 }
 
 func (g *Granter) account(shift, instance string) *account {
-	if g.accounts[shift] == nil {
-		g.accounts[shift] = map[string]*account{}
+	l := g.ledger(shift)
+	if l.accounts[instance] == nil {
+		l.accounts[instance] = &account{}
 	}
-	if g.accounts[shift][instance] == nil {
-		g.accounts[shift][instance] = &account{}
+	return l.accounts[instance]
+}
+
+func (g *Granter) ledger(shift string) *ledger {
+	if g.shifts[shift] == nil {
+		g.shifts[shift] = &ledger{accounts: map[string]*account{}}
 	}
-	return g.accounts[shift][instance]
+	return g.shifts[shift]
 }
 
 // settle puts lowered caps in force whose charges have come down, and forgets
@@ -344,15 +330,20 @@
 // prune forgets accounts of instances and shifts that no longer exist and
 // have nothing in use.
 func (g *Granter) prune(now time.Time) {
-	for shift, byInst := range g.accounts {
-		for inst, a := range byInst {
+	if now.Sub(g.prunedAt) < pruneInterval {
+		return
+	}
+	g.prunedAt = now
+	for shift, l := range g.shifts {
+		for inst, a := range l.accounts {
 			known := g.snap.Member(inst) != nil && g.pinned[shift] != nil
 			if !known && a.floor == 0 && a.charge(now, g.deadline) == 0 {
-				delete(byInst, inst)
+				l.total -= a.counted
+				delete(l.accounts, inst)
 			}
 		}
-		if len(byInst) == 0 {
-			delete(g.accounts, shift)
+		if len(l.accounts) == 0 {
+			delete(g.shifts, shift)
 		}
 	}
 }
@@ -361,7 +352,7 @@
 // acknowledged the lowered cap, ordered by instance.
 func (g *Granter) missing(shift string, p lowered, now time.Time) []string {
 	var out []string
-	for inst, a := range g.accounts[shift] {
+	for inst, a := range g.ledger(shift).accounts {
 		h := g.holders[inst]
 		acked := h != nil && h.version >= p.version
 		if !acked && a.charge(now, g.deadline) > 0 {
