dispatch: limit long work to its share of the queue

Change: long work may take its share (LongSharePercent) of the queue, as it may of the slots.

Adds a property test against starvation of long work. Temporary mutation that makes it fail: no aging in pick (TestLongNotStarved).

--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -220,7 +220,7 @@
 		limit = max(1, limit/remoteQueueDivisor)
 	}
 	wait := g.expectedWait(r)
-	if g.queuedCount() >= limit {
+	if g.queuedCount() >= limit || r.long && g.long.len() >= max(1, limit*g.set.LongSharePercent/100) {
 		return refuse(errQueueFull, wait)
 	}
 	if ref := g.checkDeadline(at, r, wait, r.route.run.high); ref != nil {
--- a/internal/request/dispatch/policy_test.go
+++ b/internal/request/dispatch/policy_test.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
@@ -98,3 +101,43 @@
 	}
 	return n
 }
+
+// Guards against long work that waits forever behind short work.
+func TestLongNotStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		g := NewGroup(now, Settings{QueueLimit: 8, LongSharePercent: rapid.IntRange(1, 100).Draw(t, "share")})
+		g.SetTargets(now, infos(rapid.IntRange(1, 4).Draw(t, "targets"), rapid.IntRange(1, 4).Draw(t, "slots")))
+		submit := func(c document.Class) *Request {
+			r := &Request{}
+			if g.Submit(now, r, Work{Class: c, Route: string(c)}) != nil {
+				return nil
+			}
+			return r
+		}
+		var live, long []*Request
+		for step := range 300 {
+			if step > 20 && len(long) < 3 {
+				if r := submit(document.Long); r != nil {
+					long = append(long, r)
+				}
+			}
+			for range 20 {
+				if r := submit(document.Short); r != nil {
+					live = append(live, r)
+				}
+			}
+			now = now.Add(10 * time.Millisecond)
+			for _, r := range append(slices.Clone(live), long...) {
+				ran := g.at(now) - r.started
+				if r.state == running && ran > 0 && (!r.long || ran > 200*time.Millisecond) {
+					g.Done(now, r, Outcome{})
+				}
+			}
+			live = slices.DeleteFunc(live, func(r *Request) bool { return r.state == finished })
+		}
+		if len(long) != 3 || g.long.len() > 0 {
+			t.Fatalf("%d long requests admitted, %d of them never started", len(long), g.long.len())
+		}
+	})
+}
