--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/request/retry"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
@@ -59,7 +60,7 @@
 	stopped bool
 	next    int // rotates the order of equally good targets
 	starts  int // requests started
-	hedges  int // hedges among them
+	hedges  *retry.Budget
 
 	tail      mean          // share of requests that run very long
 	median    float64       // of the targets' speeds
@@ -74,6 +75,7 @@
 		epoch:  now,
 		byID:   map[string]*target{},
 		routes: newRoutes(),
+		hedges: retry.NewBudget(s.HedgePercent, now),
 	}
 }
 
@@ -82,6 +84,7 @@
 // Configure replaces the settings.
 func (g *Group) Configure(now time.Time, s Settings) {
 	g.set = s.withDefaults()
+	g.hedges.SetPercent(s.HedgePercent)
 	g.fill(g.at(now))
 }
 
@@ -252,6 +255,9 @@
 	r.reason = reason
 	t.add(r)
 	g.starts++
+	if !r.hedge {
+		g.hedges.Request()
+	}
 	g.flight++
 	if r.long {
 		g.longRun++
--- a/internal/request/dispatch/hedge.go
+++ b/internal/request/dispatch/hedge.go
@@ -24,9 +24,6 @@
 	if r.state != running || !g.mayHedge(r) || g.stopped || g.queuedCount() > 0 {
 		return false
 	}
-	if 100*g.hedges >= g.set.HedgePercent*g.starts {
-		return false
-	}
 	at := g.at(now)
 	w := r.work
 	w.Exclude = append([]string{r.target.info.ID}, w.Exclude...)
@@ -37,11 +34,10 @@
 		return false
 	}
 	t, _ := g.choose(at, h)
-	if t == nil {
+	if t == nil || !g.hedges.Take(now) {
 		return false
 	}
 	r.hedged = true
-	g.hedges++
 	g.start(at, h, t, "hedge")
 	return true
 }
