spill: choose the destination data centre and ramp remote requests

Chooser orders the data centres of a service: local, same region, other regions, each by expected completion (round trip, remembered wait, running time). It leaves out drained places, places in back-off and those that cannot meet the deadline. A remembered wait loses half of its weight every 2 s and is forgotten after 10 s. Back-off doubles from 50 ms to 5 s with jitter and ends with the first success.

RemoteRamp limits remote requests at the destination: from 2, e-fold per second of good completions while the limit is in use, halved on overload and by each 5 s without requests.

Temporary mutations that make tests fail: no limit in Admit, a growth of 2 + rampRate (TestRemoteRamp); no check of drains, no clearing of the back-off (TestChoose).

--- /dev/null
+++ b/internal/request/spill/spill_test.go
@@ -0,0 +1,141 @@
+package spill
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+)
+
+var epoch = time.Unix(1000, 0)
+
+const platform = `
+team: platform
+regions:
+  - {name: north, data_centres: [n1, n2]}
+  - {name: south, data_centres: [s1, s2]}
+links:
+  - {from: north, to: south, bytes_per_second: 1000000, delay_ms: 35}
+drains:
+  - {data_centre: s2}
+`
+
+const service = `
+team: kerala
+services:
+  - name: rota
+    data_centres: [s2, s1, n2, n1]
+    slots_per_target: 7
+    routes: [{path: /, safe: true}]
+`
+
+func snap(t *testing.T) *snapshot.Snapshot {
+	t.Helper()
+	s, err := snapshot.Build(1, []*fescuepb.Section{
+		{Team: "platform", Yaml: []byte(platform)}, {Team: "kerala", Yaml: []byte(service)}}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against drained, refusing, draining or too slow destinations among
+// the candidates, and against the wrong order.
+func TestChoose(t *testing.T) {
+	s := snap(t)
+	in := func(d time.Duration) time.Time { return epoch.Add(d) }
+	cases := []struct {
+		name     string
+		seen     func(c *Chooser)
+		at       time.Duration
+		deadline time.Duration
+		load     dispatch.Load
+		want     string
+	}{
+		{"order", func(*Chooser) {}, 0, time.Second, dispatch.Load{}, "n1 n2 s1 "},
+		{"deadline", func(*Chooser) {}, 0, 50 * time.Millisecond, dispatch.Load{}, "n1 n2 "},
+		{"local queue too long", func(*Chooser) {}, 0, time.Second, dispatch.Load{ExpectedWait: 2 * time.Second}, "n2 s1 "},
+		{"local draining", func(*Chooser) {}, 0, time.Second, dispatch.Load{Draining: true}, "n2 s1 "},
+		{"refused", func(c *Chooser) { c.Observe(epoch, "n2", "rota", Outcome{Result: Refused}) }, 0, time.Second, dispatch.Load{}, "n1 s1 "},
+		{"back-off over", func(c *Chooser) { c.Observe(epoch, "n2", "rota", Outcome{Result: Refused}) }, 80 * time.Millisecond, time.Second, dispatch.Load{}, "n1 n2 s1 "},
+		{"RetryAfter", func(c *Chooser) {
+			c.Observe(epoch, "n2", "rota", Outcome{Result: Refused, RetryAfter: time.Second})
+		}, time.Second, 3 * time.Second, dispatch.Load{}, "n1 s1 "},
+		{"success clears", func(c *Chooser) {
+			c.Observe(epoch, "n2", "rota", Outcome{Result: Refused})
+			c.Observe(epoch, "n2", "rota", Outcome{Result: Completed})
+		}, 0, time.Second, dispatch.Load{}, "n1 n2 s1 "},
+		{"remembered wait", func(c *Chooser) {
+			c.Observe(epoch, "n2", "rota", Outcome{Load: &dispatch.Load{ExpectedWait: 3 * time.Second}})
+		}, 0, time.Second, dispatch.Load{}, "n1 s1 "},
+		{"old wait", func(c *Chooser) {
+			c.Observe(epoch, "n2", "rota", Outcome{Load: &dispatch.Load{ExpectedWait: 3 * time.Second}})
+		}, loadLifetime, loadLifetime + time.Second, dispatch.Load{}, "n1 n2 s1 "},
+	}
+	for _, tc := range cases {
+		c := NewChooser(nil, func() float64 { return 0.5 })
+		tc.seen(c)
+		got := ""
+		for _, cand := range c.Choose(in(tc.at), s, "rota", "n1", in(tc.deadline), tc.load) {
+			got += cand.DataCentre + " "
+		}
+		if got != tc.want {
+			t.Errorf("%s: %q, want %q", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a sudden move of traffic: more remote requests than slots,
+// growth faster than e-fold per second, and slots lost in the ramp.
+func TestRemoteRamp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, r := epoch, NewRemoteRamp(epoch)
+		slots, flight := rapid.IntRange(1, 80).Draw(t, "slots"), 0
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 9), 1, 400).Draw(t, "steps") {
+			switch {
+			case step < 5:
+				if r.Admit(now, slots) {
+					flight++
+				}
+			case step < 9 && flight > 0:
+				r.Done(now, RampResult(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2}).Draw(t, "result")))
+				flight--
+			default:
+				now = now.Add(20 * time.Millisecond)
+			}
+			most := min(rampStart*math.Exp(rampRate*now.Sub(epoch).Seconds()), float64(slots))
+			if float64(flight) > max(most, 1) || r.inFlight != flight {
+				t.Fatalf("%d in flight, %d counted, at most %.1f", flight, r.inFlight, most)
+			}
+		}
+	})
+	now, r := epoch, NewRemoteRamp(epoch)
+	for r.Limit() < 84 && now.Sub(epoch) < 6*time.Second {
+		n := 0
+		for r.Admit(now, 84) {
+			n++
+		}
+		now = now.Add(10 * time.Millisecond)
+		for range n {
+			r.Done(now, Good)
+		}
+	}
+	t.Logf("limit %d after %v of good completions", r.Limit(), now.Sub(epoch))
+	if r.Limit() < 84 {
+		t.Errorf("limit %d after 6 s of good completions", r.Limit())
+	}
+	r.Admit(now, 84)
+	r.Done(now, Overloaded)
+	if r.Limit() > 42 {
+		t.Errorf("limit %d after an overload", r.Limit())
+	}
+	r.Admit(now.Add(time.Minute), 84)
+	if r.Limit() != rampStart {
+		t.Errorf("limit %d after a minute without requests", r.Limit())
+	}
+}
