Take a relay into use that is level with the present source

A relay hears each counter a few milliseconds after control, so beside a direct watch its counter never exceeded the highest one known and the entry stayed at control.

--- a/internal/process/follow/freshness.go
+++ b/internal/process/follow/freshness.go
@@ -28,9 +28,13 @@
 
 // watchCounters is the progress of one watch.
 type watchCounters struct {
-	started  bool // a baseline was received
+	last     uint64 // latest counter; 0 before the first
 	advances int
-	progress time.Time // opening of the watch or latest advance
+	// level is set once the counter rose on this watch to the highest one
+	// known. Beside a watch that hears each counter a little earlier, a good
+	// source never advances but is level.
+	level    bool
+	progress time.Time // opening of the watch, or when the counter last rose so
 }
 
 // observe takes a counter received on watch w and reports whether it is an
@@ -39,12 +43,15 @@
 	if counter == 0 {
 		return false
 	}
-	advance := w.started && counter > f.highest
-	w.started = true
+	rose := w.last > 0 && counter > w.last && counter >= f.highest
+	advance := rose && counter > f.highest
+	w.last = max(w.last, counter)
 	f.highest = max(f.highest, counter)
+	if rose {
+		w.level, w.progress = true, now
+	}
 	if advance {
 		w.advances++
-		w.progress = now
 		f.advanced, f.at = counter, now
 	}
 	return advance
--- a/internal/process/follow/loop.go
+++ b/internal/process/follow/loop.go
@@ -24,7 +24,7 @@
 )
 
 // loop chooses the source. It has one watch in use and tries at most one
-// candidate, which is taken into use once its counter advances.
+// candidate, which is taken into use once its counter keeps up.
 type loop struct {
 	f         *Follower
 	events    *ring.Ring[event]
@@ -151,7 +151,7 @@
 		l.abandon(slot, "update starts beyond the version held", now)
 		return
 	}
-	if ev.w == l.candidate && ev.w.counters.advances > 0 {
+	if ev.w == l.candidate && ev.w.counters.level {
 		l.promote(now)
 	}
 }
--- a/internal/process/follow/pure_test.go
+++ b/internal/process/follow/pure_test.go
@@ -38,14 +38,15 @@
 			case 5:
 				follower.observe(behind, relaySource{relay}.Counter(), time.Now())
 			}
-			if follower.fresh(time.Now()) || direct.confirming() || behind.confirming() || relay.Ready() {
+			if follower.fresh(time.Now()) || direct.level || behind.level || direct.confirming() || behind.confirming() || relay.Ready() {
 				t.Fatal("confirmed by cut-off replicas")
 			}
 		}
 	})
 }
 
-// Guards against counters that count twice or again after a source switch.
+// Guards against counters that count twice or again after a source switch, and
+// against a good candidate that is refused because another watch is faster.
 func TestFreshness(t *testing.T) {
 	now := time.Now()
 	var f freshness
@@ -62,6 +63,12 @@
 			t.Fatalf("step %d: advance %v", i, got)
 		}
 	}
+	beside := &watchCounters{}
+	for _, c := range []uint64{7, 8} {
+		if f.observe(beside, c, now) || beside.level != (c == 8) {
+			t.Fatalf("counter %d beside another watch: %+v", c, beside)
+		}
+	}
 	if !first.confirming() || second.confirming() || !f.fresh(now.Add(confirmedFor-1)) || f.fresh(now.Add(confirmedFor)) {
 		t.Fatalf("advances %d, %d", first.advances, second.advances)
 	}
