--- a/internal/process/controlmain/run_test.go
+++ b/internal/process/controlmain/run_test.go
@@ -19,7 +19,9 @@
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 )
@@ -72,9 +74,13 @@
 	return c
 }
 
+func dialPlain(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
 func (c *cluster) operator(t *testing.T, i int) fescuepb.OperatorClient {
 	t.Helper()
-	conn, err := dial(c.addrs[i])
+	conn, err := dialPlain(c.addrs[i])
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +96,7 @@
 			Instance: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc%d", i),
 			Role: fescuepb.Role_ROLE_ENTRY, Incarnation: 1,
 		},
-		Sources: c.addrs[i : i+1], Dial: dial, Store: new(snapshot.Store), Blocks: table, Log: logging.Discard(), Metrics: tally.NoopScope,
+		Sources: c.addrs[i : i+1], Dial: dialPlain, Store: new(snapshot.Store), Blocks: table, Log: logging.Discard(), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -206,7 +212,7 @@
 		Instance: "control-1", Region: "south", DataCentre: "dc1", GRPCAddr: freeAddr(t), AdminAddr: "127.0.0.1:0",
 		DataDir: t.TempDir(), Bootstrap: true, TLS: settings.TLS{PlaintextLoopback: true},
 	}
-	conn, err := dial(s.GRPCAddr)
+	conn, err := dialPlain(s.GRPCAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -20,6 +21,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
+	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -28,7 +30,6 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
 // Timeouts of the HTTP servers and of the graceful stop.
@@ -53,8 +54,10 @@
 	targets  *target.Watcher
 	groups   *group.Manager
 	shared   *budget.Shared
+	ledger   *once.Service
 	links    *linkBudget
 	self     *fescuepb.Member
+	peers    *peer.Links
 }
 
 // Run runs an entry until ctx ends, then stops it gracefully.
@@ -62,9 +65,14 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
 	}
+	links, err := peer.NewLinks(s.TLS, log)
+	if err != nil {
+		return err
+	}
+	defer links.Close()
 	scope, metricsHandler, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }()
-	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
 	if err := p.loadBlocks(); err != nil {
 		return err
 	}
@@ -98,7 +106,7 @@
 		CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr, GrpcAddr: s.GRPCAddr, Incarnation: incarnation,
 	}
 	p.follower = follow.New(follow.Config{
-		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: dial, Store: p.store, Blocks: &p.blocks, Log: p.log, Metrics: p.scope,
+		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: p.peers.Open, Store: p.store, Blocks: &p.blocks, Log: p.log, Metrics: p.scope,
 	})
 	p.shared = budget.NewShared(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
@@ -109,11 +117,44 @@
 	}
 	p.groups = group.NewManager(group.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
-		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: dial, NewToken: newToken,
-		HomeChanged: func(string) {}, Log: p.log,
+		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: p.peers.Dial, NewToken: newToken,
+		HomeChanged: func(string) { p.ledger.Wake() }, Log: p.log,
+	})
+	p.ledger = once.New(once.Config{
+		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
+		Role: p.role, Dead: p.groups.Dead,
+		DiedInContact: p.groups.DiedInContact, AllSeen: p.groups.AllSeen, Raise: p.groups.Raise, Leaving: p.groups.Leaving,
+		Peer:    func(m *fescuepb.Member) once.Peer { return once.Remote{Dial: p.peers.Dial, Addr: m.GrpcAddr} },
+		Refused: once.AddressRefuses, Now: time.Now, Claim: p.claim, Log: p.log,
 	})
 }
 
+// role tells the ledger this instance's part in a group.
+func (p *process) role(service string) once.Role {
+	g := p.groups.Group(service)
+	return once.Role{
+		Epoch: g.Epoch, Here: g.Here, Home: g.Home, Token: g.Token,
+		Previous: g.Previous.Instance, PreviousIncarnation: g.Previous.Incarnation, PreviousSilent: g.Previous.Silent,
+	}
+}
+
+// claim records a dispatcher at the first control replica that answers.
+func (p *process) claim(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
+	var last error
+	for _, addr := range p.set.Control {
+		conn, err := p.peers.Dial(addr)
+		if err != nil {
+			return nil, err
+		}
+		reply, err := fescuepb.NewMembersClient(conn).ClaimGroup(ctx, c)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // tokenLength keeps key prefixes short; tokens need not be unguessable.
 const tokenLength = 10
 
@@ -122,10 +163,6 @@
 	return id[len(id)-tokenLength:]
 }
 
-func dial(addr string) (*grpc.ClientConn, error) {
-	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-}
-
 // followVersions gives each snapshot to the parts that depend on it.
 func (p *process) followVersions(ctx context.Context) error {
 	for {
@@ -147,9 +184,9 @@
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Stopping: p.stopping.Load, Groups: p.groups,
-		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: noLedger{p.set.DataCentre},
-		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: target.NewTransport(),
-		PeerScheme: "http", Now: time.Now, Log: p.log, Metrics: p.scope,
+		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: p.ledger,
+		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
+		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Blocks: &p.blocks,
@@ -168,9 +205,9 @@
 	defer cancel()
 	group, run := errgroup.WithContext(run)
 	callers, peers := p.handlers()
-	g := grpc.NewServer()
+	g := grpc.NewServer(p.peers.ServerOptions()...)
 	p.follower.Register(g)
-	fescuepb.RegisterPeersServer(g, &peerServer{groups: p.groups})
+	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	servers := []*http.Server{
 		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
 	}
@@ -179,16 +216,17 @@
 			return err
 		}
 	}
-	lis, err := net.Listen("tcp", p.set.GRPCAddr)
+	lis, err := p.peers.ListenGRPC(p.set.GRPCAddr)
 	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on grpc_addr")
+		return err
 	}
 	group.Go(func() error { return g.Serve(lis) })
 	group.Go(func() error { return p.follower.Run(run) })
 	group.Go(func() error { return p.followVersions(run) })
 	group.Go(func() error { p.targets.Run(run); return nil })
 	group.Go(func() error { p.groups.Run(run); return nil })
-	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: dial, Log: p.log}
+	group.Go(func() error { p.ledger.Run(run); return nil })
+	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: p.peers.Dial, Log: p.log}
 	group.Go(func() error { client.Run(run); return nil })
 	p.log.WithFields(logrus.Fields{"caller_addr": p.set.CallerAddr, "dc": p.set.DataCentre}).Info("entry started")
 	select {
@@ -208,7 +246,7 @@
 }
 
 func (p *process) listen(group *errgroup.Group, srv *http.Server) error {
-	lis, err := net.Listen("tcp", srv.Addr)
+	lis, err := p.listener(srv.Addr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", srv.Addr)
 	}
@@ -221,6 +259,15 @@
 	return nil
 }
 
+// listener returns the listener of an HTTP address. Only other instances
+// reach the peer listener.
+func (p *process) listener(addr string) (net.Listener, error) {
+	if addr == p.set.PeerAddr {
+		return p.peers.Listen(addr)
+	}
+	return net.Listen("tcp", addr)
+}
+
 // stop takes the entry out of look-ups, hands its services over and waits
 // until nothing is in flight.
 func (p *process) stop(servers []*http.Server) {
@@ -245,8 +292,9 @@
 
 // peerServer answers the other entries.
 type peerServer struct {
-	fescuepb.UnimplementedPeersServer
-	groups *group.Manager
+	fescuepb.UnsafePeersServer
+	once.Server // Record, Copy, Fetch, Drop
+	groups      *group.Manager
 }
 
 // Ping exchanges the views of two entries.
