--- a/internal/process/budget/granter.go
+++ b/internal/process/budget/granter.go
@@ -117,7 +117,7 @@
 // must include all that were committed before the term.
 func (g *Granter) Reset(term uint64, now time.Time) {
 	g.leading, g.leaderFrom, g.term = true, now, term
-	g.nothingBefore = len(g.accounts) == 0 && len(g.entries) == 0
+	g.nothingBefore = len(g.entries) == 0 && !g.anyAccount()
 	for _, h := range g.holders {
 		*h = holderInfo{}
 	}
@@ -129,6 +129,16 @@
 	}
 }
 
+// anyAccount reports whether an entry may hold units of any shift.
+func (g *Granter) anyAccount() bool {
+	for _, l := range g.shifts {
+		if len(l.accounts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Follow ends the leadership of the granter.
 func (g *Granter) Follow() { g.leading = false }
 
