--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
@@ -16,26 +17,39 @@
 // because holders that are silent now may have acted on it.
 const versionCapacity = 64
 
+// catchUpTimeout bounds one attempt to catch up. Versions wait meanwhile, so a
+// full ring would hold up the read that it waits for.
+const catchUpTimeout = time.Second
+
 // leadership tells the budget server what the replica knows.
 type leadership struct {
 	p        *process
 	log      *logrus.Entry
 	versions *ring.Ring[*fescuepb.Update]
 	snap     atomic.Pointer[snapshot.Snapshot]
-	ctx      context.Context // ends when versions are not taken any more
-	stop     context.CancelFunc
+	early    *fescuepb.Update // taken from versions but not given yet; owned by run
+
+	caughtUp  atomic.Uint64             // term in which snap had every version committed before it
+	confirmed atomic.Pointer[time.Time] // when a quorum confirmed that term
+	ctx       context.Context           // ends when versions are not taken any more
+	stop      context.CancelFunc
 }
 
 func newLeadership(p *process, log *logrus.Entry) *leadership {
 	l := &leadership{p: p, log: log, versions: ring.New[*fescuepb.Update](versionCapacity)}
+	l.confirmed.Store(new(time.Time))
 	l.ctx, l.stop = context.WithCancel(context.Background())
 	return l
 }
 
-// IsLeader reports whether the replica leads and a quorum has confirmed that
-// recently.
+// IsLeader reports whether the replica leads, a quorum has confirmed that
+// recently, and every version from before its term was given to the budget
+// server, which otherwise would not know who may hold leases.
 func (l *leadership) IsLeader() bool {
-	return l.p.replica.IsLeader() && l.p.server.ConfirmedWithin(budget.LeaderOverlap)
+	if !l.p.replica.IsLeader() || l.caughtUp.Load() != l.Term() {
+		return false
+	}
+	return time.Since(*l.confirmed.Load()) < budget.LeaderOverlap || l.p.server.ConfirmedWithin(budget.LeaderOverlap)
 }
 
 // Term returns the replica's term.
@@ -49,25 +63,70 @@
 	_ = l.versions.Put(l.ctx, u) // fails only at the end of the process
 }
 
-// run gives each committed version to the budget server, until ctx ends.
+// run gives each committed version and change of role to the budget server,
+// until ctx ends.
 func (l *leadership) run(ctx context.Context, server *budget.Server) {
 	defer l.stop()
 	var builder snapshot.Builder
+	l.take(&builder, &fescuepb.Update{}, server)
 	for {
-		u, err := l.versions.Take(ctx)
-		if err != nil {
+		changed := l.p.replica.Changed()
+		l.catchUp(ctx, &builder, server)
+		server.Sync()
+		if u := l.early; u != nil {
+			l.early = nil
+			l.take(&builder, u, server)
+		}
+		select {
+		case u := <-l.versions.C():
+			l.take(&builder, u, server)
+		case <-changed:
+		case <-ctx.Done():
 			return
 		}
-		snap, err := builder.Build(u.Version, u.Sections, u.Members, u.BlockTable)
+	}
+}
+
+// catchUp gives a new leader's budget server every version committed before
+// its term, and as few as possible from after its beginning: without an entry
+// from before, leases can be granted at once.
+func (l *leadership) catchUp(ctx context.Context, builder *snapshot.Builder, server *budget.Server) {
+	term, began := l.Term(), time.Now()
+	if !l.p.replica.IsLeader() || l.caughtUp.Load() == term {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	index, err := l.p.replica.Read(ctx)
+	if err != nil {
+		return // tried again at the next change
+	}
+	for l.versions.Len() > 0 && l.early == nil { // has every version up to index
+		u, err := l.versions.Take(ctx)
 		if err != nil {
-			l.log.WithError(err).WithField("version", u.Version).Error("committed version does not compile")
-			continue
+			return
 		}
-		old := l.snap.Swap(snap)
-		server.Observe(snap)
-		for _, instance := range removed(old, snap) {
-			server.Gone(instance)
+		if u.Version > index {
+			l.early = u
+			break
 		}
+		l.take(builder, u, server)
+	}
+	l.confirmed.Store(&began)
+	l.caughtUp.Store(term)
+}
+
+// take compiles a committed version and gives it to the budget server.
+func (l *leadership) take(builder *snapshot.Builder, u *fescuepb.Update, server *budget.Server) {
+	snap, err := builder.Build(u.Version, u.Sections, u.Members, u.BlockTable)
+	if err != nil {
+		l.log.WithError(err).WithField("version", u.Version).Error("committed version does not compile")
+		return
+	}
+	old := l.snap.Swap(snap)
+	server.Observe(snap)
+	for _, instance := range removed(old, snap) {
+		server.Gone(instance)
 	}
 }
 
