--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// catchUp gives a new leader's budget server every version committed before
-// its term, and as few as possible from after its beginning: without an entry
-// from before, leases can be granted at once.
+// catchUp gives a new leader's budget server exactly the versions committed
+// before its term: if no entry was a member then, leases can be granted at
+// once.
 func (l *leadership) catchUp(ctx context.Context, builder *snapshot.Builder, server *budget.Server) {
 	term, began := l.Term(), time.Now()
 	if !l.p.replica.IsLeader() || l.caughtUp.Load() == term {
@@ -97,16 +97,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	index, err := l.p.replica.Read(ctx)
-	if err != nil {
+	if _, err := l.p.replica.Read(ctx); err != nil {
 		return // tried again at the next change
 	}
-	for l.versions.Len() > 0 && l.early == nil { // has every version up to index
+	start := l.p.replica.Status().TermStart
+	for l.versions.Len() > 0 && l.early == nil { // has every version up to start
 		u, err := l.versions.Take(ctx)
 		if err != nil {
 			return
 		}
-		if u.Version > index {
+		if u.Version > start {
 			l.early = u
 			break
 		}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -183,7 +183,7 @@
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
-		Ready: p.follower.Ready, Stopping: p.stopping.Load, Groups: p.groups,
+		Ready: p.follower.Ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: p.ledger,
 		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
 		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -105,6 +105,7 @@
 	rounds   roundState           // leader only
 	counters counterState
 
+	termStart        uint64
 	uncommittedBytes int // leader only
 
 	savedHard HardState
@@ -137,6 +138,10 @@
 // Term returns the current term.
 func (r *Raft) Term() uint64 { return r.term }
 
+// TermStart returns the index of the first entry that this replica appended
+// as leader, in its latest term as leader.
+func (r *Raft) TermStart() uint64 { return r.termStart }
+
 // LeaderID returns the leader of the current term, or "" if none is known.
 func (r *Raft) LeaderID() string { return r.leader }
 
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -92,7 +92,6 @@
 	DataCentre string
 	Store      *snapshot.Store
 	Ready      func() bool // a confirmed version is in force
-	Stopping   func() bool // the instance takes no new requests from callers
 	Groups     Groups
 	Caps       Caps
 	Links      Links
@@ -186,9 +185,6 @@
 	if !h.Ready() {
 		return c, errkind.New(errkind.NotReady, "no confirmed version of the steering document is in force yet")
 	}
-	if h.Stopping() && !h.peer {
-		return c, errkind.New(errkind.Stopping, "the instance is stopping")
-	}
 	c, err := parse(r, h.Store.Load(), h.peer, now)
 	if err != nil {
 		return c, err
