--- a/internal/process/follow/pure_test.go
+++ b/internal/process/follow/pure_test.go
@@ -154,3 +154,21 @@
 		t.Errorf("plan without members: %v", plan)
 	}
 }
+
+// Guards against a process that was frozen and takes the counters that waited
+// in its socket for fresh ones.
+func TestOldCountersAfterAFreeze(t *testing.T) {
+	f := newFollower("entry-1", []string{"127.0.0.1:1"}, nil)
+	l := newLoop(f)
+	frozenAt := time.Now()
+	w := &watch{cancel: func() {}}
+	w.counters.progress = frozenAt
+	l.current = w
+	now := frozenAt.Add(abandonAfter)
+	for counter := uint64(1); counter < 5; counter++ {
+		l.handle(event{w: w, u: &fescuepb.Update{Version: counter, Counter: counter}}, now)
+	}
+	if l.current != nil || f.fresh.fresh(now) || f.Ready() {
+		t.Fatal("old counters were taken for fresh ones")
+	}
+}
