--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -47,6 +47,7 @@
 	"system":     cmdSystem,
 	"dispatcher": cmdDispatcher,
 	"restart":    cmdRestart,
+	"waitentry":  cmdWaitEntry,
 }
 
 func usage(ts *testscript.TestScript, ok bool, text string) {
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -49,19 +50,21 @@
 	cmdStart(ts, false, []string{"control", "fescue-control", "-c", "control.yaml"})
 	cmdStart(ts, false, []string{"e1", "fescue-entry", "-c", "e1.yaml"})
 	cmdStart(ts, false, []string{"e2", "fescue-entry", "-c", "e2.yaml"})
-	for _, admin := range []string{ts.Getenv("E1_ADMIN"), ts.Getenv("E2_ADMIN")} {
-		waitEntry(ts, admin)
-	}
+	cmdWaitEntry(ts, false, []string{"e1", "e2"})
 	for _, shift := range []string{"north-guards", "south-guards"} {
 		waitServing(ts, ts.Getenv("E1"), shift)
 		waitServing(ts, ts.Getenv("E2"), shift)
 	}
 }
 
-// waitEntry waits until the entry is ready and sees every target.
-func waitEntry(ts *testscript.TestScript, admin string) {
-	cmdWaitHTTP(ts, false, []string{"http://" + admin + "/healthz"})
-	cmdWaitHTTP(ts, false, []string{"http://" + admin + "/status", fmt.Sprintf(allHealthy, ts.Getenv("TARGETS"))})
+// waitentry NAME... waits until the entries are ready and see every target.
+func cmdWaitEntry(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) > 0, "waitentry NAME...")
+	for _, name := range args {
+		admin := "http://" + ts.Getenv(strings.ToUpper(name)+"_ADMIN")
+		cmdWaitHTTP(ts, false, []string{admin + "/healthz"})
+		cmdWaitHTTP(ts, false, []string{admin + "/status", fmt.Sprintf(allHealthy, ts.Getenv("TARGETS"))})
+	}
 }
 
 // restart COUNT stops and starts e1 and e2 in turn, COUNT times in all.
@@ -70,13 +73,10 @@
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	for i := range count {
-		name, admin := "e1", ts.Getenv("E1_ADMIN")
-		if i%2 == 1 {
-			name, admin = "e2", ts.Getenv("E2_ADMIN")
-		}
+		name := []string{"e1", "e2"}[i%2]
 		cmdShutdown(ts, false, []string{name})
 		cmdStart(ts, false, []string{name, "fescue-entry", "-c", name + ".yaml"})
-		waitEntry(ts, admin)
+		cmdWaitEntry(ts, false, []string{name})
 	}
 }
 
