dispatch: take the long share of the slots that are usable now

Cause: the long share was computed from all slots of the group. During a slow start, or with demoted targets, long work could take every slot that was really open, and short requests waited behind it.

Change: slots held back by the slow start, a back-off or a demotion do not count, neither for the long share nor for expected waits and Load.FreeSlots. Only quick responses shorten the warm-up; before, any response did. An Acquire whose context has already ended is refused without taking a slot.

Two cold targets x 7 slots, 14 long requests at once (TestSlowStart): 2 started on the 2 open slots before, 1 now. The long share of two slots with 50 % is one.

Temporary mutations that make TestSlowStart fail: t.slots instead of t.limit in usableSlots; no slow start in warmLimit.

--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -82,6 +82,9 @@
 // DeadlineUnmeetable, NoTarget, Cancelled or Stopping; the error is a
 // *Refusal. After an error no slot is held and nothing was sent.
 func (d *Dispatcher) Acquire(ctx context.Context, w Work) (*Ticket, error) {
+	if ctx.Err() != nil {
+		return nil, cancelled(ctx)
+	}
 	t := &Ticket{d: d}
 	waits, err := d.submit(t, w)
 	if err != nil {
--- a/internal/request/dispatch/estimate.go
+++ b/internal/request/dispatch/estimate.go
@@ -4,18 +4,18 @@
 
 // shortWait estimates the wait of a short request behind ahead others. It is
 // 0 while nothing has been measured.
-func (g *Group) shortWait(ahead int) time.Duration {
-	free := max(1, g.usableSlots()-g.longRun)
+func (g *Group) shortWait(at time.Duration, ahead int) time.Duration {
+	free := max(1, g.usableSlots(at)-g.longRun)
 	return time.Duration(float64(ahead+1) * g.routes.class[0].value / float64(free))
 }
 
 // expectedWait estimates how long r will wait if it is queued now.
-func (g *Group) expectedWait(r *Request) time.Duration {
+func (g *Group) expectedWait(at time.Duration, r *Request) time.Duration {
 	if !r.long {
-		return g.shortWait(g.short.ahead(r.deadline))
+		return g.shortWait(at, g.short.ahead(r.deadline))
 	}
 	ahead := float64(g.long.ahead(r.deadline) + 1)
-	return time.Duration(ahead * g.routes.class[1].value / float64(g.longCap()))
+	return time.Duration(ahead * g.routes.class[1].value / float64(g.longCap(at)))
 }
 
 // estimateProbe is how often a request runs although its estimate exceeds
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -197,7 +197,7 @@
 	if ref := g.checkTargets(at, r); ref != nil {
 		return ref
 	}
-	if g.mayPass(r) {
+	if g.mayPass(at, r) {
 		if ref := g.checkDeadline(at, r, 0, r.route.run.low); ref != nil {
 			return ref
 		}
@@ -210,9 +210,9 @@
 }
 
 // mayPass reports whether nothing that waits goes ahead of r.
-func (g *Group) mayPass(r *Request) bool {
+func (g *Group) mayPass(at time.Duration, r *Request) bool {
 	if r.long {
-		return g.short.len() == 0 && g.long.len() == 0 && g.longRun < g.longCap()
+		return g.short.len() == 0 && g.long.len() == 0 && g.longRun < g.longCap(at)
 	}
 	return g.short.len() == 0
 }
@@ -222,7 +222,7 @@
 	if r.work.Remote {
 		limit = max(1, limit/remoteQueueDivisor)
 	}
-	wait := g.expectedWait(r)
+	wait := g.expectedWait(at, r)
 	if g.queuedCount() >= limit || r.long && g.long.len() >= max(1, limit*g.set.LongSharePercent/100) {
 		return refuse(errQueueFull, wait)
 	}
@@ -306,7 +306,6 @@
 	if o.Result != OK {
 		return
 	}
-	r.target.goodSince++
 	r.route.run.record(o.Latency)
 	g.judgeRoute(r, o.Latency)
 	g.routes.record(r.long, o.Latency)
@@ -341,7 +340,7 @@
 
 func (g *Group) expire(at time.Duration, q *queue) {
 	for r := q.head(); r != nil && r.deadline <= at; r = q.head() {
-		g.turnDown(r, refuse(errUnmeetable, g.expectedWait(r)))
+		g.turnDown(r, refuse(errUnmeetable, g.expectedWait(at, r)))
 	}
 }
 
@@ -351,7 +350,9 @@
 	l := Load{Queued: g.queuedCount(), InFlight: g.flight, Draining: g.stopped}
 	active, leaving := 0, 0
 	for _, t := range g.targets {
-		l.FreeSlots += max(0, t.limit(at, &g.set)-t.inFlight())
+		if !t.health.demoted {
+			l.FreeSlots += max(0, t.limit(at, &g.set)-t.inFlight())
+		}
 		if t.listed && t.info.State == Leaving {
 			leaving++
 		}
@@ -363,7 +364,7 @@
 		l.Draining = true
 	}
 	if l.FreeSlots == 0 {
-		l.ExpectedWait = g.shortWait(g.short.len())
+		l.ExpectedWait = g.shortWait(at, g.short.len())
 	}
 	return l
 }
--- a/internal/request/dispatch/group_test.go
+++ b/internal/request/dispatch/group_test.go
@@ -66,13 +66,13 @@
 	if rapid.IntRange(0, 3).Draw(t, "tried") == 0 {
 		w.Exclude = []string{"t0"}
 	}
-	longBefore := m.g.longRun
+	longBefore, longCap := m.g.longRun, m.g.longCap(m.g.at(m.now))
 	err := m.g.Submit(m.now, r, w)
 	if (err == nil) != (r.state == queued || r.state == running) {
 		t.Fatalf("state %d after error %v", r.state, err)
 	}
-	if r.state == running && r.long && longBefore >= m.g.longCap() {
-		t.Fatalf("long work started beyond its share: %d of %d", longBefore, m.g.longCap())
+	if r.state == running && r.long && longBefore >= longCap {
+		t.Fatalf("long work started beyond its share: %d of %d", longBefore, longCap)
 	}
 	if err == nil {
 		m.live = append(m.live, r)
--- a/internal/request/dispatch/hedge.go
+++ b/internal/request/dispatch/hedge.go
@@ -30,7 +30,7 @@
 	g.prepare(at, h, w)
 	h.deadline = r.deadline
 	h.hedge = true
-	if h.long && g.longRun >= g.longCap() {
+	if h.long && g.longRun >= g.longCap(at) {
 		return false
 	}
 	t, _ := g.choose(at, h)
--- a/internal/request/dispatch/policy_test.go
+++ b/internal/request/dispatch/policy_test.go
@@ -141,3 +141,33 @@
 		}
 	})
 }
+
+// Guards against a cold target that gets all its slots at once, stays cold,
+// or lets long work take every slot that the slow start leaves.
+func TestSlowStart(t *testing.T) {
+	cold := infos(2, 7)
+	for i := range cold {
+		cold[i].Since = epoch
+	}
+	g := NewGroup(epoch, Settings{Warmup: 6 * time.Second, LongSharePercent: 50})
+	g.SetTargets(epoch, cold)
+	started := 0
+	for range 14 {
+		r := &Request{}
+		if g.Submit(epoch, r, Work{Class: document.Long, Route: "history"}); r.state == running {
+			started++
+		}
+	}
+	if started != 1 {
+		t.Errorf("%d long requests started on two cold targets, want 1", started)
+	}
+	for second, want := range []int{1, 2, 3, 4, 5, 6, 7, 7} {
+		if n := g.targets[0].limit(time.Duration(second)*time.Second, &g.set); n != want {
+			t.Errorf("limit %d after %d s, want %d", n, second, want)
+		}
+	}
+	g.targets[0].goodSince = goodPerSlot * 7
+	if n := g.targets[0].limit(0, &g.set); n != 7 {
+		t.Errorf("limit %d after many quick responses, want 7", n)
+	}
+}
--- a/internal/request/dispatch/schedule.go
+++ b/internal/request/dispatch/schedule.go
@@ -15,15 +15,18 @@
 const maxSkipped = 8
 
 // longCap returns how many slots long work may hold.
-func (g *Group) longCap() int {
-	return max(1, g.usableSlots()*g.set.LongSharePercent/100)
+func (g *Group) longCap(at time.Duration) int {
+	return max(1, g.usableSlots(at)*g.set.LongSharePercent/100)
 }
 
-func (g *Group) usableSlots() int {
+// usableSlots returns how many requests the group may have in flight now.
+// Slots that the slow start or a demotion holds back do not count: with them,
+// long work could take every slot that is really there.
+func (g *Group) usableSlots(at time.Duration) int {
 	n := 0
 	for _, t := range g.targets {
-		if t.usable() {
-			n += t.slots(&g.set)
+		if !t.health.demoted {
+			n += t.limit(at, &g.set)
 		}
 	}
 	return n
@@ -77,7 +80,7 @@
 // pick returns the waiting request that goes next, or nil.
 func (g *Group) pick(at time.Duration) *Request {
 	short, long := g.short.head(), g.long.head()
-	if long != nil && g.longRun >= g.longCap() {
+	if long != nil && g.longRun >= g.longCap(at) {
 		long = nil
 	}
 	if short == nil || long == nil {
@@ -86,7 +89,7 @@
 		}
 		return long
 	}
-	aged := max(1, g.longCap()/agedShareDivisor)
+	aged := max(1, g.longCap(at)/agedShareDivisor)
 	if g.longRun < aged && at-g.long.oldest().arrived >= agingAfter {
 		return long
 	}
--- a/internal/request/dispatch/slow.go
+++ b/internal/request/dispatch/slow.go
@@ -103,6 +103,9 @@
 		h.evidence += max(ev, 0)
 		return
 	}
+	if x < quickTrial {
+		r.target.goodSince++
+	}
 	h.speed.add(min(raw, longestRatio), speedWeight)
 	if h.demoted {
 		g.watchTrial(at, r, x)
