dispatch: do not compare targets below half a millisecond

Cause: TestDispatcherCancelRace failed in about half of its runs with -race on the busy machine, since Load.FreeSlots leaves out demoted targets. Running times of 50 us let a delay of the test machine itself demote a target.

Change: running times are compared with at least 500 us, and the median of the averages counts as at least 1.

The overload simulation runs for 2 s instead of 3 s by default; its bound is unchanged.

--- a/internal/request/dispatch/measure_test.go
+++ b/internal/request/dispatch/measure_test.go
@@ -133,6 +133,7 @@
 			for _, load := range []float64{1, 3} {
 				s := cascadia(service)
 				s.load, s.deadline = load, deadline*time.Millisecond
+				s.length = s.length * 2 / 3
 				r := s.run()
 				if r.exceeded {
 					t.Error("slots exceeded")
--- a/internal/request/dispatch/slow.go
+++ b/internal/request/dispatch/slow.go
@@ -35,6 +35,10 @@
 	evaluateParts = 8  // evaluations per typical running time
 )
 
+// shortestTypical is the least typical time that running times are compared
+// with. Below it, delays of this machine look like slow targets.
+const shortestTypical = 500 * time.Microsecond
+
 // slowSlope and slowCost turn a ratio into its log-likelihood ratio.
 var (
 	slowSlope = 1 - 1/float64(slowBy)
@@ -70,7 +74,7 @@
 	if r.route.run.samples < speedSamples || r.route.run.mid == 0 {
 		return 0, false
 	}
-	return float64(d) / float64(r.route.run.mid), true
+	return float64(d) / float64(max(r.route.run.mid, shortestTypical)), true
 }
 
 // evidenceOf returns the evidence of a request with this normalised ratio.
@@ -136,12 +140,9 @@
 	}
 }
 
-// base returns the median of the targets' averages.
+// base returns the median of the targets' averages, at least 1.
 func (g *Group) base() float64 {
-	if g.median > 0 {
-		return g.median
-	}
-	return 1
+	return max(1, g.median)
 }
 
 // evaluate compares the targets and demotes the slowest. It runs a few times
