--- a/internal/request/dispatch/policy_test.go
+++ b/internal/request/dispatch/policy_test.go
@@ -41,7 +41,8 @@
 		}
 		return r
 	}
-	if r := mixed(10, 500*time.Millisecond); !r.long || r.straggled {
+	r := mixed(10, 500*time.Millisecond)
+	if !r.long || r.straggled {
 		t.Error("a route of stragglers is not long from the start")
 	}
 	if r := mixed(40, 10*time.Millisecond); r.long {
@@ -50,6 +51,14 @@
 	if r := serve(t, g, &now, "rota", 200, time.Second); r.long {
 		t.Error("the only route is long after the service became slower")
 	}
+	serve(t, g, &now, "rota", 300, 10*time.Millisecond)
+	for range 150 {
+		serve(t, g, &now, "rota", 1, 70*time.Millisecond)
+		r = serve(t, g, &now, "rota", 2, 200*time.Millisecond)
+	}
+	if r.long && !r.straggled {
+		t.Error("the only route is long after most of its requests became slower")
+	}
 }
 
 // Guards against slow targets that stay in normal traffic or leave it for
@@ -141,3 +150,33 @@
 		}
 	})
 }
+
+// Guards against a cold target that gets all its slots at once, stays cold,
+// or lets long work take every slot that the slow start leaves.
+func TestSlowStart(t *testing.T) {
+	cold := infos(2, 7)
+	for i := range cold {
+		cold[i].Since = epoch
+	}
+	g := NewGroup(epoch, Settings{Warmup: 6 * time.Second, LongSharePercent: 50})
+	g.SetTargets(epoch, cold)
+	started := 0
+	for range 14 {
+		r := &Request{}
+		if g.Submit(epoch, r, Work{Class: document.Long, Route: "history"}); r.state == running {
+			started++
+		}
+	}
+	if started != 1 {
+		t.Errorf("%d long requests started on two cold targets, want 1", started)
+	}
+	for second, want := range []int{1, 2, 3, 4, 5, 6, 7, 7} {
+		if n := g.targets[0].limit(time.Duration(second)*time.Second, &g.set); n != want {
+			t.Errorf("limit %d after %d s, want %d", n, second, want)
+		}
+	}
+	g.targets[0].goodSince = goodPerSlot * 7
+	if n := g.targets[0].limit(0, &g.set); n != 7 {
+		t.Errorf("limit %d after many quick responses, want 7", n)
+	}
+}
