Keep unlisted instances known until no list can name them

An instance that a list dropped before its first answer was forgotten at once, and its answer ignored. TestListLagsBehindProbes found it once by chance; TestForgetting fails with forgetting at once and with never (tried).

--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -90,6 +90,7 @@
 	probed      time.Time // when the newest processed probe was sent
 	answered    time.Time // when the newest answered probe was sent
 	refused     bool      // since the last answer
+	idleSince   time.Time // when it was first seen gone and unlisted
 	incarnation string
 	earlier     map[string]bool // incarnations that were replaced
 
@@ -192,11 +193,11 @@
 	owners := t.owners()
 	out := make([]Instance, 0, len(t.records))
 	for k, r := range t.records {
-		if !r.inList && now.Sub(r.answered) > keepFor && now.Sub(r.probed) > keepFor {
+		state := r.state(now)
+		if r.forgotten(state, now) {
 			delete(t.records, k)
 			continue
 		}
-		state := r.state(now)
 		if owners[k.Address] != k {
 			state = Gone // the address answers for a newer instance
 		}
@@ -211,6 +212,19 @@
 	return out
 }
 
+// forgotten reports whether the instance is gone and unlisted for so long
+// that no list still names it.
+func (r *record) forgotten(state State, now time.Time) bool {
+	if r.inList || state != Gone {
+		r.idleSince = time.Time{}
+		return false
+	}
+	if r.idleSince.IsZero() {
+		r.idleSince = now
+	}
+	return now.Sub(r.idleSince) > keepFor
+}
+
 // owners returns the newest instance at each address: the one that was
 // listed first in the latest list. Its answers must not be taken for those of
 // an earlier instance, or the slots of one process would count twice.
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -185,6 +185,24 @@
 	}
 }
 
+// Guards against an instance that is forgotten as soon as a list drops it:
+// its next answer would be ignored. It must be forgotten in the end.
+func TestForgetting(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	table.List([]Listed{{ID: "t1", Address: "a:1", Status: StatusLive}})
+	table.List(nil)
+	table.View(now)
+	table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered})
+	if got := stateOf(t, table, now, "t1"); got != Live {
+		t.Errorf("%s after its answer, want live", got)
+	}
+	table.View(now.Add(FreshFor))
+	if left := table.View(now.Add(FreshFor + keepFor + 1)); len(left) != 0 {
+		t.Errorf("still known: %v", left)
+	}
+}
+
 // Guards against slots of one process that count for two instances.
 func TestAddressUsedAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
