--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -33,17 +32,11 @@
 // write puts a certificate of a into dir and returns the settings.
 func write(t *testing.T, dir string, a *tlsconf.Authority, role tlsconf.Role) settings.TLS {
 	t.Helper()
-	p, err := a.Issue("x-"+string(role), role, []string{"127.0.0.1"}, time.Hour)
+	set, err := a.IssueFiles(dir, "x", role, []string{"127.0.0.1"}, time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
-	out := settings.TLS{CertFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key"), CAFile: filepath.Join(dir, "ca")}
-	for file, data := range map[string][]byte{out.CertFile: p.Cert, out.KeyFile: p.Key, out.CAFile: a.Cert} {
-		if err := os.WriteFile(file, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return out
+	return set
 }
 
 func links(t *testing.T, set settings.TLS) *Links {
--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -203,14 +203,11 @@
 }
 
 func (r *rig) cert(ca *tlsconf.Authority, name string, role tlsconf.Role) settings.TLS {
-	p, err := ca.Issue(name, role, []string{"127.0.0.1"}, time.Hour)
+	set, err := ca.IssueFiles(r.dir, name, role, []string{"127.0.0.1"}, time.Hour)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	return settings.TLS{
-		CertFile: r.write(name+".crt", string(p.Cert)), KeyFile: r.write(name+".key", string(p.Key)),
-		CAFile: r.write("ca.crt", string(ca.Cert)),
-	}
+	return set
 }
 
 // ctl runs fescuectl against the fake.
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -1,9 +1,14 @@
 package operator
 
 import (
+	"os"
 	"strings"
 	"testing"
 
+	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -150,6 +155,39 @@
 	}
 }
 
+// Guards against certificates and keys that the servers don't accept, and
+// against secrets that others can read or that are printed.
+func TestCertsAndKeygen(t *testing.T) {
+	r := &rig{t: t, dir: t.TempDir()}
+	dir, key := r.path("pki"), r.path("kerala.key")
+	r.expect(ExitOK, args("certs", "--dir", dir))
+	r.expect(ExitOK, args("certs", "--dir", dir, "--instance", "c1", "--host", "127.0.0.1"), "c1.key")
+	r.expect(ExitOK, args("certs", "--dir", dir, "--operator", "asha"), "asha.crt")
+	r.expect(ExitUsage, args("certs", "--dir", dir, "--instance", "c2"), "--host")
+	r.expect(ExitUsage, args("certs", "--dir", dir, "--operator", "../x"))
+	entry := r.expect(ExitOK, args("keygen", "--team", "kerala", "--out", key))
+	r.expect(ExitUsage, args("keygen", "--team", "kerala", "--out", key), "exists")
+	r.write("keys.yaml", "keys:\n"+entry)
+	if _, err := operatorauth.New(r.path("keys.yaml"), logging.Discard()); err != nil {
+		t.Error(err)
+	}
+	secret, err := os.ReadFile(key)
+	if err != nil || strings.Contains(entry, strings.TrimSpace(string(secret))) {
+		t.Errorf("the key is printed, or not readable: %v", err)
+	}
+	for _, f := range []string{key, dir + "/ca.key", dir + "/c1.key"} {
+		if info, err := os.Stat(f); err != nil || info.Mode().Perm() != 0o600 {
+			t.Errorf("%s: %v %v", f, info, err)
+		}
+	}
+	for _, name := range []string{"c1", "asha"} {
+		set := settings.TLS{CertFile: dir + "/" + name + ".crt", KeyFile: dir + "/" + name + ".key", CAFile: dir + "/ca.crt"}
+		if _, err := peer.NewLinks(set, logging.Discard()); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Guards against settings errors that do not name the file and line.
 func TestSettingsFile(t *testing.T) {
 	r := newRig(t)
--- a/internal/process/operator/pki.go
+++ b/internal/process/operator/pki.go
@@ -20,7 +20,6 @@
 	maxDays     = 3650
 	day         = 24 * time.Hour
 	privateMode = 0o600
-	publicMode  = 0o644
 	dirMode     = 0o755
 )
 
@@ -58,10 +57,10 @@
 	}
 	files := []string{filepath.Join(c.dir, "ca.crt")}
 	if c.instance != "" {
-		files, err = c.issue(ca, c.instance, tlsconf.Instance, files)
+		files, err = c.issue(ca, c.instance, tlsconf.Instance, c.hosts, files)
 	}
 	if err == nil && c.operator != "" {
-		files, err = c.issue(ca, c.operator, tlsconf.Operator, files)
+		files, err = c.issue(ca, c.operator, tlsconf.Operator, nil, files)
 	}
 	if err != nil {
 		return err
@@ -70,6 +69,13 @@
 	return nil
 }
 
+func (c *certsCmd) issue(ca *tlsconf.Authority, name string, role tlsconf.Role, hosts, files []string) ([]string, error) {
+	set, err := ca.IssueFiles(c.dir, name, role, hosts, c.valid())
+	return append(files, set.CertFile, set.KeyFile), err
+}
+
+func (c *certsCmd) valid() time.Duration { return time.Duration(c.days) * day }
+
 func (c *certsCmd) check() error {
 	if c.dir == "" {
 		return fail(ExitUsage, "set --dir")
@@ -93,12 +99,11 @@
 	cert, certErr := os.ReadFile(filepath.Join(c.dir, "ca.crt"))
 	key, keyErr := os.ReadFile(filepath.Join(c.dir, "ca.key"))
 	if errors.Is(certErr, fs.ErrNotExist) && errors.Is(keyErr, fs.ErrNotExist) {
-		ca, err := tlsconf.NewAuthority("fescuejunction test authority", time.Duration(c.days)*day)
+		ca, err := tlsconf.NewAuthority("fescuejunction test authority", c.valid())
 		if err != nil {
 			return nil, err
 		}
-		_, err = c.write("ca", ca.Pair, nil)
-		return ca, err
+		return ca, ca.WriteFiles(c.dir)
 	}
 	if err := errors.Join(certErr, keyErr); err != nil {
 		return nil, fail(ExitUsage, "read authority: %w", err)
@@ -106,41 +111,6 @@
 	return tlsconf.ParseAuthority(tlsconf.Pair{Cert: cert, Key: key})
 }
 
-func (c *certsCmd) issue(ca *tlsconf.Authority, name string, role tlsconf.Role, files []string) ([]string, error) {
-	hosts := c.hosts
-	if role == tlsconf.Operator {
-		hosts = nil
-	}
-	pair, err := ca.Issue(name, role, hosts, time.Duration(c.days)*day)
-	if err != nil {
-		return files, err
-	}
-	return c.write(name, pair, files)
-}
-
-func (c *certsCmd) write(name string, p tlsconf.Pair, files []string) ([]string, error) {
-	certFile, keyFile := filepath.Join(c.dir, name+".crt"), filepath.Join(c.dir, name+".key")
-	if err := replaceFile(keyFile, p.Key, privateMode); err != nil {
-		return files, err
-	}
-	if err := replaceFile(certFile, p.Cert, publicMode); err != nil {
-		return files, err
-	}
-	return append(files, certFile, keyFile), nil
-}
-
-// replaceFile writes a file that never exists in part.
-func replaceFile(name string, data []byte, mode fs.FileMode) error {
-	tmp := name + ".tmp"
-	if err := os.WriteFile(tmp, data, mode); err != nil {
-		return fail(ExitUsage, "write file: %w", err)
-	}
-	if err := os.Rename(tmp, name); err != nil {
-		return fail(ExitUsage, "write file: %w", err)
-	}
-	return nil
-}
-
 // keygenCmd makes an operator key.
 type keygenCmd struct{ file string }
 
--- a/internal/process/tlsconf/make.go
+++ b/internal/process/tlsconf/make.go
@@ -7,17 +7,24 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
+	"io/fs"
 	"math/big"
 	"net"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
 const (
 	serialBits = 120
 	// backdate allows for a clock that is behind the one that signed.
-	backdate = time.Hour
+	backdate    = time.Hour
+	privateMode = 0o600
+	publicMode  = 0o644
 )
 
 // Pair is a certificate and its private key, both PEM encoded.
@@ -86,6 +93,42 @@
 	return sign(tmpl, a.cert, key, a.key)
 }
 
+// IssueFiles makes a certificate as Issue does and writes it to dir as
+// name.crt and name.key, with the authority as ca.crt. No file exists in part.
+func (a *Authority) IssueFiles(dir, name string, role Role, hosts []string, valid time.Duration) (settings.TLS, error) {
+	files := settings.TLS{
+		CertFile: filepath.Join(dir, name+".crt"),
+		KeyFile:  filepath.Join(dir, name+".key"),
+		CAFile:   filepath.Join(dir, "ca.crt"),
+	}
+	pair, err := a.Issue(name, role, hosts, valid)
+	if err != nil {
+		return files, err
+	}
+	return files, errors.Join(
+		replaceFile(files.KeyFile, pair.Key, privateMode),
+		replaceFile(files.CertFile, pair.Cert, publicMode),
+		replaceFile(files.CAFile, a.Cert, publicMode))
+}
+
+// WriteFiles writes the authority to dir as ca.crt and ca.key.
+func (a *Authority) WriteFiles(dir string) error {
+	return errors.Join(
+		replaceFile(filepath.Join(dir, "ca.key"), a.Key, privateMode),
+		replaceFile(filepath.Join(dir, "ca.crt"), a.Cert, publicMode))
+}
+
+func replaceFile(name string, data []byte, mode fs.FileMode) error {
+	tmp := name + ".tmp"
+	if err := os.WriteFile(tmp, data, mode); err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "write file")
+	}
+	if err := os.Rename(tmp, name); err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "write file")
+	}
+	return nil
+}
+
 func template(name string, role Role, valid time.Duration) *x509.Certificate {
 	t := &x509.Certificate{
 		Subject:     pkix.Name{CommonName: name},
