--- a/internal/request/once/backup.go
+++ b/internal/request/once/backup.go
@@ -52,6 +52,10 @@
 // Copy takes over a whole ledger as its backup. An older epoch's copy is
 // refused.
 func (s *Service) Copy(_ context.Context, messages []*fescuepb.CopyRequest) (*fescuepb.RecordReply, error) {
+	// Before its first confirmed version a process acts on nothing.
+	if s.cfg.Store.Load() == nil {
+		return &fescuepb.RecordReply{}, nil
+	}
 	if len(messages) == 0 || !messages[0].First || !messages[len(messages)-1].Last {
 		return &fescuepb.RecordReply{}, nil
 	}
--- a/internal/request/once/once_test.go
+++ b/internal/request/once/once_test.go
@@ -322,3 +322,13 @@
 		}
 	})
 }
+
+// Guards against a crash when a ledger arrives before the first confirmed
+// version, as it did when a restarted entry was chosen as backup at once.
+func TestCopyBeforeFirstVersion(t *testing.T) {
+	s := New(Config{Store: &snapshot.Store{}, Now: time.Now})
+	reply, err := s.Copy(context.Background(), NewLedger(time.Minute, true, time.Now()).Copy(time.Now(), 1))
+	if err != nil || reply.Accepted {
+		t.Fatalf("copy accepted without a version: %v, %v", reply, err)
+	}
+}
--- a/internal/request/once/service.go
+++ b/internal/request/once/service.go
@@ -93,6 +93,7 @@
 	// superseded is set when another instance has taken the ledger over; it
 	// stays so for this epoch.
 	superseded bool
+	warned     bool // a failed copy was logged
 	moving     bool // no start may be recorded while the backup changes
 }
 
--- a/internal/request/once/settle.go
+++ b/internal/request/once/settle.go
@@ -242,7 +242,7 @@
 			continue
 		}
 		if err := s.copyTo(ctx, m, service, h); err != nil {
-			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"service": service, "backup": m.Instance}).Warn("ledger not copied")
+			s.warnOnce(h, err, service, m)
 			continue
 		}
 		if old != nil && !s.release(ctx, snap, service, h, old) {
@@ -259,6 +259,18 @@
 	}
 }
 
+// warnOnce logs that a copy failed, once until a backup is found: it is tried
+// again several times a second.
+func (s *Service) warnOnce(h *home, err error, service string, m *fescuepb.Member) {
+	s.mu.Lock()
+	first := !h.warned
+	h.warned = true
+	s.mu.Unlock()
+	if first {
+		s.cfg.Log.WithError(err).WithFields(logrus.Fields{"service": service, "backup": m.Instance}).Warn("ledger not copied; trying on")
+	}
+}
+
 func (s *Service) setMoving(h *home, moving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -282,6 +294,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h.ready = h.backup == m
+	h.warned = false
 }
 
 // release ends the part of the old backup: it agrees, or its process has
