--- a/internal/process/entry/adapters.go
+++ b/internal/process/entry/adapters.go
@@ -7,7 +7,6 @@
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
-	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -78,38 +77,3 @@
 	defer l.mu.Unlock()
 	l.shares.Use(s, time.Now())
 }
-
-// nearest orders the other data centres by distance.
-type nearest struct{}
-
-// Choose returns the data centres of the service other than dc.
-func (nearest) Choose(_ time.Time, snap *snapshot.Snapshot, service, dc string, _ time.Time) []string {
-	var out []string
-	for _, other := range lookup.Order(snap, snap.Services[service], dc) {
-		if other != dc && !snap.PlaceDrained(service, other) {
-			out = append(out, other)
-		}
-	}
-	return out
-}
-
-// Observe does nothing.
-func (nearest) Observe(time.Time, string, string, proxy.ForwardOutcome) {}
-
-// openRamp admits every request from other data centres.
-type openRamp struct{}
-
-// Enter admits a request.
-func (openRamp) Enter(string, time.Time) bool { return true }
-
-// Leave ends a request.
-func (openRamp) Leave(string, time.Time, bool) {}
-
-// openRetries allows every retry.
-type openRetries struct{}
-
-// Request counts a request.
-func (openRetries) Request(string) {}
-
-// Retry allows a retry.
-func (openRetries) Retry(string, int) bool { return true }
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,6 +24,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
@@ -184,8 +186,8 @@
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Groups: p.groups,
-		Caps: &caps{p.shared, p.store}, Links: p.links, Places: nearest{}, Ledger: p.ledger,
-		Retries: openRetries{}, Ramp: openRamp{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
+		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
+		Services: &proxy.Services{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
 		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/sirupsen/logrus"
 )
 
@@ -71,56 +71,88 @@
 	return l
 }
 
-// spill tries the other data centres of the service in order of preference.
-// It goes on to the next one only if the request provably did not run.
+// Waiting for a place that admits the request: refusals are quick, and a ramp
+// or a queue may admit it a moment later.
+const (
+	spillWait  = time.Second
+	spillPause = 20 * time.Millisecond
+)
+
+// spill tries the other data centres of the service in order of preference,
+// again for a while if all refuse. It goes on only while the request
+// provably did not run.
 func (h *Handler) spill(ctx context.Context, c *call, refusal error) (*reply, error) {
-	attempts := c.service.Retry.MaxAttempts
-	for _, dc := range h.Places.Choose(h.Now(), c.snap, c.service.Name, h.DataCentre, c.deadline) {
-		if attempts == 0 || ctx.Err() != nil {
-			break
+	giveUp := h.Now().Add(min(spillWait, c.left(h.Now())/2))
+	for {
+		rep, err := h.spillOnce(ctx, c)
+		if rep != nil {
+			return rep, nil
+		}
+		if err != nil {
+			refusal = err
+		}
+		if errkind.Of(refusal).Answer().DidRun != errkind.No || h.Now().After(giveUp) || !pause(ctx, spillPause) {
+			return nil, refusal
 		}
-		attempts--
-		if !h.linkAllows(c, dc, len(c.body)) {
-			refusal = errkind.New(errkind.LinkBudgetSpent, "the link to the region of %q has no budget left", dc)
+	}
+}
+
+// spillOnce tries each candidate once. Both results are nil if there is
+// none.
+func (h *Handler) spillOnce(ctx context.Context, c *call) (*reply, error) {
+	var refusal error
+	for _, place := range h.candidates(c) {
+		if !h.Places.MaySend(c.snap, h.DataCentre, place.DataCentre, len(c.body)+linkOverheadBytes) {
+			refusal = errkind.New(errkind.LinkBudgetSpent, "the link to the region of %q has no budget left", place.DataCentre)
 			continue
 		}
-		rep, err := h.forwardTo(ctx, c, dc)
+		rep, err := h.forwardTo(ctx, c, place.DataCentre)
 		if err == nil {
-			return h.chargeLink(c, dc, rep), nil
+			h.chargeLink(c, place.DataCentre, rep)
+			return rep, nil
 		}
+		refusal = err
 		if errkind.Of(err).Answer().DidRun != errkind.No {
-			return nil, err
+			break
 		}
-		refusal = err
 	}
 	return nil, refusal
 }
 
-func (h *Handler) linkAllows(c *call, dc string, bytes int) bool {
-	from, to := c.snap.Region(h.DataCentre), c.snap.Region(dc)
-	return from == to || h.Links.Allow(from, to, bytes+linkOverheadBytes)
+// candidates returns the other data centres that may serve the call.
+func (h *Handler) candidates(c *call) []spill.Candidate {
+	var load dispatch.Load
+	if d := h.Groups.Dispatcher(c.service.Name); d != nil {
+		load = d.Load()
+	}
+	all := h.Places.Choose(h.Now(), c.snap, c.service.Name, h.DataCentre, c.deadline, load)
+	out := all[:0]
+	for _, p := range all {
+		if p.DataCentre != h.DataCentre {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // linkOverheadBytes is charged for the heads of a forwarded request.
 const linkOverheadBytes = 1024
 
-// chargeLink counts the bytes of an answer against the link on which it
-// came. The answer is not held back: it has been paid for by a slot.
-func (h *Handler) chargeLink(c *call, dc string, rep *reply) *reply {
-	h.linkAllows(c, dc, int(max(rep.length, int64(len(rep.head)))))
-	return rep
+// chargeLink counts the bytes of an answer against the link. The answer is
+// not held back: a slot has been spent on it.
+func (h *Handler) chargeLink(c *call, dc string, rep *reply) {
+	h.Places.MaySend(c.snap, h.DataCentre, dc, int(max(rep.length, int64(len(rep.head)))))
 }
 
 // forwardTo sends the call to the first entry of a data centre that can be
 // reached.
 func (h *Handler) forwardTo(ctx context.Context, c *call, dc string) (*reply, error) {
-	members := c.snap.DispatchOrder(c.service.Name, dc)
 	var err error = errkind.New(errkind.NoTarget, "data centre %q has no entry instance", dc)
-	for _, m := range members {
+	for _, m := range c.snap.DispatchOrder(c.service.Name, dc) {
 		start := h.Now()
 		var rep *reply
 		rep, err = h.forward(ctx, c, m, c.recorded)
-		h.observe(c, dc, start, err)
+		h.Places.Observe(h.Now(), dc, c.service.Name, outcome(err, h.Now().Sub(start)))
 		if err == nil || !homeMoved(err) {
 			return rep, err
 		}
@@ -128,19 +160,21 @@
 	return nil, err
 }
 
-func (h *Handler) observe(c *call, dc string, start time.Time, err error) {
-	now := h.Now()
-	o := ForwardOutcome{Latency: now.Sub(start)}
-	if err != nil {
-		o.Refused = errkind.Of(err).Answer().DidRun == errkind.No
-		o.Failed = !o.Refused
-		var pe *peerError
-		if errors.As(err, &pe) {
-			o.Queued, o.FreeSlots, o.ExpectedWait = pe.load.Queued, pe.load.FreeSlots, pe.load.ExpectedWait
-		}
+func outcome(err error, took time.Duration) spill.Outcome {
+	if err == nil {
+		return spill.Outcome{Result: spill.Completed, Run: took}
+	}
+	o := spill.Outcome{Result: spill.Lost}
+	switch {
+	case errors.Is(err, errPeerUnreachable):
+		o.Result = spill.Unreachable
+	case errkind.Of(err).Answer().DidRun == errkind.No:
+		o.Result = spill.Refused
 	}
-	h.Places.Observe(now, dc, c.service.Name, o)
+	var pe *peerError
+	if errors.As(err, &pe) {
+		o.Load = &pe.load
+		o.RoundTrip = took
+	}
+	return o
 }
-
-// String names a call in errors.
-func (c *call) String() string { return fmt.Sprintf("%s %s%s", c.method, c.service.Name, c.path) }
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -12,6 +12,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -41,30 +42,6 @@
 	Release()
 }
 
-// Links limits the bytes between regions.
-type Links interface {
-	// Allow takes bytes from the budget of the link between two regions.
-	Allow(from, to string, bytes int) bool
-}
-
-// Places chooses the data centres for a request that is not dispatched here.
-type Places interface {
-	// Choose returns data centres in order of preference.
-	Choose(now time.Time, snap *snapshot.Snapshot, service, dc string, deadline time.Time) []string
-	// Observe reports how a forwarded request ended.
-	Observe(now time.Time, dc, service string, o ForwardOutcome)
-}
-
-// ForwardOutcome is how a request that was forwarded to a data centre ended.
-type ForwardOutcome struct {
-	Refused      bool // it provably did not run
-	Failed       bool
-	Latency      time.Duration
-	Queued       int
-	FreeSlots    int
-	ExpectedWait time.Duration
-}
-
 // Ledger keeps the outcomes of at-most-once requests.
 type Ledger interface {
 	// Home returns the data centre that keeps the key, and whether this
@@ -94,11 +71,9 @@
 	Ready      func() bool // a confirmed version is in force
 	Groups     Groups
 	Caps       Caps
-	Links      Links
-	Places     Places
+	Places     *spill.Chooser
 	Ledger     Ledger
-	Retries    RetryBudget
-	Ramp       Ramp
+	Services   *Services
 	Targets    http.RoundTripper
 	Peers      http.RoundTripper
 	PeerScheme string // "http" or "https"
@@ -107,18 +82,6 @@
 	Metrics    tally.Scope
 }
 
-// RetryBudget bounds retries to a share of the requests.
-type RetryBudget interface {
-	Request(service string)
-	Retry(service string, percent int) bool
-}
-
-// Ramp limits how fast requests from other data centres may grow.
-type Ramp interface {
-	Enter(service string, now time.Time) bool
-	Leave(service string, now time.Time, ok bool)
-}
-
 // Handler serves requests. Callers and other entries use separate handlers
 // because only the latter may set internal headers.
 type Handler struct {
@@ -219,7 +182,7 @@
 
 // serve gets the answer of a parsed request.
 func (h *Handler) serve(ctx context.Context, c *call) (*reply, error) {
-	h.Retries.Request(c.service.Name)
+	h.Services.get(c.service, h.Now()).retries.Request()
 	if c.once() && !c.recorded {
 		return h.serveOnce(ctx, c)
 	}
@@ -249,10 +212,11 @@
 // maySpill reports whether another place may be tried after err: only if
 // nothing ran, and if more capacity would help.
 func maySpill(c *call, err error) bool {
-	if c.remote {
-		return false
+	kind := errkind.Of(err)
+	if c.remote || c.once() && kind == errkind.TargetShed {
+		return false // an at-most-once request goes to one target only
 	}
-	switch errkind.Of(err) {
+	switch kind {
 	case errkind.QueueFull, errkind.DeadlineUnmeetable, errkind.NoTarget, errkind.TargetShed,
 		errkind.TargetUnreachable, errkind.NotDispatcher, errkind.NotReady, errkind.Stopping:
 		return true
@@ -276,15 +240,7 @@
 
 // next waits before another try and reports whether there is time for it.
 func (t takeover) next(ctx context.Context, now time.Time) bool {
-	if now.After(t.giveUp) {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(takeoverPoll):
-		return true
-	}
+	return now.Before(t.giveUp) && pause(ctx, takeoverPoll)
 }
 
 // runHere dispatches in this data centre: on this instance, or on the
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -2,45 +2,62 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/retry"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/sirupsen/logrus"
 )
 
 // dispatch admits the call on this instance and runs it at a local target.
 func (h *Handler) dispatch(ctx context.Context, c *call, d *dispatch.Dispatcher) (*reply, error) {
-	if c.remote {
-		if !h.Ramp.Enter(c.service.Name, h.Now()) {
-			return nil, errkind.New(errkind.QueueFull, "requests from other data centres are still ramping up")
-		}
+	if c.remote && !h.enterRamp(c, d) {
+		return nil, errkind.New(errkind.QueueFull, "requests from other data centres are still ramping up")
 	}
 	unit, err := h.Caps.Acquire(ctx, c.shift)
 	if err != nil {
-		h.leaveRamp(c, false)
+		h.leaveRamp(c, err)
 		return nil, err
 	}
 	rep, err := h.attempts(ctx, c, d, unit)
 	if err != nil {
 		unit.Release()
-		h.leaveRamp(c, false)
+		h.leaveRamp(c, err)
 		return nil, err
 	}
 	end := rep.end
 	rep.end = func(err error) {
 		end(err)
 		unit.Release()
-		h.leaveRamp(c, err == nil)
+		h.leaveRamp(c, err)
 	}
 	return rep, nil
 }
 
-func (h *Handler) leaveRamp(c *call, ok bool) {
+func (h *Handler) enterRamp(c *call, d *dispatch.Dispatcher) bool {
+	load := d.Load()
+	return h.Services.get(c.service, h.Now()).ramp.Admit(h.Now(), load.InFlight+load.FreeSlots)
+}
+
+func (h *Handler) leaveRamp(c *call, err error) {
 	if c.remote {
-		h.Ramp.Leave(c.service.Name, h.Now(), ok)
+		h.Services.get(c.service, h.Now()).ramp.Done(h.Now(), rampResult(err))
+	}
+}
+
+func rampResult(err error) spill.RampResult {
+	if err == nil {
+		return spill.Good
+	}
+	switch errkind.Of(err) {
+	case errkind.QueueFull, errkind.DeadlineUnmeetable, errkind.DeadlineExceeded, errkind.TargetShed:
+		return spill.Overloaded
 	}
+	return spill.Neutral
 }
 
 // attempts sends the call to one target after another while each provably
@@ -57,21 +74,39 @@
 		}
 		h.logDecision(c, t, attempt)
 		rep, err := h.hedged(ctx, c, t, unit)
-		if err == nil || !notRun(err) || attempt >= c.service.Retry.MaxAttempts {
+		if err == nil || !h.mayRetry(ctx, c, attempt, err) {
 			return rep, err
 		}
-		if !h.Retries.Retry(c.service.Name, c.service.Retry.BudgetPercent) {
-			return nil, err
-		}
-		h.m.retried.Inc(1)
 		w.Exclude = append(w.Exclude, t.Target.ID)
 	}
 }
 
-// notRun reports whether err proves that the target did not run the request.
-func notRun(err error) bool {
-	kind := errkind.Of(err)
-	return kind == errkind.TargetShed || kind == errkind.TargetUnreachable
+// mayRetry decides about another attempt and waits before it.
+func (h *Handler) mayRetry(ctx context.Context, c *call, attempt int, err error) bool {
+	now := h.Now()
+	decision := retry.Decide(retry.Attempt{
+		Kind: errkind.Of(err), Once: c.once(), Tries: attempt,
+		MaxAttempts: c.service.Retry.MaxAttempts, Remaining: c.left(now),
+	}, h.Services.get(c.service, now).retries, now, rand.Float64())
+	h.Log.WithFields(logrus.Fields{
+		"request_id": c.id, "service": c.service.Name, "attempt": attempt, "retry": decision.Retry,
+		"reason": decision.Reason, "error": err.Error(),
+	}).Info("attempt failed")
+	if !decision.Retry {
+		return false
+	}
+	h.m.retried.Inc(1)
+	return pause(ctx, decision.Wait)
+}
+
+// pause waits and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
 func (h *Handler) logDecision(c *call, t *dispatch.Ticket, attempt int) {
