dispatch: hedge short work while long work waits

Cause: no hedge was given while anything waited. Long work waits whenever it holds its share, although slots for short work are free.

Change: only waiting short work rules out a hedge. The hedge delay is computed when the request starts, so that Ticket.HedgeDelay takes no lock.

Adds TestHedge. Temporary mutations that make it fail: no check of Once, no budget, no exclusion of the first target in Hedge.

--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -25,7 +25,8 @@
 // NewDispatcher returns a running dispatcher without targets.
 func NewDispatcher(s Settings, now func() time.Time) *Dispatcher {
 	d := &Dispatcher{now: now, g: NewGroup(now(), s)}
-	d.timer = time.AfterFunc(time.Hour, d.tick)
+	d.timer = time.AfterFunc(tickEvery, d.tick)
+	d.armed = true
 	return d
 }
 
@@ -171,7 +172,4 @@
 
 // HedgeDelay returns how long after dispatch a hedge is worth it, 0 for
 // never.
-func (t *Ticket) HedgeDelay() (delay time.Duration) {
-	t.d.do(func(g *Group, _ time.Time) { delay = g.HedgeDelay(&t.req) })
-	return delay
-}
+func (t *Ticket) HedgeDelay() time.Duration { return t.req.delay }
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -33,8 +33,9 @@
 	route     *route
 	reason    string
 	refusal   *Refusal
-	hedge     bool // is a hedge of another request
-	hedged    bool // has had a hedge
+	delay     time.Duration // HedgeDelay at the start
+	hedge     bool          // is a hedge of another request
+	hedged    bool          // has had a hedge
 	ready     chan struct{}
 }
 
@@ -253,6 +254,7 @@
 	r.target = t
 	r.info = t.info
 	r.reason = reason
+	r.delay = g.HedgeDelay(r)
 	t.add(r)
 	g.starts++
 	if !r.hedge {
--- a/internal/request/dispatch/hedge.go
+++ b/internal/request/dispatch/hedge.go
@@ -21,7 +21,7 @@
 
 // Hedge starts h as a second try of the running request r on another target.
 func (g *Group) Hedge(now time.Time, r, h *Request) bool {
-	if r.state != running || !g.mayHedge(r) || g.stopped || g.queuedCount() > 0 {
+	if r.state != running || !g.mayHedge(r) || g.stopped || g.short.len() > 0 {
 		return false
 	}
 	at := g.at(now)
--- a/internal/request/dispatch/policy_test.go
+++ b/internal/request/dispatch/policy_test.go
@@ -180,3 +180,38 @@
 		t.Errorf("limit %d after many quick responses, want 7", n)
 	}
 }
+
+// Guards against hedges of unsafe or at-most-once work, beyond the budget, and
+// on a target already tried.
+func TestHedge(t *testing.T) {
+	now := epoch
+	g := NewGroup(now, Settings{HedgePercent: 10})
+	g.SetTargets(now, infos(2, 4))
+	serve(t, g, &now, "r", hedgeSamples, 10*time.Millisecond)
+	try := func(w Work) bool {
+		r, h := &Request{}, &Request{}
+		w.Route, w.Class = "r", document.Short
+		if err := g.Submit(now, r, w); err != nil || r.state != running {
+			t.Fatal("not started")
+		}
+		defer g.Cancel(now, r)
+		ok := g.Hedge(now, r, h)
+		defer g.Cancel(now, h)
+		if ok && (h.target == r.target || r.delay == 0) {
+			t.Error("hedge on the same target or without a delay")
+		}
+		return ok
+	}
+	if try(Work{}) || try(Work{Safe: true, Once: true}) || try(Work{Safe: true, Exclude: []string{"t00"}}) {
+		t.Error("hedge of unsafe or at-most-once work, or on a target already tried")
+	}
+	hedges := 0
+	for range 100 {
+		if try(Work{Safe: true}) {
+			hedges++
+		}
+	}
+	if hedges < 10 || hedges > 14 {
+		t.Errorf("%d hedges for 100 requests with a budget of 10 %%", hedges)
+	}
+}
