dispatch: look for stragglers several times per running time

Cause: stragglers were looked for every 5 ms only. With running times of 1 ms that found several at once, which counted as a run of stragglers in their route. A route with 5 % stragglers became long for moments, and what was queued as long then waited behind short work.

Ruled out: demotion; targets were demoted for at most 0.1 % of the time.

--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -333,7 +333,6 @@
 // used.
 func (g *Group) Tick(now time.Time) {
 	at := g.at(now)
-	g.reclassify(at)
 	g.evaluate(at)
 	g.expire(at, &g.short)
 	g.expire(at, &g.long)
--- a/internal/request/dispatch/measure_test.go
+++ b/internal/request/dispatch/measure_test.go
@@ -15,11 +15,11 @@
 var simSeed = flag.Uint64("sim.seed", 1, "seed of a simulation")
 
 var services = map[string]func(*rand.Rand) time.Duration{
-	"exponential": exponential(simMean),
-	"half fixed":  halfFixed(simMean),
+	"exponential": exponential,
+	"half fixed":  halfFixed,
 }
 
-const simMean = 10 * time.Millisecond
+var simMean = flag.Duration("sim.mean", 10*time.Millisecond, "mean running time of a short request in a simulation")
 
 func kerala(service string) sim {
 	return sim{targets: 12, slots: 7, load: 0.9, service: services[service], deadline: 5 * time.Second,
--- a/internal/request/dispatch/sim_test.go
+++ b/internal/request/dispatch/sim_test.go
@@ -84,13 +84,11 @@
 	return x
 }
 
-func exponential(mean time.Duration) func(*rand.Rand) time.Duration {
-	return func(r *rand.Rand) time.Duration { return time.Duration(r.ExpFloat64() * float64(mean)) }
+func exponential(r *rand.Rand) time.Duration {
+	return time.Duration(r.ExpFloat64() * float64(*simMean))
 }
 
-func halfFixed(mean time.Duration) func(*rand.Rand) time.Duration {
-	return func(r *rand.Rand) time.Duration { return mean/2 + time.Duration(r.ExpFloat64()*float64(mean/2)) }
-}
+func halfFixed(r *rand.Rand) time.Duration { return (*simMean + exponential(r)) / 2 }
 
 func (s *sim) after(d time.Duration, f func()) {
 	s.seq++
@@ -154,7 +152,7 @@
 		j.run = time.Duration(s.longer * float64(j.run))
 		w.Class, w.Route = s.class, s.route
 	}
-	mean := simMean.Seconds() * (1 + s.stragglers*(max(s.longer, 1)-1))
+	mean := (*simMean).Seconds() * (1 + s.stragglers*(max(s.longer, 1)-1))
 	rate := s.load * float64(s.targets*s.slots) / mean
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*1e9), s.arrive)
 	if s.roundRobin {
--- a/internal/request/dispatch/slow.go
+++ b/internal/request/dispatch/slow.go
@@ -145,13 +145,15 @@
 	return max(1, g.median)
 }
 
-// evaluate compares the targets and demotes the slowest. It runs a few times
-// per typical running time.
+// evaluate reclassifies stragglers, compares the targets and demotes the
+// slowest. It runs a few times per typical running time: stragglers that are
+// found many at a time would count as a run of them in their route.
 func (g *Group) evaluate(at time.Duration) {
 	if at-g.evaluated < g.routes.short.mid/evaluateParts {
 		return
 	}
 	g.evaluated = at
+	g.reclassify(at)
 	g.updateMedian()
 	g.scratch = g.scratch[:0]
 	for _, t := range g.targets {
