dispatch, spill: drive the invariant tests with longer sequences

Cause: rapid drew sequences of a few steps on average (43 us per run), which seldom filled the queue or brought back a removed target.

Temporary mutations that make TestGroupInvariants fail: inFlight() <= limit as free in choose; no decrement of flight after a shed in Done.

--- a/internal/request/dispatch/group_test.go
+++ b/internal/request/dispatch/group_test.go
@@ -137,7 +137,7 @@
 		m := &machine{now: epoch}
 		m.g = NewGroup(m.now, Settings{QueueLimit: 6, LongSharePercent: 50, HedgePercent: 50})
 		m.targets(t)
-		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 80).Draw(t, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 100, 300).Draw(t, "steps")
 		for _, s := range steps {
 			before := map[string]int{}
 			for _, r := range m.live {
--- a/internal/request/spill/spill_test.go
+++ b/internal/request/spill/spill_test.go
@@ -96,7 +96,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now, r := epoch, NewRemoteRamp(epoch)
 		slots, flight := rapid.IntRange(1, 80).Draw(t, "slots"), 0
-		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 9), 1, 400).Draw(t, "steps") {
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 9), 100, 400).Draw(t, "steps") {
 			switch {
 			case step < 5:
 				if r.Admit(now, slots) {
