--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -20,6 +20,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
 	"github.com/fescuejunction/fescuejunction/internal/process/follow"
 	"github.com/fescuejunction/fescuejunction/internal/process/group"
+	"github.com/fescuejunction/fescuejunction/internal/process/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
@@ -51,7 +52,7 @@
 	scope    tally.Scope
 	store    *snapshot.Store
 	blocks   atomic.Pointer[blocks.Table]
-	stopping atomic.Bool
+	life     *lifecycle.Machine
 	follower *follow.Follower
 	targets  *target.Watcher
 	groups   *group.Manager
@@ -74,7 +75,7 @@
 	defer links.Close()
 	scope, metricsHandler, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }()
-	p := &process{set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	p := &process{life: lifecycle.New(log), set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
 	if err := p.loadBlocks(); err != nil {
 		return err
 	}
@@ -165,11 +166,26 @@
 	return id[len(id)-tokenLength:]
 }
 
+// stopping reports whether a planned stop has begun.
+func (p *process) stopping() bool {
+	return p.life.Is(lifecycle.Draining) || p.life.Is(lifecycle.Stopped)
+}
+
+// fire moves the life cycle; an event that comes too late changes nothing.
+func (p *process) fire(event string) {
+	if err := p.life.Fire(event); err != nil {
+		p.log.WithError(err).Debug("life cycle unchanged")
+	}
+}
+
 // followVersions gives each snapshot to the parts that depend on it.
 func (p *process) followVersions(ctx context.Context) error {
 	for {
 		changed := p.store.Changed()
 		if s := p.store.Load(); s != nil {
+			if p.life.Is(lifecycle.Starting) {
+				p.fire(lifecycle.Confirmed)
+			}
 			p.shared.Use(s)
 			p.links.use(s)
 			p.groups.Wake()
@@ -192,7 +208,7 @@
 	}
 	look := lookup.New(lookup.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Blocks: &p.blocks,
-		Ready: p.follower.Ready, Stopping: p.stopping.Load, Home: p.groups.Home, Usable: p.groups.Usable,
+		Ready: p.follower.Ready, Stopping: p.stopping, Home: p.groups.Home, Usable: p.groups.Usable,
 		KeyToken: func(service string) string { return p.groups.Group(service).Token },
 		Metrics:  p.scope,
 	})
@@ -276,7 +292,7 @@
 	p.log.Info("stopping: out of look-ups, handing over")
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	p.stopping.Store(true)
+	p.fire(lifecycle.Stop)
 	p.groups.Stop()
 	if err := p.follower.Leave(ctx, false); err != nil {
 		p.log.WithError(err).Warn("leaving not recorded by control")
@@ -287,6 +303,7 @@
 			p.log.WithError(err).Warn("requests were still in flight at the end of the stop")
 		}
 	}
+	p.fire(lifecycle.Finished)
 	if err := p.follower.Leave(ctx, true); err != nil {
 		p.log.WithError(err).Warn("exit not recorded by control")
 	}
@@ -313,7 +330,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metricsHandler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.follower.Ready() || p.stopping.Load() {
+		if !p.life.Is(lifecycle.Serving) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/process/entry/status.go
+++ b/internal/process/entry/status.go
@@ -8,7 +8,7 @@
 	DataCentre string          `json:"data_centre"`
 	Ready      bool            `json:"ready"`
 	Confirmed  bool            `json:"confirmed"`
-	Stopping   bool            `json:"stopping"`
+	State      string          `json:"state"`
 	Version    uint64          `json:"version"`
 	Blocks     int             `json:"client_blocks"`
 	Services   []ServiceStatus `json:"services"`
@@ -33,7 +33,7 @@
 func (p *process) status() Status {
 	st := Status{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Ready: p.follower.Ready(),
-		Confirmed: p.follower.Confirmed(), Stopping: p.stopping.Load(),
+		Confirmed: p.follower.Confirmed(), State: p.life.State(),
 	}
 	if t := p.blocks.Load(); t != nil {
 		st.Blocks = t.Len()
--- /dev/null
+++ b/internal/process/lifecycle/lifecycle_test.go
@@ -0,0 +1,29 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+)
+
+// Guards against a draining process that serves again when a version is
+// confirmed late.
+func TestNeverBack(t *testing.T) {
+	m := New(logging.Discard())
+	for _, step := range []struct {
+		event string
+		ok    bool
+		state string
+	}{
+		{Confirmed, true, Serving},
+		{Confirmed, false, Serving},
+		{Stop, true, Draining},
+		{Confirmed, false, Draining},
+		{Finished, true, Stopped},
+		{Stop, false, Stopped},
+	} {
+		if err := m.Fire(step.event); (err == nil) != step.ok || m.State() != step.state {
+			t.Fatalf("%s: error %v, state %q, want %q", step.event, err, m.State(), step.state)
+		}
+	}
+}
