group: one ping for views and promises, epochs only when they changed

Cause: with 13 entries in a data centre and a ping every 250 ms, each member would spend about 38 KB/s on pings and promises at the planned size, above the 5 KB/s for control. Promises now travel in the ping, epochs only if the other side's digest differs, and the interval grows with the members to at most 750 ms. The takeover bound of 3 s still holds: silence counts after 1.8 s.

--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -321,11 +321,6 @@
 	return s.groups.Ping(ctx, r)
 }
 
-// Lend promises a dispatcher that this entry starts nothing.
-func (s *peerServer) Lend(ctx context.Context, r *fescuepb.LendRequest) (*fescuepb.LendReply, error) {
-	return s.groups.Lend(ctx, r)
-}
-
 func (p *process) admin(metricsHandler http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metricsHandler)
--- a/internal/process/group/core.go
+++ b/internal/process/group/core.go
@@ -13,8 +13,10 @@
 package group
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -22,14 +24,20 @@
 // Times of the protocol between the entries of a data centre.
 const (
 	PingInterval = 250 * time.Millisecond
+	// maxPingInterval and pingsPerInterval bound the traffic of a large data
+	// centre: the interval grows with the number of members.
+	maxPingInterval  = 750 * time.Millisecond
+	pingsPerInterval = 4
 	// silentAfter is when a member that neither answers nor refuses counts as
 	// gone; with the ping interval it keeps a takeover within 3 s.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 1800 * time.Millisecond
 	// promiseTime is how long a member starts nothing for a dispatcher.
 	promiseTime = 2 * time.Second
-	// refreshMargin ends a promise early for its receiver, because shares are
-	// computed anew only once in a ping interval.
-	refreshMargin = PingInterval + 50*time.Millisecond
+	// RefreshInterval is how often shares are computed anew.
+	RefreshInterval = 250 * time.Millisecond
+	// refreshMargin ends a promise early for its receiver, because it notices
+	// the end only when it computes its shares.
+	refreshMargin = RefreshInterval + 50*time.Millisecond
 	// bootWait is how long a new process waits for silent members before it
 	// may dispatch a service that nobody seems to dispatch.
 	bootWait = 2 * time.Second
@@ -56,6 +64,7 @@
 	answeredAt  time.Time // when the last answered ping was sent
 	refusedAt   time.Time // when its address last refused a connection
 	contact     bool      // answered or refused since our start
+	view        uint64    // digest of the epochs that it knew last
 	leaving     bool
 }
 
@@ -145,6 +154,12 @@
 // service on this instance.
 func (c *Core) SetInUse(service string, f func() map[string]uint32) { c.group(service).inUse = f }
 
+// Interval returns the time between two pings of a member.
+func (c *Core) Interval() time.Duration {
+	steps := (len(c.peers) + pingsPerInterval - 1) / pingsPerInterval
+	return min(max(time.Duration(steps), 1)*PingInterval, maxPingInterval)
+}
+
 // Peers returns the members to ping.
 func (c *Core) Peers() []*fescuepb.Member {
 	if c.snap == nil {
@@ -252,12 +267,43 @@
 // Stop marks this instance as leaving: it hands its groups over.
 func (c *Core) Stop() { c.stopping = true }
 
-// Ping returns the message for a member.
-func (c *Core) Ping() *fescuepb.PingRequest {
-	return &fescuepb.PingRequest{
-		Instance: c.self, Incarnation: c.incarnation, Leaving: c.stopping,
-		VersionInForce: c.version(), Epochs: c.epochs(),
+// Ping returns the message for a member. It asks for the promises that the
+// groups dispatched here need.
+func (c *Core) Ping(to string) *fescuepb.PingRequest {
+	req := &fescuepb.PingRequest{
+		Instance: c.self, Incarnation: c.incarnation, Leaving: c.stopping, VersionInForce: c.version(),
+	}
+	var held uint64
+	if p := c.peers[to]; p != nil {
+		held = p.view
+	}
+	req.View, req.Epochs = c.news(held)
+	for service := range c.groups {
+		if lend := c.lend(service); lend != nil {
+			req.Lends = append(req.Lends, lend)
+		}
+	}
+	return req
+}
+
+// news returns the digest of the known epochs, and the epochs themselves if
+// the other side's digest differs.
+func (c *Core) news(held uint64) (uint64, []*fescuepb.GroupEpoch) {
+	epochs := c.epochs()
+	view := digest(epochs)
+	if view == held {
+		return view, nil
 	}
+	return view, epochs
+}
+
+// digest identifies a set of epochs. It is not 0, which stands for unknown.
+func digest(epochs []*fescuepb.GroupEpoch) uint64 {
+	var sum uint64 = 1
+	for _, e := range epochs { // the order does not matter
+		sum += xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s\x00%d", e.Group.Service, e.Epoch, e.Home, e.HomeIncarnation))
+	}
+	return max(sum, 1)
 }
 
 func (c *Core) version() uint64 {
@@ -287,16 +333,22 @@
 	if p := c.peers[req.Instance]; p != nil {
 		p.heard(now)
 		p.observe(req.Incarnation, req.VersionInForce, req.Leaving)
+		p.view = req.View
 	}
 	c.adopt(req.Epochs)
-	return &fescuepb.PingReply{
+	reply := &fescuepb.PingReply{
 		Instance: c.self, Incarnation: c.incarnation, Leaving: c.stopping,
-		VersionInForce: c.version(), Epochs: c.epochs(), Serving: !c.stopping,
+		VersionInForce: c.version(), Serving: !c.stopping,
+	}
+	reply.View, reply.Epochs = c.news(req.View)
+	for _, l := range req.Lends {
+		reply.Lends = append(reply.Lends, c.onLend(l, now))
 	}
+	return reply
 }
 
-// OnPingReply takes over an answer to a ping that was sent at sentAt.
-func (c *Core) OnPingReply(from string, r *fescuepb.PingReply, sentAt time.Time) {
+// OnPingReply takes over, at now, an answer to a ping that was sent at sentAt.
+func (c *Core) OnPingReply(from string, r *fescuepb.PingReply, sentAt, now time.Time) {
 	p := c.peers[from]
 	if p == nil || r.Instance != from {
 		return
@@ -307,7 +359,11 @@
 	if sentAt.After(p.answeredAt) {
 		p.answeredAt = sentAt
 	}
+	p.view = r.View
 	c.adopt(r.Epochs)
+	for _, l := range r.Lends {
+		c.onLendReply(from, l, sentAt, now)
+	}
 }
 
 func (p *peerView) heard(at time.Time) {
--- a/internal/process/group/core_test.go
+++ b/internal/process/group/core_test.go
@@ -105,10 +105,7 @@
 		a.core.OnRefused(to, c.now)
 		return
 	}
-	a.core.OnPingReply(to, b.core.OnPing(a.core.Ping(), c.now), c.now)
-	if req := a.core.Lend("rota"); req != nil {
-		a.core.OnLendReply("rota", to, b.core.OnLend(req, c.now), c.now, c.now)
-	}
+	a.core.OnPingReply(to, b.core.OnPing(a.core.Ping(to), c.now), c.now, c.now)
 }
 
 // dispatch starts as many requests as the core allows.
--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -44,7 +44,9 @@
 	active   map[string]*dispatch.Dispatcher   // services dispatched here
 	retired  map[string][]*dispatch.Dispatcher // handed over, requests still in flight
 	homes    map[string]string
-	inFlight map[string]bool // pings under way
+	inFlight map[string]bool      // pings under way
+	pinged   map[string]time.Time // when a member was pinged last
+	urgent   bool                 // the next pings do not wait: a home changed here
 }
 
 // Timeouts of the exchange with another entry.
@@ -59,13 +61,13 @@
 		cfg: cfg, wake: make(chan struct{}, 1),
 		core:   NewCore(cfg.Instance, cfg.DataCentre, cfg.Incarnation, time.Now(), cfg.NewToken),
 		active: map[string]*dispatch.Dispatcher{}, retired: map[string][]*dispatch.Dispatcher{},
-		homes: map[string]string{}, inFlight: map[string]bool{},
+		homes: map[string]string{}, inFlight: map[string]bool{}, pinged: map[string]time.Time{},
 	}
 }
 
 // Run pings and decides until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	ticker := time.NewTicker(PingInterval)
+	ticker := time.NewTicker(RefreshInterval)
 	defer ticker.Stop()
 	for {
 		m.step(ctx)
@@ -128,13 +130,18 @@
 func (m *Manager) duePeers() []*fescuepb.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// The ticker and the interval are in step; half a tick absorbs jitter.
+	now := time.Now()
+	due := now.Add(RefreshInterval/2 - m.core.Interval())
 	var out []*fescuepb.Member
 	for _, p := range m.core.Peers() {
-		if !m.inFlight[p.Instance] {
+		if !m.inFlight[p.Instance] && (m.urgent || m.pinged[p.Instance].Before(due)) {
 			m.inFlight[p.Instance] = true
+			m.pinged[p.Instance] = now
 			out = append(out, p)
 		}
 	}
+	m.urgent = false
 	return out
 }
 
@@ -147,7 +154,11 @@
 	now := time.Now()
 	changes := m.core.Tick(now)
 	moved := m.refresh(now)
+	m.urgent = m.urgent || len(changes) > 0
 	m.mu.Unlock()
+	if len(changes) > 0 {
+		m.Wake()
+	}
 	for _, ch := range changes {
 		m.cfg.Log.WithFields(logrus.Fields{
 			"service": ch.Service, "dc": m.cfg.DataCentre, "epoch": ch.Epoch, "from_instance": ch.From, "to_instance": ch.To, "reason": ch.Reason,
@@ -255,7 +266,7 @@
 	}
 }
 
-// exchange pings one member and asks it for its promises.
+// exchange pings one member.
 func (m *Manager) exchange(ctx context.Context, peer *fescuepb.Member) {
 	defer func() {
 		m.mu.Lock()
@@ -266,9 +277,7 @@
 	defer cancel()
 	if err := m.ping(ctx, peer); err != nil {
 		m.probeRefused(ctx, peer)
-		return
 	}
-	m.borrow(ctx, peer)
 }
 
 func (m *Manager) ping(ctx context.Context, peer *fescuepb.Member) error {
@@ -277,14 +286,14 @@
 		return err
 	}
 	m.mu.Lock()
-	req := m.core.Ping()
+	req := m.core.Ping(peer.Instance)
 	m.mu.Unlock()
 	sentAt := time.Now()
 	reply, err := fescuepb.NewPeersClient(conn).Ping(ctx, req)
 	if err != nil {
 		return err
 	}
-	m.update(func() { m.core.OnPingReply(peer.Instance, reply, sentAt) })
+	m.update(func() { m.core.OnPingReply(peer.Instance, reply, sentAt, time.Now()) })
 	return nil
 }
 
@@ -304,54 +313,14 @@
 	}
 }
 
-// borrow renews the promises of a member for the services dispatched here.
-func (m *Manager) borrow(ctx context.Context, peer *fescuepb.Member) {
-	conn, err := m.cfg.Dial(peer.GrpcAddr)
-	if err != nil {
-		return
-	}
-	client := fescuepb.NewPeersClient(conn)
-	for _, service := range m.homeServices() {
-		m.mu.Lock()
-		req := m.core.Lend(service)
-		m.mu.Unlock()
-		if req == nil {
-			continue
-		}
-		sentAt := time.Now()
-		reply, err := client.Lend(ctx, req)
-		if err != nil {
-			return
-		}
-		m.update(func() { m.core.OnLendReply(service, peer.Instance, reply, sentAt, time.Now()) })
-	}
-}
-
-func (m *Manager) homeServices() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []string
-	for name := range m.active {
-		out = append(out, name)
-	}
-	return out
-}
-
-// Ping answers another entry.
+// Ping answers another entry. Whenever the lock is free, dispatchers run only
+// for services whose home is this instance, so a promise made in the answer
+// holds from then on: update applies a change of home before it unlocks.
 func (m *Manager) Ping(_ context.Context, req *fescuepb.PingRequest) (reply *fescuepb.PingReply, _ error) {
 	m.update(func() { reply = m.core.OnPing(req, time.Now()) })
 	return reply, nil
 }
 
-// Lend answers a dispatcher that asks for this member's promise.
-func (m *Manager) Lend(_ context.Context, req *fescuepb.LendRequest) (reply *fescuepb.LendReply, _ error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	// Whenever the lock is free, dispatchers run only for services whose home
-	// is this instance, so a promise made here holds from now on.
-	return m.core.OnLend(req, time.Now()), nil
-}
-
 // Dispatcher returns the dispatcher of a service that is dispatched here, or
 // nil.
 func (m *Manager) Dispatcher(service string) *dispatch.Dispatcher {
--- a/internal/process/group/slots.go
+++ b/internal/process/group/slots.go
@@ -8,10 +8,10 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 )
 
-// OnLend answers a dispatcher that asks this member to start nothing. The
+// onLend answers a dispatcher that asks this member to start nothing. The
 // promise is made only to the dispatcher that this member knows.
-func (c *Core) OnLend(req *fescuepb.LendRequest, now time.Time) *fescuepb.LendReply {
-	reply := &fescuepb.LendReply{Lender: c.self, LenderIncarnation: c.incarnation}
+func (c *Core) onLend(req *fescuepb.LendRequest, now time.Time) *fescuepb.LendReply {
+	reply := &fescuepb.LendReply{Group: req.Group, Lender: c.self, LenderIncarnation: c.incarnation}
 	g := c.group(req.Group.GetService())
 	if req.Group.GetDataCentre() != c.dc || req.Epoch != g.epoch || req.Borrower != g.home || req.Borrower == c.self {
 		return reply
@@ -51,9 +51,9 @@
 	return hold
 }
 
-// Lend returns the request to another member, or nil if this instance does
+// lend returns the request to another member, or nil if this instance does
 // not dispatch the service.
-func (c *Core) Lend(service string) *fescuepb.LendRequest {
+func (c *Core) lend(service string) *fescuepb.LendRequest {
 	if !c.IsHome(service) {
 		return nil
 	}
@@ -64,12 +64,12 @@
 	}
 }
 
-// OnLendReply takes over, at now, the answer to a request sent at sentAt.
-func (c *Core) OnLendReply(service, from string, r *fescuepb.LendReply, sentAt, now time.Time) {
-	if !r.Lent || r.Lender != from {
+// onLendReply takes over, at now, the answer to a request sent at sentAt.
+func (c *Core) onLendReply(from string, r *fescuepb.LendReply, sentAt, now time.Time) {
+	if !r.Lent || r.Lender != from || r.Group.GetDataCentre() != c.dc {
 		return
 	}
-	c.group(service).promises[from] = &promise{
+	c.group(r.Group.Service).promises[from] = &promise{
 		until:       sentAt.Add(time.Duration(r.DurationMs)*time.Millisecond - refreshMargin),
 		incarnation: r.LenderIncarnation,
 		inUse:       r.InUse,
--- a/internal/request/once/once_test.go
+++ b/internal/request/once/once_test.go
@@ -189,7 +189,7 @@
 	case to.core == nil:
 		from.core.OnRefused(b, w.now)
 	default:
-		from.core.OnPingReply(b, to.core.OnPing(from.core.Ping(), w.now), w.now)
+		from.core.OnPingReply(b, to.core.OnPing(from.core.Ping(b), w.now), w.now, w.now)
 	}
 }
 
