Let the first leader grant to entries that join as it starts

The budget server is given exactly the versions from before the term when it takes over; raft tells the first index of the term. An entry that joined between the election and the first read made it wait for leases that no one could hold, and scenarios failed with shift_cap_reached for 30 s.

--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -78,8 +78,7 @@
 			l.take(&builder, u, server)
 		}
 		select {
-		case u := <-l.versions.C():
-			l.take(&builder, u, server)
+		case l.early = <-l.versions.C():
 		case <-changed:
 		case <-ctx.Done():
 			return
@@ -88,8 +87,8 @@
 }
 
 // catchUp gives a new leader's budget server every version committed before
-// its term, and as few as possible from after its beginning: without an entry
-// from before, leases can be granted at once.
+// its term and none from after its beginning: without an entry from before,
+// leases can be granted at once.
 func (l *leadership) catchUp(ctx context.Context, builder *snapshot.Builder, server *budget.Server) {
 	term, began := l.Term(), time.Now()
 	if !l.p.replica.IsLeader() || l.caughtUp.Load() == term {
@@ -97,20 +96,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	index, err := l.p.replica.Read(ctx)
-	if err != nil {
+	// The state machine has every version up to the index read.
+	if _, err := l.p.replica.Read(ctx); err != nil {
 		return // tried again at the next change
 	}
-	for l.versions.Len() > 0 && l.early == nil { // has every version up to index
-		u, err := l.versions.Take(ctx)
-		if err != nil {
-			return
+	st := l.p.replica.Status()
+	if st.Term != term {
+		return
+	}
+	for {
+		if l.early == nil && l.versions.Len() > 0 {
+			l.early, _ = l.versions.Take(ctx) // does not wait
 		}
-		if u.Version > index {
-			l.early = u
+		if l.early == nil || l.early.Version > st.LeadsFrom {
 			break
 		}
-		l.take(builder, u, server)
+		l.take(builder, l.early, server)
+		l.early = nil
 	}
 	l.confirmed.Store(&began)
 	l.caughtUp.Store(term)
--- a/internal/process/controlmain/run_test.go
+++ b/internal/process/controlmain/run_test.go
@@ -222,17 +222,15 @@
 	go func() { done <- Run(runCtx, s, logging.Discard()) }()
 	ctx := metadata.AppendToOutgoingContext(t.Context(), "fescue-team", "a")
 	operator := fescuepb.NewOperatorClient(conn)
-	eventually(t, 5*time.Second, "a leader", func() bool {
-		_, err := operator.Status(ctx, &fescuepb.StatusRequest{})
+	eventually(t, 5*time.Second, "a member", func() bool { // as soon as there is a leader
+		_, err := fescuepb.NewMembersClient(conn).Join(ctx, &fescuepb.JoinRequest{Member: &fescuepb.Member{
+			Instance: "entry-1", Incarnation: 1, DataCentre: "dc1", Role: fescuepb.Role_ROLE_ENTRY,
+		}})
 		return err == nil
 	})
-	time.Sleep(200 * time.Millisecond) // an entry that joins while the leader starts may have to wait
-	_, joinErr := fescuepb.NewMembersClient(conn).Join(ctx, &fescuepb.JoinRequest{Member: &fescuepb.Member{
-		Instance: "entry-1", Incarnation: 1, DataCentre: "dc1", Role: fescuepb.Role_ROLE_ENTRY,
-	}})
 	_, applyErr := operator.Apply(ctx, &fescuepb.ApplyRequest{Team: "a", ChangeId: "1", Yaml: []byte("team: a\nshifts: [{name: s, cap: 10}]\n")})
-	if joinErr != nil || applyErr != nil {
-		t.Fatal(joinErr, applyErr)
+	if applyErr != nil {
+		t.Fatal(applyErr)
 	}
 	req := &fescuepb.LeaseRequest{Instance: "entry-1", Incarnation: 1, Asks: []*fescuepb.LeaseAsk{{Shift: "s", Want: 2}}}
 	eventually(t, time.Second, "a lease", func() bool {
--- a/internal/process/raft/leader.go
+++ b/internal/process/raft/leader.go
@@ -17,6 +17,7 @@
 	r.syncPeers()
 	// Entries of earlier terms commit only together with one of the own term.
 	r.appendOwn(pb.EntryType_ENTRY_EMPTY, nil)
+	r.leadsFrom = r.LastIndex()
 	r.broadcastAppend(true)
 	r.startRound()
 }
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -101,9 +101,10 @@
 	electionTimeout int
 	votes           map[string]bool // answers to the current campaign
 
-	peers    map[string]*progress // leader only; holds every peer of the configuration
-	rounds   roundState           // leader only
-	counters counterState
+	peers     map[string]*progress // leader only; holds every peer of the configuration
+	rounds    roundState           // leader only
+	counters  counterState
+	leadsFrom uint64 // index of the first entry of the term that it led last
 
 	uncommittedBytes int // leader only
 
@@ -255,3 +256,7 @@
 	r.electionElapsed = 0
 	r.electionTimeout = r.cfg.ElectionTicks + r.cfg.Rand.IntN(r.cfg.ElectionTicks)
 }
+
+// LeadsFrom returns the index of the first entry of the term that this
+// replica led last.
+func (r *Raft) LeadsFrom() uint64 { return r.leadsFrom }
--- a/internal/process/replica/status.go
+++ b/internal/process/replica/status.go
@@ -17,6 +17,7 @@
 	Commit     uint64
 	Applied    uint64
 	Counter    uint64
+	LeadsFrom  uint64 // index of the first entry of the term that it led last
 	Peers      []PeerStatus
 }
 
@@ -62,6 +63,7 @@
 		ID: r.id, Addr: r.cfg.Addr,
 		LeaderID: r.raft.LeaderID(), LeaderAddr: addrOf(r.raft.LeaderID()),
 		Term: r.raft.Term(), Role: r.raft.Role().String(), Commit: r.raft.Commit(),
+		LeadsFrom: r.raft.LeadsFrom(),
 	}
 	for _, p := range r.raft.Peers() {
 		s.Peers = append(s.Peers, PeerStatus{ID: p.Id, Addr: p.Addr, Voter: p.Voter, Match: r.raft.Match(p.Id)})
