--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -108,7 +108,7 @@
 		if l.early == nil && l.versions.Len() > 0 {
 			l.early, _ = l.versions.Take(ctx) // does not wait
 		}
-		if l.early == nil || l.early.Version > st.LeadsFrom {
+		if l.early == nil || l.early.Version > st.TermStart {
 			break
 		}
 		l.take(builder, l.early, server)
--- a/internal/process/raft/leader.go
+++ b/internal/process/raft/leader.go
@@ -6,6 +6,7 @@
 	r.role = Leader
 	r.leader = r.id
 	r.votes = nil
+	r.campaigns = 0
 	r.peers = map[string]*progress{}
 	r.rounds = roundState{}
 	r.uncommittedBytes = 0
@@ -17,7 +18,7 @@
 	r.syncPeers()
 	// Entries of earlier terms commit only together with one of the own term.
 	r.appendOwn(pb.EntryType_ENTRY_EMPTY, nil)
-	r.leadsFrom = r.LastIndex()
+	r.termStart = r.log.last()
 	r.broadcastAppend(true)
 	r.startRound()
 }
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -100,12 +100,13 @@
 	electionElapsed int
 	electionTimeout int
 	votes           map[string]bool // answers to the current campaign
+	campaigns       int             // pre-votes since a leader was last heard
 
-	peers     map[string]*progress // leader only; holds every peer of the configuration
-	rounds    roundState           // leader only
-	counters  counterState
-	leadsFrom uint64 // index of the first entry of the term that it led last
+	peers    map[string]*progress // leader only; holds every peer of the configuration
+	rounds   roundState           // leader only
+	counters counterState
 
+	termStart        uint64
 	uncommittedBytes int // leader only
 
 	savedHard HardState
@@ -138,6 +139,10 @@
 // Term returns the current term.
 func (r *Raft) Term() uint64 { return r.term }
 
+// TermStart returns the index of the first entry that this replica appended
+// as leader, in its latest term as leader.
+func (r *Raft) TermStart() uint64 { return r.termStart }
+
 // LeaderID returns the leader of the current term, or "" if none is known.
 func (r *Raft) LeaderID() string { return r.leader }
 
@@ -256,7 +261,3 @@
 	r.electionElapsed = 0
 	r.electionTimeout = r.cfg.ElectionTicks + r.cfg.Rand.IntN(r.cfg.ElectionTicks)
 }
-
-// LeadsFrom returns the index of the first entry of the term that this
-// replica led last.
-func (r *Raft) LeadsFrom() uint64 { return r.leadsFrom }
--- a/internal/process/replica/transport.go
+++ b/internal/process/replica/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,7 +11,6 @@
 	"google.golang.org/grpc/connectivity"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/ring"
 )
 
@@ -61,9 +61,13 @@
 }
 
 func (t *transport) start(key senderKey) *sender {
-	s := &sender{transport: t, addr: addrOf(key.id), queue: ring.New[*pb.RaftMessage](sendCapacity), session: sessionLength}
+	s := &sender{
+		transport: t, addr: addrOf(key.id), queue: ring.New[*pb.RaftMessage](sendCapacity),
+		session: sessionLength, ackTimeout: ackTimeout,
+	}
 	if key.bulk {
-		s.session = bulkSessionLength
+		// One snapshot for each stream, so that its end is acknowledged.
+		s.session, s.ackTimeout = 0, bulkAckTimeout
 	}
 	t.senders[key] = s
 	t.wg.Add(1)
@@ -89,6 +93,23 @@
 	return c, nil
 }
 
+// connect starts connecting to the peers that have no connection.
+func (t *transport) connect(s *Status) {
+	for _, p := range s.Peers {
+		if p.ID == s.ID {
+			continue
+		}
+		c, err := t.conn(p.Addr)
+		switch {
+		case err != nil:
+		case c.GetState() == connectivity.TransientFailure:
+			t.reset(p.Addr, c) // instead of waiting for the back-off of gRPC
+		default:
+			c.Connect()
+		}
+	}
+}
+
 // ready returns an established connection to addr.
 func (t *transport) ready(ctx context.Context, addr string) (*grpc.ClientConn, error) {
 	c, err := t.conn(addr)
@@ -104,12 +125,12 @@
 		}
 		if state == connectivity.Shutdown || state == connectivity.TransientFailure {
 			t.reset(addr, c)
-			return nil, errkind.New(errkind.NoQuorum, "no connection to %s: %s", addr, state)
+			return nil, fmt.Errorf("no connection to %s: %s", addr, state)
 		}
 		c.Connect()
 		if !c.WaitForStateChange(ctx, state) {
 			t.reset(addr, c)
-			return nil, errkind.New(errkind.NoQuorum, "no connection to %s within %s", addr, connectTimeout)
+			return nil, fmt.Errorf("no connection to %s within %s", addr, connectTimeout)
 		}
 	}
 }
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/request/retry"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
@@ -32,8 +33,9 @@
 	route     *route
 	reason    string
 	refusal   *Refusal
-	hedge     bool // is a hedge of another request
-	hedged    bool // has had a hedge
+	delay     time.Duration // HedgeDelay at the start
+	hedge     bool          // is a hedge of another request
+	hedged    bool          // has had a hedge
 	ready     chan struct{}
 }
 
@@ -59,7 +61,7 @@
 	stopped bool
 	next    int // rotates the order of equally good targets
 	starts  int // requests started
-	hedges  int // hedges among them
+	hedges  *retry.Budget
 
 	tail      mean          // share of requests that run very long
 	median    float64       // of the targets' speeds
@@ -74,6 +76,7 @@
 		epoch:  now,
 		byID:   map[string]*target{},
 		routes: newRoutes(),
+		hedges: retry.NewBudget(s.HedgePercent, now),
 	}
 }
 
@@ -82,6 +85,7 @@
 // Configure replaces the settings.
 func (g *Group) Configure(now time.Time, s Settings) {
 	g.set = s.withDefaults()
+	g.hedges.SetPercent(s.HedgePercent)
 	g.fill(g.at(now))
 }
 
@@ -194,7 +198,7 @@
 	if ref := g.checkTargets(at, r); ref != nil {
 		return ref
 	}
-	if g.mayPass(r) {
+	if g.mayPass(at, r) {
 		if ref := g.checkDeadline(at, r, 0, r.route.run.low); ref != nil {
 			return ref
 		}
@@ -207,9 +211,9 @@
 }
 
 // mayPass reports whether nothing that waits goes ahead of r.
-func (g *Group) mayPass(r *Request) bool {
+func (g *Group) mayPass(at time.Duration, r *Request) bool {
 	if r.long {
-		return g.short.len() == 0 && g.long.len() == 0 && g.longRun < g.longCap()
+		return g.short.len() == 0 && g.long.len() == 0 && g.longRun < g.longCap(at)
 	}
 	return g.short.len() == 0
 }
@@ -219,8 +223,8 @@
 	if r.work.Remote {
 		limit = max(1, limit/remoteQueueDivisor)
 	}
-	wait := g.expectedWait(r)
-	if g.queuedCount() >= limit {
+	wait := g.expectedWait(at, r)
+	if g.queuedCount() >= limit || r.long && g.long.len() >= max(1, limit*g.set.LongSharePercent/100) {
 		return refuse(errQueueFull, wait)
 	}
 	if ref := g.checkDeadline(at, r, wait, r.route.run.high); ref != nil {
@@ -250,8 +254,12 @@
 	r.target = t
 	r.info = t.info
 	r.reason = reason
+	r.delay = g.HedgeDelay(r)
 	t.add(r)
 	g.starts++
+	if !r.hedge {
+		g.hedges.Request()
+	}
 	g.flight++
 	if r.long {
 		g.longRun++
@@ -300,7 +308,6 @@
 	if o.Result != OK {
 		return
 	}
-	r.target.goodSince++
 	r.route.run.record(o.Latency)
 	g.judgeRoute(r, o.Latency)
 	g.routes.record(r.long, o.Latency)
@@ -326,7 +333,6 @@
 // used.
 func (g *Group) Tick(now time.Time) {
 	at := g.at(now)
-	g.reclassify(at)
 	g.evaluate(at)
 	g.expire(at, &g.short)
 	g.expire(at, &g.long)
@@ -335,7 +341,7 @@
 
 func (g *Group) expire(at time.Duration, q *queue) {
 	for r := q.head(); r != nil && r.deadline <= at; r = q.head() {
-		g.turnDown(r, refuse(errUnmeetable, g.expectedWait(r)))
+		g.turnDown(r, refuse(errUnmeetable, g.expectedWait(at, r)))
 	}
 }
 
@@ -345,7 +351,9 @@
 	l := Load{Queued: g.queuedCount(), InFlight: g.flight, Draining: g.stopped}
 	active, leaving := 0, 0
 	for _, t := range g.targets {
-		l.FreeSlots += max(0, t.limit(at, &g.set)-t.inFlight())
+		if !t.health.demoted {
+			l.FreeSlots += max(0, t.limit(at, &g.set)-t.inFlight())
+		}
 		if t.listed && t.info.State == Leaving {
 			leaving++
 		}
@@ -357,7 +365,7 @@
 		l.Draining = true
 	}
 	if l.FreeSlots == 0 {
-		l.ExpectedWait = g.shortWait(g.short.len())
+		l.ExpectedWait = g.shortWait(at, g.short.len())
 	}
 	return l
 }
--- a/internal/request/dispatch/hedge.go
+++ b/internal/request/dispatch/hedge.go
@@ -21,10 +21,7 @@
 
 // Hedge starts h as a second try of the running request r on another target.
 func (g *Group) Hedge(now time.Time, r, h *Request) bool {
-	if r.state != running || !g.mayHedge(r) || g.stopped || g.queuedCount() > 0 {
-		return false
-	}
-	if 100*g.hedges >= g.set.HedgePercent*g.starts {
+	if r.state != running || !g.mayHedge(r) || g.stopped || g.short.len() > 0 {
 		return false
 	}
 	at := g.at(now)
@@ -33,15 +30,14 @@
 	g.prepare(at, h, w)
 	h.deadline = r.deadline
 	h.hedge = true
-	if h.long && g.longRun >= g.longCap() {
+	if h.long && g.longRun >= g.longCap(at) {
 		return false
 	}
 	t, _ := g.choose(at, h)
-	if t == nil {
+	if t == nil || !g.hedges.Take(now) {
 		return false
 	}
 	r.hedged = true
-	g.hedges++
 	g.start(at, h, t, "hedge")
 	return true
 }
--- a/internal/request/once/backup.go
+++ b/internal/request/once/backup.go
@@ -15,8 +15,9 @@
 	if r.Record != nil && s.takeOutcome(r) {
 		return &fescuepb.RecordReply{Accepted: true}, nil
 	}
+	// A process that replaced the backup may hold a copy that does not count.
 	h := s.held[keyOf(r.Group)]
-	if h == nil {
+	if h == nil || r.BackupIncarnation != s.cfg.Incarnation {
 		return &fescuepb.RecordReply{}, nil
 	}
 	if h.fenced || h.epoch != r.Epoch || h.home != r.Home || h.incarnation != r.HomeIncarnation {
@@ -51,6 +52,10 @@
 // Copy takes over a whole ledger as its backup. An older epoch's copy is
 // refused.
 func (s *Service) Copy(_ context.Context, messages []*fescuepb.CopyRequest) (*fescuepb.RecordReply, error) {
+	// Before its first confirmed version a process acts on nothing.
+	if s.cfg.Store.Load() == nil {
+		return &fescuepb.RecordReply{}, nil
+	}
 	if len(messages) == 0 || !messages[0].First || !messages[len(messages)-1].Last {
 		return &fescuepb.RecordReply{}, nil
 	}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -12,6 +12,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -41,30 +42,6 @@
 	Release()
 }
 
-// Links limits the bytes between regions.
-type Links interface {
-	// Allow takes bytes from the budget of the link between two regions.
-	Allow(from, to string, bytes int) bool
-}
-
-// Places chooses the data centres for a request that is not dispatched here.
-type Places interface {
-	// Choose returns data centres in order of preference.
-	Choose(now time.Time, snap *snapshot.Snapshot, service, dc string, deadline time.Time) []string
-	// Observe reports how a forwarded request ended.
-	Observe(now time.Time, dc, service string, o ForwardOutcome)
-}
-
-// ForwardOutcome is how a request that was forwarded to a data centre ended.
-type ForwardOutcome struct {
-	Refused      bool // it provably did not run
-	Failed       bool
-	Latency      time.Duration
-	Queued       int
-	FreeSlots    int
-	ExpectedWait time.Duration
-}
-
 // Ledger keeps the outcomes of at-most-once requests.
 type Ledger interface {
 	// Home returns the data centre that keeps the key, and whether this
@@ -92,14 +69,11 @@
 	DataCentre string
 	Store      *snapshot.Store
 	Ready      func() bool // a confirmed version is in force
-	Stopping   func() bool // the instance takes no new requests from callers
 	Groups     Groups
 	Caps       Caps
-	Links      Links
-	Places     Places
+	Places     *spill.Chooser
 	Ledger     Ledger
-	Retries    RetryBudget
-	Ramp       Ramp
+	Services   *Services
 	Targets    http.RoundTripper
 	Peers      http.RoundTripper
 	PeerScheme string // "http" or "https"
@@ -108,18 +82,6 @@
 	Metrics    tally.Scope
 }
 
-// RetryBudget bounds retries to a share of the requests.
-type RetryBudget interface {
-	Request(service string)
-	Retry(service string, percent int) bool
-}
-
-// Ramp limits how fast requests from other data centres may grow.
-type Ramp interface {
-	Enter(service string, now time.Time) bool
-	Leave(service string, now time.Time, ok bool)
-}
-
 // Handler serves requests. Callers and other entries use separate handlers
 // because only the latter may set internal headers.
 type Handler struct {
@@ -182,13 +144,10 @@
 }
 
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
-	c := &call{id: requestID(r.Header.Get(HeaderRequestID))}
+	c := &call{id: requestID(r.Header.Get(HeaderRequestID)), keyed: r.Header.Get(HeaderKey) != ""}
 	if !h.Ready() {
 		return c, errkind.New(errkind.NotReady, "no confirmed version of the steering document is in force yet")
 	}
-	if h.Stopping() && !h.peer {
-		return c, errkind.New(errkind.Stopping, "the instance is stopping")
-	}
 	c, err := parse(r, h.Store.Load(), h.peer, now)
 	if err != nil {
 		return c, err
@@ -200,12 +159,12 @@
 func (h *Handler) fail(c *call, err error) *reply {
 	kind := errkind.Of(err)
 	h.m.answers[kind].Inc(1)
-	fields := logrus.Fields{"request_id": c.id, "kind": kind, "did_run": kind.Answer().DidRun, "shift": c.shift, "error": err.Error()}
+	fields := logrus.Fields{"request_id": c.id, "kind": kind, "did_run": c.didRun(kind), "shift": c.shift, "error": err.Error()}
 	if c.service != nil {
 		fields["service"] = c.service.Name
 	}
 	h.Log.WithFields(fields).Info("request refused or failed")
-	rep := errorReply(c.id, err)
+	rep := errorReply(c, err)
 	h.describeLoad(c, rep.header)
 	return rep
 }
@@ -223,7 +182,7 @@
 
 // serve gets the answer of a parsed request.
 func (h *Handler) serve(ctx context.Context, c *call) (*reply, error) {
-	h.Retries.Request(c.service.Name)
+	h.Services.get(c.service, h.Now()).retries.Request()
 	if c.once() && !c.recorded {
 		return h.serveOnce(ctx, c)
 	}
@@ -253,10 +212,11 @@
 // maySpill reports whether another place may be tried after err: only if
 // nothing ran, and if more capacity would help.
 func maySpill(c *call, err error) bool {
-	if c.remote {
-		return false
+	kind := errkind.Of(err)
+	if c.remote || c.once() && kind == errkind.TargetShed {
+		return false // an at-most-once request goes to one target only
 	}
-	switch errkind.Of(err) {
+	switch kind {
 	case errkind.QueueFull, errkind.DeadlineUnmeetable, errkind.NoTarget, errkind.TargetShed,
 		errkind.TargetUnreachable, errkind.NotDispatcher, errkind.NotReady, errkind.Stopping:
 		return true
@@ -280,15 +240,7 @@
 
 // next waits before another try and reports whether there is time for it.
 func (t takeover) next(ctx context.Context, now time.Time) bool {
-	if now.After(t.giveUp) {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(takeoverPoll):
-		return true
-	}
+	return now.Before(t.giveUp) && pause(ctx, takeoverPoll)
 }
 
 // runHere dispatches in this data centre: on this instance, or on the
