group: lengthen the ping interval with the size of a data centre

Promises and the time of silence follow the interval; a takeover still takes at most 2.7 s. Data centres with two or three entries keep 250 ms.

--- a/internal/process/group/core.go
+++ b/internal/process/group/core.go
@@ -6,7 +6,7 @@
 //   - The units of a target that the members of a data centre may use add up
 //     to at most the target's slots.
 //   - A member that has promised a dispatcher to start nothing keeps the
-//     promise for promiseTime on its own clock, and uses its own share only
+//     promise for its time on its own clock, and uses its own share only
 //     after the longest deadline has passed on top, unless the dispatcher's
 //     process is proved dead or has made the same promise in return.
 //   - A process that has just started counts as having promised to everyone.
@@ -21,18 +21,23 @@
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
-// Times of the protocol between the entries of a data centre.
+// Times of the protocol between the entries of a data centre. The interval
+// of pings grows with the number of members, so that their traffic stays
+// within the 5 KB/s of a node at the planned size; the other times follow it.
 const (
-	PingInterval = 250 * time.Millisecond
-	// maxPingInterval and pingsPerInterval bound the traffic of a large data
-	// centre: the interval grows with the number of members.
-	maxPingInterval  = 750 * time.Millisecond
-	pingsPerInterval = 4
-	// silentAfter is when a member that neither answers nor refuses counts as
-	// gone; with the ping interval it keeps a takeover within 3 s.
-	silentAfter = 1800 * time.Millisecond
-	// promiseTime is how long a member starts nothing for a dispatcher.
-	promiseTime = 2 * time.Second
+	PingInterval    = 250 * time.Millisecond
+	maxPingInterval = 1500 * time.Millisecond
+	// pingsPerStep members lengthen the interval by one PingInterval.
+	pingsPerStep = 2
+	// minSilence and silentPings say when a member that neither answers nor
+	// refuses counts as gone; at the longest interval a takeover takes 2.7 s.
+	minSilence  = 1500 * time.Millisecond
+	silentPings = 1.6
+	// minPromiseTime and promisePings say how long a member starts nothing
+	// for a dispatcher: two pings may get lost.
+	minPromiseTime = 2 * time.Second
+	promisePings   = 3
+	maxPromiseTime = promisePings * maxPingInterval
 	// RefreshInterval is how often shares are computed anew.
 	RefreshInterval = 250 * time.Millisecond
 	// refreshMargin ends a promise early for its receiver, because it notices
@@ -40,7 +45,7 @@
 	refreshMargin = RefreshInterval + 50*time.Millisecond
 	// bootWait is how long a new process waits for silent members before it
 	// may dispatch a service that nobody seems to dispatch.
-	bootWait = 2 * time.Second
+	bootWait = 2500 * time.Millisecond
 )
 
 // Core holds the view of one member. It is not safe for concurrent use.
@@ -156,10 +161,20 @@
 
 // Interval returns the time between two pings of a member.
 func (c *Core) Interval() time.Duration {
-	steps := (len(c.peers) + pingsPerInterval - 1) / pingsPerInterval
+	steps := (len(c.peers) + pingsPerStep - 1) / pingsPerStep
 	return min(max(time.Duration(steps), 1)*PingInterval, maxPingInterval)
 }
 
+// silentAfter is when a member that is not heard of counts as gone.
+func (c *Core) silentAfter() time.Duration {
+	return max(minSilence, time.Duration(silentPings*float64(c.Interval())))
+}
+
+// promiseTime is how long a promise of this member holds.
+func (c *Core) promiseTime() time.Duration {
+	return max(minPromiseTime, promisePings*c.Interval())
+}
+
 // Peers returns the members to ping.
 func (c *Core) Peers() []*fescuepb.Member {
 	if c.snap == nil {
@@ -218,7 +233,7 @@
 		return true
 	}
 	p := c.peers[instance]
-	return p != nil && !p.aliveAt.IsZero() && now.Sub(p.aliveAt) < silentAfter && p.refusedAt.Before(p.aliveAt)
+	return p != nil && !p.aliveAt.IsZero() && now.Sub(p.aliveAt) < c.silentAfter() && p.refusedAt.Before(p.aliveAt)
 }
 
 // Leaving reports whether a member has said that it is leaving.
@@ -232,17 +247,17 @@
 
 // Dead reports whether the process of a member is proved not to run: its
 // address has just refused a connection. A process that starts after that
-// uses no slots for at least promiseTime, so the proof holds that long.
+// uses no slots for at least maxPromiseTime, so the proof holds that long.
 func (c *Core) Dead(instance string, now time.Time) bool {
 	p := c.peers[instance]
-	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < promiseTime-refreshMargin
+	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < maxPromiseTime-refreshMargin
 }
 
 // DiedInContact reports whether a member is proved dead and answered a ping
 // so shortly before that it cannot have taken this instance for silent.
 func (c *Core) DiedInContact(instance string, now time.Time) bool {
 	p := c.peers[instance]
-	return c.Dead(instance, now) && p.refusedAt.Sub(p.answeredAt) < silentAfter
+	return c.Dead(instance, now) && p.refusedAt.Sub(p.answeredAt) < minSilence
 }
 
 // AllSeen reports whether every other member is alive or proved dead.
--- a/internal/process/group/slots.go
+++ b/internal/process/group/slots.go
@@ -17,8 +17,8 @@
 		return reply
 	}
 	reply.Lent = true
-	reply.DurationMs = uint64(promiseTime.Milliseconds())
-	g.owed[req.Borrower] = now.Add(promiseTime + c.longest(req.Group.GetService()))
+	reply.DurationMs = uint64(c.promiseTime().Milliseconds())
+	g.owed[req.Borrower] = now.Add(c.promiseTime() + c.longest(req.Group.GetService()))
 	reply.OwedMs = c.owedToOthers(req.Group.GetService(), g, req.Borrower, now)
 	if g.inUse != nil {
 		reply.InUse = g.inUse()
@@ -44,7 +44,7 @@
 
 // owedUntil returns until when a member may be using our share.
 func (c *Core) owedUntil(service string, g *groupView, member string) time.Time {
-	hold := c.started.Add(promiseTime + c.longest(service))
+	hold := c.started.Add(maxPromiseTime + c.longest(service))
 	if owed := g.owed[member]; owed.After(hold) {
 		return owed
 	}
@@ -182,33 +182,6 @@
 
 func (p *promise) live(now time.Time) bool { return p != nil && now.Before(p.until) }
 
-// ValidUntil returns until when the shares that Usable counts now hold
-// without renewal.
-func (c *Core) ValidUntil(service string, now time.Time) time.Time {
-	until := now.Add(promiseTime)
-	g := c.groups[service]
-	if g == nil {
-		return now
-	}
-	for name := range c.peers {
-		p := g.promises[name]
-		switch {
-		case c.Dead(name, now):
-			until = earlier(until, c.peers[name].refusedAt.Add(promiseTime))
-		case p.live(now):
-			until = earlier(until, p.until)
-		}
-	}
-	return until
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // share returns the pinned share of a member of a target's slots. The shares
 // of all members add up to slots; the remainder of the division goes to
 // different members for different targets.
