dispatch: wait for slots that a takeover brings a moment later

Ruled out: the targets' state and the deadline. Requests now wait; after 3 s without slots they are sent elsewhere.

--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -46,7 +46,9 @@
 	homes    map[string]string
 	inFlight map[string]bool      // pings under way
 	pinged   map[string]time.Time // when a member was pinged last
-	urgent   bool                 // the next pings do not wait: a home changed here
+	// emptySince is since when a service dispatched here has no slots.
+	emptySince map[string]time.Time
+	urgent     bool // the next pings do not wait: a home changed here
 }
 
 // Timeouts of the exchange with another entry.
@@ -61,7 +63,7 @@
 		cfg: cfg, wake: make(chan struct{}, 1),
 		core:   NewCore(cfg.Instance, cfg.DataCentre, cfg.Incarnation, time.Now(), cfg.NewToken),
 		active: map[string]*dispatch.Dispatcher{}, retired: map[string][]*dispatch.Dispatcher{},
-		homes: map[string]string{}, inFlight: map[string]bool{}, pinged: map[string]time.Time{},
+		homes: map[string]string{}, inFlight: map[string]bool{}, pinged: map[string]time.Time{}, emptySince: map[string]time.Time{},
 	}
 }
 
@@ -195,6 +197,7 @@
 		if d != nil {
 			d.Stop()
 			delete(m.active, name)
+			delete(m.emptySince, name)
 			m.retired[name] = append(m.retired[name], d)
 		}
 		return
@@ -229,20 +232,45 @@
 		}
 	}
 	var out []dispatch.TargetInfo
+	total := 0
 	for _, t := range m.cfg.Targets(name) {
 		slots := svc.SlotsPerTarget
 		if t.Slots > 0 {
 			slots = min(slots, t.Slots)
 		}
 		usable := m.core.Usable(name, t.ID, slots, now) - int(retired[t.ID])
+		total += max(usable, 0)
 		out = append(out, dispatch.TargetInfo{
 			ID: t.ID, Addr: t.Addr, State: m.state(t), Slots: max(usable, 0),
 			ReportedLoad: t.ReportedLoad, Since: t.HealthySince,
 		})
 	}
+	if m.withoutSlots(name, total, now) {
+		for i := range out {
+			out[i].State = dispatch.Down
+		}
+	}
 	return out
 }
 
+// maxWithoutSlots is how long requests wait for a dispatcher that has no
+// slots yet, as after a takeover, before they are sent elsewhere.
+const maxWithoutSlots = 3 * time.Second
+
+// withoutSlots reports whether the service has had no slots for too long.
+func (m *Manager) withoutSlots(name string, total int, now time.Time) bool {
+	if total > 0 {
+		delete(m.emptySince, name)
+		return false
+	}
+	since, ok := m.emptySince[name]
+	if !ok {
+		m.emptySince[name] = now
+		return false
+	}
+	return now.Sub(since) > maxWithoutSlots
+}
+
 func (m *Manager) state(t target.Target) dispatch.TargetState {
 	switch {
 	case t.Status == target.Leaving || m.snap.TargetDrained(t.Service, m.cfg.DataCentre, t.ID):
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -131,9 +131,9 @@
 	g.targets = kept
 }
 
-// refuseWithoutTarget refuses everything that waits if no target is usable.
+// refuseWithoutTarget refuses everything that waits if no target is open.
 func (g *Group) refuseWithoutTarget(at time.Duration) {
-	if g.anyUsable() {
+	if g.anyOpen() {
 		return
 	}
 	g.refuseAll(refuse(errNoTarget, time.Second))
@@ -147,9 +147,9 @@
 	}
 }
 
-func (g *Group) anyUsable() bool {
+func (g *Group) anyOpen() bool {
 	for _, t := range g.targets {
-		if t.usable() {
+		if t.open() {
 			return true
 		}
 	}
--- a/internal/request/dispatch/schedule.go
+++ b/internal/request/dispatch/schedule.go
@@ -167,7 +167,7 @@
 func (g *Group) checkTargets(at time.Duration, r *Request) *Refusal {
 	soonest := time.Duration(-1)
 	for _, t := range g.targets {
-		if !t.usable() || excluded(r, t) {
+		if !t.open() || excluded(r, t) {
 			continue
 		}
 		back := max(0, t.outUntil-at)
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -35,10 +35,12 @@
 
 func (t *target) inFlight() int { return len(t.running) }
 
-// usable reports whether the target takes new requests at all.
-func (t *target) usable() bool {
-	return t.listed && t.info.State == Active && t.info.Slots > 0
-}
+// open reports whether the target takes new requests, now or as soon as this
+// dispatcher gets slots: after a takeover they may come a moment later.
+func (t *target) open() bool { return t.listed && t.info.State == Active }
+
+// usable reports whether the target takes new requests now.
+func (t *target) usable() bool { return t.open() && t.info.Slots > 0 }
 
 // limit returns how many requests may be in flight on t at time at.
 func (t *target) limit(at time.Duration, s *Settings) int {
