--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -125,6 +125,7 @@
 func setup(env *testscript.Env) error {
 	env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
 	env.Setenv("RESTARTS", cmp.Or(os.Getenv("RESTARTS"), "200"))
+	env.Setenv("RESTART_PAUSE", cmp.Or(os.Getenv("RESTART_PAUSE"), "0s"))
 	procs := &processes{byName: map[string]*process{}}
 	env.Values[processesKey{}] = procs
 	env.Defer(procs.killAll)
--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -67,16 +67,19 @@
 	}
 }
 
-// restart COUNT stops and starts e1 and e2 in turn, COUNT times in all.
+// restart COUNT PAUSE stops and starts e1 and e2 in turn, COUNT times in all,
+// with a pause after each.
 func cmdRestart(ts *testscript.TestScript, neg bool, args []string) {
-	usage(ts, !neg && len(args) == 1, "restart COUNT")
+	usage(ts, !neg && len(args) == 2, "restart COUNT PAUSE")
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
+	pause := duration(ts, args[1])
 	for i := range count {
 		name := []string{"e1", "e2"}[i%2]
 		cmdShutdown(ts, false, []string{name})
 		cmdStart(ts, false, []string{name, "fescue-entry", "-c", name + ".yaml"})
 		cmdWaitEntry(ts, false, []string{name})
+		time.Sleep(pause)
 	}
 }
 
