--- a/internal/process/group/core.go
+++ b/internal/process/group/core.go
@@ -6,33 +6,46 @@
 //   - The units of a target that the members of a data centre may use add up
 //     to at most the target's slots.
 //   - A member that has promised a dispatcher to start nothing keeps the
-//     promise for promiseTime on its own clock, and uses its own share only
+//     promise for its time on its own clock, and uses its own share only
 //     after the longest deadline has passed on top, unless the dispatcher's
 //     process is proved dead or has made the same promise in return.
 //   - A process that has just started counts as having promised to everyone.
 package group
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
-// Times of the protocol between the entries of a data centre.
+// Times of the protocol between the entries of a data centre. The interval
+// of pings grows with the number of members, so that their traffic stays
+// within the 5 KB/s of a node at the planned size; the other times follow it.
 const (
-	PingInterval = 250 * time.Millisecond
-	// silentAfter is when a member that neither answers nor refuses counts as
-	// gone; with the ping interval it keeps a takeover within 3 s.
-	silentAfter = 1500 * time.Millisecond
-	// promiseTime is how long a member starts nothing for a dispatcher.
-	promiseTime = 2 * time.Second
-	// refreshMargin ends a promise early for its receiver, because shares are
-	// computed anew only once in a ping interval.
-	refreshMargin = PingInterval + 50*time.Millisecond
+	PingInterval    = 250 * time.Millisecond
+	maxPingInterval = 1500 * time.Millisecond
+	// pingsPerStep members lengthen the interval by one PingInterval.
+	pingsPerStep = 2
+	// minSilence and silentPings say when a member that neither answers nor
+	// refuses counts as gone; at the longest interval a takeover takes 2.7 s.
+	minSilence  = 1500 * time.Millisecond
+	silentPings = 1.6
+	// minPromiseTime and promisePings say how long a member starts nothing
+	// for a dispatcher: two pings may get lost.
+	minPromiseTime = 2 * time.Second
+	promisePings   = 3
+	maxPromiseTime = promisePings * maxPingInterval
+	// RefreshInterval is how often shares are computed anew.
+	RefreshInterval = 250 * time.Millisecond
+	// refreshMargin ends a promise early for its receiver, because it notices
+	// the end only when it computes its shares.
+	refreshMargin = RefreshInterval + 50*time.Millisecond
 	// bootWait is how long a new process waits for silent members before it
 	// may dispatch a service that nobody seems to dispatch.
-	bootWait = 2 * time.Second
+	bootWait = 2500 * time.Millisecond
 )
 
 // Core holds the view of one member. It is not safe for concurrent use.
@@ -56,6 +69,7 @@
 	answeredAt  time.Time // when the last answered ping was sent
 	refusedAt   time.Time // when its address last refused a connection
 	contact     bool      // answered or refused since our start
+	view        uint64    // digest of the epochs that it knew last
 	leaving     bool
 }
 
@@ -145,6 +159,22 @@
 // service on this instance.
 func (c *Core) SetInUse(service string, f func() map[string]uint32) { c.group(service).inUse = f }
 
+// Interval returns the time between two pings of a member.
+func (c *Core) Interval() time.Duration {
+	steps := (len(c.peers) + pingsPerStep - 1) / pingsPerStep
+	return min(max(time.Duration(steps), 1)*PingInterval, maxPingInterval)
+}
+
+// silentAfter is when a member that is not heard of counts as gone.
+func (c *Core) silentAfter() time.Duration {
+	return max(minSilence, time.Duration(silentPings*float64(c.Interval())))
+}
+
+// promiseTime is how long a promise of this member holds.
+func (c *Core) promiseTime() time.Duration {
+	return max(minPromiseTime, promisePings*c.Interval())
+}
+
 // Peers returns the members to ping.
 func (c *Core) Peers() []*fescuepb.Member {
 	if c.snap == nil {
@@ -203,7 +233,7 @@
 		return true
 	}
 	p := c.peers[instance]
-	return p != nil && !p.aliveAt.IsZero() && now.Sub(p.aliveAt) < silentAfter && p.refusedAt.Before(p.aliveAt)
+	return p != nil && !p.aliveAt.IsZero() && now.Sub(p.aliveAt) < c.silentAfter() && p.refusedAt.Before(p.aliveAt)
 }
 
 // Leaving reports whether a member has said that it is leaving.
@@ -217,17 +247,17 @@
 
 // Dead reports whether the process of a member is proved not to run: its
 // address has just refused a connection. A process that starts after that
-// uses no slots for at least promiseTime, so the proof holds that long.
+// uses no slots for at least maxPromiseTime, so the proof holds that long.
 func (c *Core) Dead(instance string, now time.Time) bool {
 	p := c.peers[instance]
-	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < promiseTime-refreshMargin
+	return p != nil && p.refusedAt.After(p.aliveAt) && now.Sub(p.refusedAt) < maxPromiseTime-refreshMargin
 }
 
 // DiedInContact reports whether a member is proved dead and answered a ping
 // so shortly before that it cannot have taken this instance for silent.
 func (c *Core) DiedInContact(instance string, now time.Time) bool {
 	p := c.peers[instance]
-	return c.Dead(instance, now) && p.refusedAt.Sub(p.answeredAt) < silentAfter
+	return c.Dead(instance, now) && p.refusedAt.Sub(p.answeredAt) < minSilence
 }
 
 // AllSeen reports whether every other member is alive or proved dead.
@@ -252,12 +282,43 @@
 // Stop marks this instance as leaving: it hands its groups over.
 func (c *Core) Stop() { c.stopping = true }
 
-// Ping returns the message for a member.
-func (c *Core) Ping() *fescuepb.PingRequest {
-	return &fescuepb.PingRequest{
-		Instance: c.self, Incarnation: c.incarnation, Leaving: c.stopping,
-		VersionInForce: c.version(), Epochs: c.epochs(),
+// Ping returns the message for a member. It asks for the promises that the
+// groups dispatched here need.
+func (c *Core) Ping(to string) *fescuepb.PingRequest {
+	req := &fescuepb.PingRequest{
+		Instance: c.self, Incarnation: c.incarnation, Leaving: c.stopping, VersionInForce: c.version(),
+	}
+	var held uint64
+	if p := c.peers[to]; p != nil {
+		held = p.view
+	}
+	req.View, req.Epochs = c.news(held)
+	for service := range c.groups {
+		if lend := c.lend(service); lend != nil {
+			req.Lends = append(req.Lends, lend)
+		}
 	}
+	return req
+}
+
+// news returns the digest of the known epochs, and the epochs themselves if
+// the other side's digest differs.
+func (c *Core) news(held uint64) (uint64, []*fescuepb.GroupEpoch) {
+	epochs := c.epochs()
+	view := digest(epochs)
+	if view == held {
+		return view, nil
+	}
+	return view, epochs
+}
+
+// digest identifies a set of epochs. It is not 0, which stands for unknown.
+func digest(epochs []*fescuepb.GroupEpoch) uint64 {
+	var sum uint64 = 1
+	for _, e := range epochs { // the order does not matter
+		sum += xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s\x00%d", e.Group.Service, e.Epoch, e.Home, e.HomeIncarnation))
+	}
+	return max(sum, 1)
 }
 
 func (c *Core) version() uint64 {
@@ -287,16 +348,22 @@
 	if p := c.peers[req.Instance]; p != nil {
 		p.heard(now)
 		p.observe(req.Incarnation, req.VersionInForce, req.Leaving)
+		p.view = req.View
 	}
 	c.adopt(req.Epochs)
-	return &fescuepb.PingReply{
+	reply := &fescuepb.PingReply{
 		Instance: c.self, Incarnation: c.incarnation, Leaving: c.stopping,
-		VersionInForce: c.version(), Epochs: c.epochs(), Serving: !c.stopping,
+		VersionInForce: c.version(), Serving: !c.stopping,
 	}
+	reply.View, reply.Epochs = c.news(req.View)
+	for _, l := range req.Lends {
+		reply.Lends = append(reply.Lends, c.onLend(l, now))
+	}
+	return reply
 }
 
-// OnPingReply takes over an answer to a ping that was sent at sentAt.
-func (c *Core) OnPingReply(from string, r *fescuepb.PingReply, sentAt time.Time) {
+// OnPingReply takes over, at now, an answer to a ping that was sent at sentAt.
+func (c *Core) OnPingReply(from string, r *fescuepb.PingReply, sentAt, now time.Time) {
 	p := c.peers[from]
 	if p == nil || r.Instance != from {
 		return
@@ -307,7 +374,11 @@
 	if sentAt.After(p.answeredAt) {
 		p.answeredAt = sentAt
 	}
+	p.view = r.View
 	c.adopt(r.Epochs)
+	for _, l := range r.Lends {
+		c.onLendReply(from, l, sentAt, now)
+	}
 }
 
 func (p *peerView) heard(at time.Time) {
