replica: log a long wait for membership rarely and state outcomes exactly

A replica without a cluster logged twice a second. The comment of Propose still counted Stopping among the unknown outcomes.

--- a/internal/process/replica/join.go
+++ b/internal/process/replica/join.go
@@ -11,6 +11,8 @@
 const (
 	joinInterval = 500 * time.Millisecond
 	joinTimeout  = 2 * time.Second
+	// joinLogInterval keeps a long wait for the cluster from filling the log.
+	joinLogInterval = 10 * time.Second
 )
 
 // joinLoop asks for membership while this replica is not a voter, and keeps
@@ -19,10 +21,12 @@
 	defer r.wg.Done()
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	var logged time.Time
 	for {
 		r.transport.connect(r.view.Load())
-		if !r.view.Load().isVoter() {
-			r.askToJoin()
+		if err := r.askToJoin(); err != nil && time.Since(logged) > joinLogInterval {
+			logged = time.Now()
+			r.log.WithError(err).Warn("not a voter yet; no replica has accepted the request to join")
 		}
 		select {
 		case <-ticker.C:
@@ -32,20 +36,22 @@
 	}
 }
 
-// askToJoin tries the known addresses until one accepts.
-func (r *Replica) askToJoin() {
+// askToJoin tries the known addresses until one accepts, unless this replica
+// is a voter. It returns the last error.
+func (r *Replica) askToJoin() error {
+	if r.view.Load().isVoter() {
+		return nil
+	}
 	var last error
 	for _, addr := range slices.Concat(r.cfg.Join, r.cfg.InitialPeers) {
 		if addr == r.cfg.Addr {
 			continue
 		}
 		if last = r.askOne(addr); last == nil {
-			return
+			return nil
 		}
 	}
-	if last != nil {
-		r.log.WithError(last).Info("not a member yet; no replica has accepted the request to join")
-	}
+	return last
 }
 
 func (r *Replica) askOne(addr string) error {
--- a/internal/process/replica/propose.go
+++ b/internal/process/replica/propose.go
@@ -26,9 +26,10 @@
 )
 
 // Propose replicates data and returns the result of applying it. A follower
-// passes it to the leader. Kinds of errors: NotLeader, QueueFull, BadRequest:
-// the proposal did not run. NoQuorum, Timeout, StorageFailed, Stopping: the
-// outcome is unknown; a proposal once sent is never sent again from here.
+// passes it to the leader. Kinds of errors: with NotLeader, QueueFull, Stopping
+// and BadRequest the proposal did not run; with any other, such as NoQuorum,
+// Timeout or StorageFailed, the outcome is unknown. A proposal is sent again
+// from here only after an answer that it did not run.
 func (r *Replica) Propose(ctx context.Context, data []byte) (result []byte, index uint64, err error) {
 	if len(data) == 0 || len(data) > MaxProposal {
 		return nil, 0, errkind.New(errkind.BadRequest, "a proposal of %d bytes is outside 1 to %d", len(data), MaxProposal)
