replica: join an existing cluster even if bootstrap is still set

A replica that lost its disk while the setting was left in place came back under its old identity and could vote twice in a term. It now asks the initial peers first, and waits for an election if one of them has entries beyond the first. Without any quorum the setting still decides.

TestDiskLossThenSecondLoss loses the disk of a leader of five replicas with bootstrap set.

--- a/internal/process/replica/cluster_test.go
+++ b/internal/process/replica/cluster_test.go
@@ -143,7 +143,6 @@
 	if err := os.RemoveAll(n.cfg.DataDir); err != nil {
 		n.t.Fatal(err)
 	}
-	n.cfg.Bootstrap = false
 	n.start()
 }
 
--- a/internal/process/replica/failure_test.go
+++ b/internal/process/replica/failure_test.go
@@ -117,7 +117,8 @@
 }
 
 // Guards against a repair that leaves too few voters: a second replica may be
-// lost right after it.
+// lost right after it. Of five replicas, the leader loses its disk and starts
+// with bootstrap still set, which must not bring back its old identity.
 func TestDiskLossThenSecondLoss(t *testing.T) {
 	for _, size := range []int{3, 5} {
 		t.Run(string(rune('0'+size)), func(t *testing.T) {
@@ -126,8 +127,13 @@
 			l := c.leader()
 			want := proposeMany(l, "v", 150)
 			f := c.others(l)[0]
+			f.cfg.Bootstrap = false
+			if size == 5 {
+				f = l
+			}
 			old := f.id
 			f.loseDisk()
+			l = c.leader()
 			eventually(t, 10*time.Second, "the new identity votes", func() bool { return f.view.Load().isVoter() })
 			eventually(t, 5*time.Second, "the old identity is removed", func() bool {
 				return len(l.Status().Peers) == size && !slices.ContainsFunc(l.Status().Peers, func(p PeerStatus) bool { return p.ID == old })
--- a/internal/process/replica/identity.go
+++ b/internal/process/replica/identity.go
@@ -1,10 +1,16 @@
 package replica
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"slices"
+	"strconv"
 	"strings"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -17,7 +23,9 @@
 const (
 	idSeparator  = "#"
 	initialPart  = "0"
-	randomIDSize = 8 // bytes
+	randomIDSize = 8               // bytes
+	probeTimeout = 5 * time.Second // longer than an election
+	probePause   = 100 * time.Millisecond
 )
 
 // addrOf returns the address in an identity.
@@ -48,12 +56,15 @@
 	if err != nil {
 		return "", err
 	}
-	cfg.Log.WithField("replica", id).WithField("bootstrap", cfg.Bootstrap).Info("creating the data directory")
+	cfg.Log.WithField("replica", id).WithField("initial_peers", cfg.InitialPeers).Info("creating the data directory")
 	return id, storage.Create(cfg.fs, cfg.DataDir, id, st, cfg.Log)
 }
 
+// firstState returns the identity and state of an empty data directory. If
+// the cluster already has a quorum, the replica joins it even if Bootstrap is
+// set: it may have lost its disk while the setting was left in place.
 func firstState(cfg Config) (string, raft.State, error) {
-	if !cfg.Bootstrap {
+	if !cfg.Bootstrap || clusterExists(cfg) {
 		id := make([]byte, randomIDSize)
 		rand.Read(id)
 		return cfg.Addr + idSeparator + hex.EncodeToString(id), raft.State{}, nil
@@ -65,6 +76,52 @@
 	return cfg.Addr + idSeparator + initialPart, raft.Bootstrap(initialVoters(cfg.InitialPeers)), nil
 }
 
+// clusterExists reports whether the initial peers have a leader with a quorum.
+// If a peer has more than its first entry but there is no leader, it waits for
+// an election: this replica may have been the leader before it lost its disk.
+func clusterExists(cfg Config) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	for {
+		started := false
+		for _, addr := range cfg.InitialPeers {
+			if addr == cfg.Addr {
+				continue
+			}
+			last, leads := probe(ctx, cfg, addr)
+			if leads {
+				cfg.Log.WithField("leader", addr).Warn("the cluster exists already; joining it although bootstrap is set")
+				return true
+			}
+			started = started || last > 1
+		}
+		if !started || ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(probePause)
+	}
+}
+
+// probe asks addr for a confirmed read, which only a leader answers; another
+// replica tells the last index of its log.
+func probe(ctx context.Context, cfg Config, addr string) (last uint64, leads bool) {
+	conn, err := cfg.Dial(addr)
+	if err != nil {
+		return 0, false
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	var trailer metadata.MD
+	if _, err = pb.NewReplicaClient(conn).Forward(ctx, &pb.ForwardRequest{}, grpc.Trailer(&trailer)); err == nil {
+		return 0, true
+	}
+	if v := trailer.Get(lastIndexKey); len(v) == 1 {
+		last, _ = strconv.ParseUint(v[0], 10, 64)
+	}
+	return last, false
+}
+
 // initialVoters is the same on every initial member, whatever the order of
 // its settings.
 func initialVoters(addrs []string) []*pb.Peer {
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -40,8 +40,9 @@
 	InitialPeers []string // addresses of the initial cluster; empty when joining
 	Join         []string // addresses to ask for membership when the disk is new but the cluster exists
 	// Bootstrap says that this is the very first start of the cluster. With an
-	// empty data directory the replica becomes an initial voter. It must be
-	// unset afterwards: a replica that lost its disk must not vote again
+	// empty data directory the replica becomes an initial voter, unless a
+	// quorum of the initial peers answers already. It must be unset afterwards:
+	// if the disk is lost while there is no quorum, the replica would vote again
 	// under its old identity.
 	Bootstrap bool
 	Machine   StateMachine
--- a/internal/process/replica/server.go
+++ b/internal/process/replica/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -17,6 +19,10 @@
 // that it is passed on only once.
 const passedOnKey = "fescue-passed-on"
 
+// lastIndexKey is the trailer of a failed Forward that carries the last index
+// of the log.
+const lastIndexKey = "fescue-last-index"
+
 // Send receives the messages of one replica.
 func (r *Replica) Send(stream pb.Replica_SendServer) error {
 	var parts assembler
@@ -53,6 +59,8 @@
 	}
 	out := run(ctx, req.Command)
 	if out.err != nil {
+		// Without the trailer a replica that lost its disk may not wait.
+		_ = grpc.SetTrailer(ctx, metadata.Pairs(lastIndexKey, strconv.FormatUint(r.view.Load().LastIndex, 10)))
 		return nil, toStatus(ctx, out.err)
 	}
 	return &pb.ForwardReply{Result: out.result, Index: out.index}, nil
--- a/internal/process/replica/status.go
+++ b/internal/process/replica/status.go
@@ -14,6 +14,7 @@
 	LeaderAddr string
 	Term       uint64
 	Role       string
+	LastIndex  uint64 // of the log
 	Commit     uint64
 	Applied    uint64
 	Counter    uint64
@@ -61,7 +62,7 @@
 	s := &Status{
 		ID: r.id, Addr: r.cfg.Addr,
 		LeaderID: r.raft.LeaderID(), LeaderAddr: addrOf(r.raft.LeaderID()),
-		Term: r.raft.Term(), Role: r.raft.Role().String(), Commit: r.raft.Commit(),
+		Term: r.raft.Term(), Role: r.raft.Role().String(), LastIndex: r.raft.LastIndex(), Commit: r.raft.Commit(),
 	}
 	for _, p := range r.raft.Peers() {
 		s.Peers = append(s.Peers, PeerStatus{ID: p.Id, Addr: p.Addr, Voter: p.Voter, Match: r.raft.Match(p.Id)})
