target: decide the state of targets with package membership

The watcher had its own merge of the platform list and the probes. It now feeds both to membership.Table, which gains failing answers, one address per identifier and the region.

--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -9,34 +9,14 @@
 	"net/http"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-)
-
-// Roles and states of instances in the platform's list.
-const (
-	RoleEntry  = "entry"
-	RoleTarget = "target"
-
-	StatusLive    = "live"
-	StatusLeaving = "leaving"
+	"github.com/fescuejunction/fescuejunction/internal/process/membership"
 )
 
 // maxListBytes bounds the list; 10,000 instances take about 2 MB.
 const maxListBytes = 32 << 20
 
-// Instance is one line of the list.
-type Instance struct {
-	ID         string `json:"id"`
-	Role       string `json:"role"`
-	Service    string `json:"service,omitempty"`
-	DataCentre string `json:"data_centre"`
-	Region     string `json:"region,omitempty"`
-	Address    string `json:"address"`
-	Slots      int    `json:"slots,omitempty"`
-	Status     string `json:"status"`
-}
-
 type list struct {
-	Instances []Instance `json:"instances"`
+	Instances []membership.Listed `json:"instances"`
 }
 
 // Client reads the list by HTTP.
@@ -46,7 +26,7 @@
 }
 
 // Fetch reads the whole list once.
-func (c *Client) Fetch(ctx context.Context) ([]Instance, error) {
+func (c *Client) Fetch(ctx context.Context) ([]membership.Listed, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL, nil)
 	if err != nil {
 		return nil, err
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -17,6 +17,9 @@
 	// keepFor is how long an instance that has left is remembered, so that an
 	// old list does not make it new. It is well above the lag of the list.
 	keepFor = 10 * time.Minute
+	// failuresToSilent is how many answers in a row that say that the process
+	// cannot serve make an instance silent. One alone may be a passing fault.
+	failuresToSilent = 3
 )
 
 // Values of Listed.Role and Listed.Status.
@@ -33,6 +36,7 @@
 	Role       string `json:"role"`
 	Service    string `json:"service,omitempty"` // of a target
 	DataCentre string `json:"data_centre"`
+	Region     string `json:"region,omitempty"`
 	Address    string `json:"address"` // host:port
 	Slots      int    `json:"slots,omitempty"`
 	Status     string `json:"status"`
@@ -48,6 +52,7 @@
 const (
 	NoAnswer Outcome = iota // nothing in time; the process may be running
 	Refused                 // the connection was refused: no process listens
+	Failing                 // a process answers that it cannot serve
 	Answered
 )
 
@@ -78,7 +83,7 @@
 type Instance struct {
 	Listed
 	State       State
-	Incarnation string
+	Incarnation string // of the process that answered last; empty if it named none
 }
 
 // record is what is known of an instance at an address.
@@ -90,6 +95,7 @@
 	probed      time.Time // when the newest processed probe was sent
 	answered    time.Time // when the newest answered probe was sent
 	refused     bool      // since the last answer
+	failing     int       // failing answers since the last good one
 	idleSince   time.Time // when it was first seen gone and unlisted
 	incarnation string
 	earlier     map[string]bool // incarnations that were replaced
@@ -152,6 +158,8 @@
 	switch p.Outcome {
 	case Refused:
 		r.refused = true
+	case Failing:
+		r.failing++
 	case Answered:
 		r.answer(p)
 	}
@@ -171,26 +179,33 @@
 		r.incarnation = p.Incarnation
 	}
 	r.leaving = r.leaving || p.Leaving
-	r.answered, r.refused = p.Sent, false
+	r.answered, r.refused, r.failing = p.Sent, false, 0
 }
 
-// replaced reports whether another process than before has answered. Of
-// processes without an incarnation, one that answers after a refused
-// connection is another one.
+// replaced reports whether another process than before has answered, or than
+// the one that the list spoke of. Of processes without an incarnation, one
+// that answers after a refused connection is another one.
 func (r *record) replaced(p Probe) bool {
-	if r.answered.IsZero() {
-		return false
-	}
 	if p.Incarnation != "" && r.incarnation != "" {
 		return p.Incarnation != r.incarnation
 	}
 	return r.refused
 }
 
+// Keys returns every known instance. Those that are gone are among them: one
+// may answer again.
+func (t *Table) Keys() []Key {
+	out := make([]Key, 0, len(t.records))
+	for k := range t.records {
+		out = append(out, k)
+	}
+	return out
+}
+
 // View returns every known instance, ordered by identifier and address. It
 // forgets those that left long ago.
 func (t *Table) View(now time.Time) []Instance {
-	owners := t.owners()
+	owners, current := t.owners(), t.current(now)
 	out := make([]Instance, 0, len(t.records))
 	for k, r := range t.records {
 		state := r.state(now)
@@ -198,8 +213,8 @@
 			delete(t.records, k)
 			continue
 		}
-		if owners[k.Address] != k {
-			state = Gone // the address answers for a newer instance
+		if owners[k.Address] != k || current[k.ID] != k {
+			state = Gone // the address or the identifier belongs to a newer instance
 		}
 		out = append(out, Instance{Listed: r.listed, State: state, Incarnation: r.incarnation})
 	}
@@ -239,15 +254,37 @@
 	return out
 }
 
+// current returns the address of each identifier that is in use: a live one
+// if there is any, and of several the one that was listed first in the latest
+// list. Only one counts, because slots are accounted by identifier.
+func (t *Table) current(now time.Time) map[string]Key {
+	out := map[string]Key{}
+	for k, r := range t.records {
+		cur, ok := out[k.ID]
+		if !ok {
+			out[k.ID] = k
+			continue
+		}
+		a, b := r.state(now), t.records[cur].state(now)
+		if a > b || a == b && newer(k, r, cur, t.records[cur]) {
+			out[k.ID] = k
+		}
+	}
+	return out
+}
+
 func newer(a Key, ra *record, b Key, rb *record) bool {
 	if ra.firstListed != rb.firstListed {
 		return ra.firstListed > rb.firstListed
 	}
-	return a.ID > b.ID
+	if a.ID != b.ID {
+		return a.ID > b.ID
+	}
+	return a.Address > b.Address
 }
 
 func (r *record) state(now time.Time) State {
-	answers := !r.refused && !r.answered.IsZero() && now.Sub(r.answered) < FreshFor
+	answers := !r.refused && r.failing < failuresToSilent && !r.answered.IsZero() && now.Sub(r.answered) < FreshFor
 	switch {
 	case answers && r.leaving:
 		return Leaving
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -218,3 +218,75 @@
 		t.Errorf("t1 is %s and t2 %s, want gone and live", a, b)
 	}
 }
+
+// Guards against two addresses of one identifier in use at a time, and
+// against a lagging list that takes away the one that answers.
+func TestIdentifierMovesToAnotherAddress(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	at := func(addr string) Listed { return Listed{ID: "t1", Address: addr, Status: StatusLive} }
+	answer := func(addr string) func() {
+		return func() { table.Probe(Probe{Key: Key{"t1", addr}, Sent: now, Outcome: Answered}) }
+	}
+	list := func(l ...Listed) func() { return func() { table.List(l) } }
+	for i, step := range []struct {
+		do   func()
+		want string // address that is not gone
+	}{
+		{list(at("a:1")), "a:1"},
+		{answer("a:1"), "a:1"},
+		{list(at("b:1")), "a:1"}, // still answers
+		{answer("b:1"), "b:1"},
+		{list(at("a:1")), "b:1"}, // an older list
+		{answer("a:1"), "b:1"},
+		{func() { table.Probe(Probe{Key: Key{"t1", "b:1"}, Sent: now, Outcome: Refused}) }, "a:1"},
+	} {
+		now = now.Add(100 * time.Millisecond)
+		step.do()
+		var got []string
+		for _, in := range table.View(now) {
+			if in.State != Gone {
+				got = append(got, in.Address)
+			}
+		}
+		if len(got) != 1 || got[0] != step.want {
+			t.Fatalf("step %d: %v, want only %s", i, got, step.want)
+		}
+	}
+}
+
+// Guards against a target that keeps getting requests while it says that it
+// cannot serve, and against one that a passing fault removes.
+func TestFailingAnswers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	table.List([]Listed{{ID: "t1", Address: "a:1", Status: StatusLive}})
+	probe := func(o Outcome, want State) {
+		t.Helper()
+		now = now.Add(100 * time.Millisecond)
+		table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: o})
+		if got := stateOf(t, table, now, "t1"); got != want {
+			t.Fatalf("%s, want %s", got, want)
+		}
+	}
+	for range failuresToSilent {
+		probe(Answered, Live)
+		probe(Failing, Live)
+	}
+	probe(Failing, Live)
+	probe(Failing, Silent)
+	probe(Answered, Live)
+}
+
+// Guards against a process that stays out because the list said of its
+// predecessor that it was leaving, before this table heard either.
+func TestLeavingBeforeFirstAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New()
+	table.List([]Listed{{ID: "t1", Address: "a:1", Status: StatusLeaving}})
+	table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Refused})
+	table.Probe(Probe{Key: Key{"t1", "a:1"}, Sent: now, Outcome: Answered})
+	if got := stateOf(t, table, now, "t1"); got != Live {
+		t.Errorf("%s, want live", got)
+	}
+}
