--- a/internal/process/budget/server.go
+++ b/internal/process/budget/server.go
@@ -25,6 +25,9 @@
 // concurrent use.
 type Server struct {
 	fescuepb.UnimplementedBudgetServer
+	// Heard is called for each request, also by a replica that does not lead;
+	// it may be nil. Set it before the server is registered.
+	Heard func(instance string, version uint64)
 
 	mu      sync.Mutex
 	granter *Granter
@@ -74,6 +77,9 @@
 
 // Lease answers one request of a holder.
 func (s *Server) Lease(_ context.Context, req *fescuepb.LeaseRequest) (*fescuepb.LeaseReply, error) {
+	if s.Heard != nil {
+		s.Heard(req.Instance, req.VersionInForce)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.follow() {
--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -56,6 +56,13 @@
 	return &fescuepb.LeaveReply{Version: res.Version}, nil
 }
 
+// RemoveMember commits that a member's process and instance are gone.
+func (s *Server) RemoveMember(ctx context.Context, instance string, incarnation uint64) error {
+	leave := &fescuepb.LeaveRequest{Instance: instance, Incarnation: incarnation, Gone: true}
+	_, err := s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Leave{Leave: leave}})
+	return err
+}
+
 // ClaimGroup commits who dispatches a group.
 func (m *members) ClaimGroup(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
 	if err := state.CheckClaim(c); err != nil {
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -49,7 +49,7 @@
 // LocalStatus returns the status as this replica knows it, which a quorum
 // need not have confirmed.
 func (s *Server) LocalStatus(ctx context.Context) *fescuepb.StatusReply {
-	acks := s.collectAcks(ctx)
+	acks, _ := s.collectAcks(ctx)
 	reply := &fescuepb.StatusReply{
 		Version: s.cfg.Machine.Version(),
 		Counter: s.cfg.Log.Counter(),
@@ -76,13 +76,34 @@
 	return st
 }
 
+// Heard notes that an instance sent a request other than an acknowledgement.
+func (s *Server) Heard(instance string, version uint64) { s.hub.Acks.Heard(instance, version) }
+
+// Hearing is when instances were last heard by this and other replicas.
+type Hearing struct {
+	Last     map[string]time.Time // by instance
+	Answered map[string]bool      // by address of the other replica
+}
+
+// Hearing asks the other replicas whom they hear.
+func (s *Server) Hearing(ctx context.Context) Hearing {
+	acks, answered := s.collectAcks(ctx)
+	h := Hearing{Last: make(map[string]time.Time, len(acks)), Answered: answered}
+	for instance, ack := range acks {
+		h.Last[instance] = ack.Heard
+	}
+	return h
+}
+
 // collectAcks merges the acknowledgements of all replicas; the one heard
-// last wins. A replica that doesn't answer in time is left out.
-func (s *Server) collectAcks(ctx context.Context) map[string]feed.Ack {
+// last wins. It returns the addresses of the other replicas that answered in
+// time.
+func (s *Server) collectAcks(ctx context.Context) (map[string]feed.Ack, map[string]bool) {
 	ctx, cancel := context.WithTimeout(ctx, acksTimeout)
 	defer cancel()
 	all := s.hub.Acks.All()
 	all[s.cfg.Instance] = feed.Ack{Version: s.cfg.Machine.Version(), Heard: time.Now()}
+	answered := map[string]bool{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, addr := range s.cfg.Replicas() {
@@ -95,10 +116,11 @@
 			mu.Lock()
 			defer mu.Unlock()
 			mergeAcks(all, reply, time.Now())
+			answered[addr] = true
 		})
 	}
 	wg.Wait()
-	return all
+	return all, answered
 }
 
 func (s *Server) askAcks(ctx context.Context, addr string) (*fescuepb.AcksReply, error) {
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -68,6 +68,7 @@
 	group.Go(func() error { return loadInitial(ctx, s, p.server, log) })
 	group.Go(func() error { p.lead.run(ctx, p.budgets); return nil })
 	group.Go(func() error { p.joinSelf(ctx); return nil })
+	group.Go(func() error { newRemover(p).run(ctx); return nil })
 	group.Go(func() error { return p.stopAfter(ctx) })
 	log.WithField("grpc_addr", lis.Addr().String()).Info("control replica started")
 	err = group.Wait()
@@ -120,6 +121,7 @@
 		Logger:      log,
 		Metrics:     scope,
 	})
+	p.budgets.Heard = p.server.Heard
 	p.grpc = grpc.NewServer(append(links.ServerOptions(), grpc.ChainUnaryInterceptor(p.calls.intercept))...)
 	p.server.Register(p.grpc)
 	p.replica.Register(p.grpc)
--- a/internal/process/controlmain/settings.go
+++ b/internal/process/controlmain/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"net/url"
 	"slices"
 
 	"github.com/fescuejunction/fescuejunction/internal/process/settings"
@@ -26,10 +27,13 @@
 	// Join lists addresses of running replicas to ask for membership.
 	Join []string `yaml:"join,omitempty"`
 	// InitialDocument lists section files that are loaded into an empty state.
-	InitialDocument []string     `yaml:"initial_document,omitempty"`
-	OperatorKeys    string       `yaml:"operator_keys,omitempty"` // keys file of the teams
-	TLS             settings.TLS `yaml:"tls"`
-	Log             settings.Log `yaml:"log,omitempty"`
+	InitialDocument []string `yaml:"initial_document,omitempty"`
+	// PlatformURL is the platform's list of instances. Without it, entries
+	// whose instance is lost stay members and keep their shares.
+	PlatformURL  string       `yaml:"platform_url,omitempty"`
+	OperatorKeys string       `yaml:"operator_keys,omitempty"` // keys file of the teams
+	TLS          settings.TLS `yaml:"tls"`
+	Log          settings.Log `yaml:"log,omitempty"`
 }
 
 // Check records problems with the settings.
@@ -41,6 +45,7 @@
 	checkAddr(c, s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	checkAddr(c, s.AdminAddr, false, "admin_addr")
 	s.checkReplicas(c)
+	checkURL(c, s.PlatformURL, "platform_url")
 	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback {
 		c.Add([]any{"operator_keys"}, "a value is required unless tls.plaintext_loopback is set")
 	}
@@ -66,6 +71,14 @@
 	}
 }
 
+// checkURL records a problem unless text is empty or an HTTP URL.
+func checkURL(c *settings.Check, text string, path ...any) {
+	u, err := url.Parse(text)
+	if text != "" && (err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https") {
+		c.Add(path, "%q is not a URL such as \"http://127.0.0.1:7001/instances\"", text)
+	}
+}
+
 // checkAddr records a problem unless addr is an IP address and port, on
 // loopback if that is required.
 func checkAddr(c *settings.Check, addr string, loopback bool, path ...any) {
--- a/internal/process/feed/acks.go
+++ b/internal/process/feed/acks.go
@@ -65,6 +65,16 @@
 	return news
 }
 
+// Heard notes that an instance was heard otherwise than on a watch, with its
+// version in force.
+func (a *Acks) Heard(instance string, version uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ack := a.latest[instance]
+	ack.Version, ack.Heard = version, time.Now()
+	a.latest[instance] = ack
+}
+
 func (a *Acks) set(instance string, ack Ack) bool {
 	old, known := a.latest[instance]
 	a.latest[instance] = ack
