--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -28,8 +28,10 @@
 func TestClientFindsLeaderAndGetsUnits(t *testing.T) {
 	snap := build(1, map[string]int{"a": 8}, map[string]uint64{"e1": 7})
 	var addrs []string
-	for _, leads := range []bool{false, true} {
+	var heard [2]atomic.Uint64 // version that the follower and the leader heard
+	for i, leads := range []bool{false, true} {
 		srv := NewServer(&fakeRole{snap: snap})
+		srv.Heard = func(_ string, version uint64) { heard[i].Store(version) }
 		srv.role.(*fakeRole).leads.Store(leads)
 		// The wait of a new leader is skipped by moving its clock on.
 		srv.follow()
