budget: a restored replica charges earlier pinned shares

It now charges each holder with its largest share of every cap since its process joined, as far as the state keeps the revisions.

--- a/internal/process/budget/server.go
+++ b/internal/process/budget/server.go
@@ -8,6 +8,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
 )
 
 // Leadership is what the server needs to know of its control replica.
@@ -51,6 +52,14 @@
 	s.granter.Observe(snap)
 }
 
+// Restored tells that the version observed last came with a state snapshot,
+// and which caps revisions before it had. Call it after Observe.
+func (s *Server) Restored(earlier []state.EarlierCap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.granter.Restored(earlier)
+}
+
 // Sync takes over the replica's role. Call it when the role or the committed
 // version has changed.
 func (s *Server) Sync() {
--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -9,6 +9,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
 	"github.com/fescuejunction/fescuejunction/internal/process/ring"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
 )
 
@@ -25,9 +26,9 @@
 type leadership struct {
 	p        *process
 	log      *logrus.Entry
-	versions *ring.Ring[*fescuepb.Update]
+	versions *ring.Ring[*committed]
 	snap     atomic.Pointer[snapshot.Snapshot]
-	early    *fescuepb.Update // taken from versions but not given yet; owned by run
+	early    *committed // taken from versions but not given yet; owned by run
 
 	caughtUp  atomic.Uint64             // term in which snap had every version committed before it
 	confirmed atomic.Pointer[time.Time] // when a quorum confirmed that term
@@ -35,8 +36,15 @@
 	stop      context.CancelFunc
 }
 
+// committed is a committed version.
+type committed struct {
+	*fescuepb.Update
+	restored bool // from a state snapshot
+	earlier  []state.EarlierCap
+}
+
 func newLeadership(p *process, log *logrus.Entry) *leadership {
-	l := &leadership{p: p, log: log, versions: ring.New[*fescuepb.Update](versionCapacity)}
+	l := &leadership{p: p, log: log, versions: ring.New[*committed](versionCapacity)}
 	l.confirmed.Store(new(time.Time))
 	l.ctx, l.stop = context.WithCancel(context.Background())
 	return l
@@ -59,8 +67,12 @@
 func (l *leadership) Snapshot() *snapshot.Snapshot { return l.snap.Load() }
 
 // enqueue takes a committed version from the state machine.
-func (l *leadership) enqueue(u *fescuepb.Update) {
-	_ = l.versions.Put(l.ctx, u) // fails only at the end of the process
+func (l *leadership) enqueue(u *fescuepb.Update, restored bool) {
+	c := &committed{Update: u, restored: restored}
+	if restored {
+		c.earlier = l.p.machine.EarlierCaps()
+	}
+	_ = l.versions.Put(l.ctx, c) // fails only at the end of the process
 }
 
 // run gives each committed version and change of role to the budget server,
@@ -68,7 +80,7 @@
 func (l *leadership) run(ctx context.Context, server *budget.Server) {
 	defer l.stop()
 	var builder snapshot.Builder
-	l.take(&builder, &fescuepb.Update{}, server)
+	l.take(&builder, &committed{Update: &fescuepb.Update{}}, server)
 	for {
 		changed := l.p.replica.Changed()
 		l.catchUp(ctx, &builder, server)
@@ -117,7 +129,7 @@
 }
 
 // take compiles a committed version and gives it to the budget server.
-func (l *leadership) take(builder *snapshot.Builder, u *fescuepb.Update, server *budget.Server) {
+func (l *leadership) take(builder *snapshot.Builder, u *committed, server *budget.Server) {
 	snap, err := builder.Build(u.Version, u.Sections, u.Members, u.BlockTable)
 	if err != nil {
 		l.log.WithError(err).WithField("version", u.Version).Error("committed version does not compile")
@@ -125,6 +137,9 @@
 	}
 	old := l.snap.Swap(snap)
 	server.Observe(snap)
+	if u.restored {
+		server.Restored(u.earlier)
+	}
 	for _, instance := range removed(old, snap) {
 		server.Gone(instance)
 	}
--- /dev/null
+++ b/internal/version/state/caps.go
@@ -0,0 +1,35 @@
+package state
+
+import "github.com/fescuejunction/fescuejunction/internal/version/document"
+
+// EarlierCap is the cap of a shift, in requests in flight, in a revision that
+// is not in force any more.
+type EarlierCap struct {
+	Shift string
+	Cap   int
+	Until uint64 // the version that replaced the revision
+}
+
+// EarlierCaps returns the caps in the kept revisions of all sections but the
+// present ones.
+func (m *Machine) EarlierCaps() []EarlierCap {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []EarlierCap
+	for _, team := range sortedKeys(m.history) {
+		list := m.history[team]
+		for i := 0; i+1 < len(list); i++ {
+			if list[i].Deleted {
+				continue
+			}
+			src, problems := document.Parse(team, list[i].Yaml)
+			if len(problems) > 0 {
+				continue // accepted before the format was made stricter
+			}
+			for _, sh := range src.Section.Shifts {
+				out = append(out, EarlierCap{Shift: sh.Name, Cap: sh.Cap, Until: list[i+1].Version})
+			}
+		}
+	}
+	return out
+}
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -38,7 +38,7 @@
 	left     []string // of departed, oldest first
 	sources  map[string]*document.Source
 	claims   map[string]claimed // by group
-	observer func(*fescuepb.Update)
+	observer func(u *fescuepb.Update, restored bool)
 }
 
 type outcomeKey struct{ team, changeID string }
@@ -56,14 +56,15 @@
 }
 
 // Observe makes the machine call observer with the full content of each
-// version, in order, before Apply or Restore returns. Call it before the
-// first command.
-func (m *Machine) Observe(observer func(*fescuepb.Update)) { m.observer = observer }
+// version, in order, before Apply or Restore returns. A restored version may
+// have others before it that were not observed. Call it before the first
+// command.
+func (m *Machine) Observe(observer func(u *fescuepb.Update, restored bool)) { m.observer = observer }
 
 // notify tells the observer of a new version.
-func (m *Machine) notify(before uint64) {
+func (m *Machine) notify(before uint64, restored bool) {
 	if m.observer != nil && m.Version() != before {
-		m.observer(m.Since(0))
+		m.observer(m.Since(0), restored)
 	}
 }
 
@@ -72,7 +73,7 @@
 func (m *Machine) Apply(index uint64, data []byte) []byte {
 	before := m.Version()
 	result := m.applyLocked(index, data)
-	m.notify(before)
+	m.notify(before, false)
 	return result
 }
 
@@ -224,7 +225,7 @@
 	}
 	before := m.Version()
 	m.replace(fresh)
-	m.notify(before)
+	m.notify(before, true)
 	return nil
 }
 
--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -239,3 +239,31 @@
 		t.Fatalf("%d revisions, newest %d", len(got), got[0].Revision)
 	}
 }
+
+// Guards against earlier caps, also of deleted sections, that a restored
+// machine does not know, and against an observer that takes the restored
+// version for the next one.
+func TestEarlierCapsAfterRestore(t *testing.T) {
+	m := New()
+	run(t, m, 1, change("platform", 0, "p", platformYAML))
+	run(t, m, 2, change("a", 0, "1", shiftYAML("a", "old")))
+	run(t, m, 3, change("a", 1, "2", shiftYAML("a", "new")))
+	run(t, m, 4, change("a", 2, "3", ""))
+	run(t, m, 5, change("a", 3, "4", shiftYAML("a", "present")))
+	image, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, restored := New(), false
+	back.Observe(func(_ *fescuepb.Update, r bool) { restored = r })
+	if err := back.Restore(image); err != nil {
+		t.Fatal(err)
+	}
+	want := []EarlierCap{{"old", 5, 3}, {"new", 5, 4}}
+	if got := back.EarlierCaps(); fmt.Sprint(got) != fmt.Sprint(want) || !restored {
+		t.Fatalf("restored %t with %v, want %v", restored, got, want)
+	}
+	if run(t, back, 6, joinCmd("e", 1)); restored {
+		t.Fatal("the next version counts as restored")
+	}
+}
