budget: entries relay lease requests to the control leader

An entry that restarted and could not reach the leader had no units of any cap, although the other entries of its data centre may reach it. Each entry now passes the requests of others on.

--- a/internal/process/budget/client.go
+++ b/internal/process/budget/client.go
@@ -93,7 +93,8 @@
 // Client keeps a holder supplied by the control leader.
 type Client struct {
 	Holder *Shared
-	// Addrs returns the gRPC addresses of the control instances.
+	// Addrs returns the gRPC addresses of the control instances, then those of
+	// relays.
 	Addrs func() []string
 	Dial  func(addr string) (*grpc.ClientConn, error)
 	Log   *logrus.Entry
--- a/internal/process/budget/holder.go
+++ b/internal/process/budget/holder.go
@@ -62,6 +62,13 @@
 // restarted process starts with nothing confirmed; the leader charges what
 // the earlier process may have in flight for the longest deadline, and
 // confirms and leases only what is free beside it.
+//
+// A process that restarts while no relay reaches the leader either, as in a
+// data centre that is cut off, therefore has no units until the leader
+// answers. It cannot go on with its predecessor's share on its own: the
+// predecessor may have lowered it in its last report or left for good, and
+// the leader may have given it to others since. Neither the other entries nor
+// the last confirmed version show that.
 type Holder struct {
 	instance    string
 	incarnation uint64
--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -23,51 +23,74 @@
 func (r *fakeRole) Term() uint64                 { return 1 }
 func (r *fakeRole) Snapshot() *snapshot.Snapshot { return r.snap }
 
-// Guards against a client that stays with a follower, and against leases
-// that do not reach the holder over gRPC.
+// serve starts a control replica or relay and returns its address.
+func serve(t *testing.T, srv fescuepb.BudgetServer) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer()
+	fescuepb.RegisterBudgetServer(g, srv)
+	go g.Serve(lis)
+	t.Cleanup(g.Stop)
+	return lis.Addr().String()
+}
+
+func dial(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// Guards against a client that stays with a follower, against leases that do
+// not reach the holder over gRPC, and against an entry that has no units
+// because it reaches the leader only through another entry.
 func TestClientFindsLeaderAndGetsUnits(t *testing.T) {
 	snap := build(1, map[string]int{"a": 8}, map[string]uint64{"e1": 7})
-	var addrs []string
-	var heard [2]atomic.Uint64 // version that the follower and the leader heard
-	for i, leads := range []bool{false, true} {
-		srv := NewServer(&fakeRole{snap: snap})
-		srv.Heard = func(_ string, version uint64) { heard[i].Store(version) }
-		srv.role.(*fakeRole).leads.Store(leads)
-		// The wait of a new leader is skipped by moving its clock on.
-		srv.follow()
-		srv.now = func() time.Time { return time.Now().Add(10 * time.Second) }
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for _, relayed := range []bool{false, true} {
+		var addrs []string
+		var heard [2]atomic.Uint64 // version that the follower and the leader heard
+		for i, leads := range []bool{false, true} {
+			srv := NewServer(&fakeRole{snap: snap})
+			srv.Heard = func(_ string, version uint64) { heard[i].Store(version) }
+			srv.role.(*fakeRole).leads.Store(leads)
+			// The wait of a new leader is skipped by moving its clock on.
+			srv.follow()
+			srv.now = func() time.Time { return time.Now().Add(10 * time.Second) }
+			addrs = append(addrs, serve(t, srv))
+		}
+		if relayed {
+			addrs = []string{"127.0.0.1:1", serve(t, &Relay{Control: addrs, Dial: dial})}
+		}
+		shared := NewShared(NewHolder("e1", 7))
+		shared.Use(snap)
+		c := &Client{Holder: shared, Addrs: func() []string { return addrs }, Log: logging.Discard(), Dial: dial}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { c.Run(ctx); close(done) }()
+		takeAll(t, shared, 8)
+		cancel()
+		<-done
+		if heard[0].Load() != 1 || heard[1].Load() != 1 {
+			t.Errorf("relayed %t: follower heard version %d, leader %d", relayed, heard[0].Load(), heard[1].Load())
 		}
-		g := grpc.NewServer()
-		fescuepb.RegisterBudgetServer(g, srv)
-		go g.Serve(lis)
-		t.Cleanup(g.Stop)
-		addrs = append(addrs, lis.Addr().String())
 	}
-	shared := NewShared(NewHolder("e1", 7))
-	shared.Use(snap)
-	c := &Client{Holder: shared, Addrs: func() []string { return addrs }, Log: logging.Discard(),
-		Dial: func(addr string) (*grpc.ClientConn, error) {
-			return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
-		}}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { c.Run(ctx); close(done) }()
-	defer func() { cancel(); <-done }()
+}
+
+// takeAll takes units of shift a and fails unless there are exactly want.
+func takeAll(t *testing.T, shared *Shared, want int) {
+	t.Helper()
 	deadline := time.Now().Add(5 * time.Second)
-	for got := 0; got < 8; {
+	for got := 0; got < want; {
 		if _, ok := shared.Acquire("a"); ok {
 			got++
 		} else if time.Now().After(deadline) {
-			t.Fatalf("got %d of 8 units in 5 s", got)
+			t.Fatalf("got %d of %d units in 5 s", got, want)
 		} else {
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
 	if _, ok := shared.Acquire("a"); ok {
-		t.Fatal("got a ninth unit of a cap of 8")
+		t.Fatalf("got more than %d units", want)
 	}
 }
 
--- a/internal/process/entry/adapters.go
+++ b/internal/process/entry/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,29 @@
 // Release gives the unit back.
 func (u capUnit) Release() { u.shared.Release(u.ticket) }
 
+// leaseAddrs returns the addresses to ask for units of caps: the control
+// replicas, and the other entries of the data centre as relays to them.
+func (p *process) leaseAddrs() []string {
+	out := slices.Concat(p.set.Control, p.set.Peers)
+	if s := p.store.Load(); s != nil {
+		for _, m := range s.Entries(p.set.DataCentre) {
+			out = append(out, m.GrpcAddr)
+		}
+	}
+	out = slices.DeleteFunc(out, func(addr string) bool { return addr == "" || addr == p.set.GRPCAddr })
+	return unique(out)
+}
+
+// unique removes repeated addresses and keeps the order.
+func unique(list []string) []string {
+	seen := map[string]bool{}
+	return slices.DeleteFunc(list, func(addr string) bool {
+		again := seen[addr]
+		seen[addr] = true
+		return again
+	})
+}
+
 // linkBudget limits the bytes that this entry sends to other regions.
 type linkBudget struct {
 	mu     sync.Mutex
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -207,6 +207,7 @@
 	callers, peers := p.handlers()
 	g := grpc.NewServer(p.peers.ServerOptions()...)
 	p.follower.Register(g)
+	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: p.set.Control, Dial: p.peers.Dial})
 	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	servers := []*http.Server{
 		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
@@ -226,7 +227,7 @@
 	group.Go(func() error { p.targets.Run(run); return nil })
 	group.Go(func() error { p.groups.Run(run); return nil })
 	group.Go(func() error { p.ledger.Run(run); return nil })
-	client := &budget.Client{Holder: p.shared, Addrs: func() []string { return p.set.Control }, Dial: p.peers.Dial, Log: p.log}
+	client := &budget.Client{Holder: p.shared, Addrs: p.leaseAddrs, Dial: p.peers.Dial, Log: p.log}
 	group.Go(func() error { client.Run(run); return nil })
 	p.log.WithFields(logrus.Fields{"caller_addr": p.set.CallerAddr, "dc": p.set.DataCentre}).Info("entry started")
 	select {
