--- a/internal/process/control/auth.go
+++ b/internal/process/control/auth.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"google.golang.org/grpc/metadata"
 )
@@ -14,9 +15,6 @@
 	Team(ctx context.Context) (team string, err error)
 }
 
-// teamKey is the metadata key with the team on plaintext loopback links.
-const teamKey = "fescue-team"
-
 // LoopbackTeam takes the team from the metadata key fescue-team. It proves
 // nothing and is only for plaintext loopback; elsewhere it refuses.
 type LoopbackTeam struct{ Plaintext bool }
@@ -26,7 +24,7 @@
 	if !a.Plaintext {
 		return "", errkind.New(errkind.Unauthenticated, "no operator keys are configured")
 	}
-	values := metadata.ValueFromIncomingContext(ctx, teamKey)
+	values := metadata.ValueFromIncomingContext(ctx, operatorauth.TeamKey)
 	if len(values) != 1 || values[0] == "" {
 		return "", errkind.New(errkind.Unauthenticated, "the call names no team")
 	}
--- a/internal/process/control/server_test.go
+++ b/internal/process/control/server_test.go
@@ -10,6 +10,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
 	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc/codes"
@@ -34,7 +35,7 @@
 }
 
 func as(ctx context.Context, team string) context.Context {
-	return metadata.NewIncomingContext(ctx, metadata.Pairs(teamKey, team))
+	return metadata.NewIncomingContext(ctx, metadata.Pairs(operatorauth.TeamKey, team))
 }
 
 // Guards against a team that changes another's section, against callers
--- a/internal/process/operator/config.go
+++ b/internal/process/operator/config.go
@@ -80,8 +80,12 @@
 	}
 }
 
-// key reads the operator key. The error does not contain it.
+// key reads the operator key. The error does not contain it. Without a key
+// file, the team is enough on plaintext loopback links.
 func (c Config) key() (string, error) {
+	if c.KeyFile == "" && c.TLS.PlaintextLoopback && c.Team != "" {
+		return "", nil
+	}
 	if c.KeyFile == "" {
 		return "", fail(ExitUsage, "set the operator key with --key-file or key_file in the settings")
 	}
--- a/internal/process/operatorauth/auth.go
+++ b/internal/process/operatorauth/auth.go
@@ -13,6 +13,9 @@
 	"google.golang.org/grpc/metadata"
 )
 
+// TeamKey is the metadata key with the team on plaintext loopback links.
+const TeamKey = "fescue-team"
+
 const (
 	metadataKey = "authorization"
 	scheme      = "Bearer "
@@ -93,6 +96,9 @@
 // credentials.PerRPCCredentials.
 type PerCall struct {
 	Key string
+	// Team is sent instead of a key if there is none, on plaintext links only.
+	// Control accepts it on loopback if it has no keys file.
+	Team string
 	// Plaintext allows the key on links without TLS, which are limited to
 	// loopback addresses.
 	Plaintext bool
@@ -100,6 +106,9 @@
 
 // GetRequestMetadata returns the metadata with the key.
 func (p PerCall) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	if p.Key == "" && p.Plaintext {
+		return map[string]string{TeamKey: p.Team}, nil
+	}
 	return map[string]string{metadataKey: scheme + p.Key}, nil
 }
 
