--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -7,7 +7,8 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 )
 
-// Guards against a follower that doesn't join or misses accepted changes.
+// Guards against a follower that doesn't join or misses accepted changes, also
+// if it reaches control only through another entry.
 func TestFollowsControl(t *testing.T) {
 	t.Parallel()
 	srv, addr := startControl(t)
@@ -24,6 +25,13 @@
 		s := f.cfg.Store.Load()
 		return f.Confirmed() && s.Member("entry-1") != nil && s.Region("dc2") == "south"
 	})
+	behind := newFollower("entry-2", []string{"127.0.0.1:1"}, []string{serve(t, f.Register)})
+	start(t, behind)
+	eventually(t, 3*time.Second, "member through entry-1", func() bool { return f.cfg.Store.Load().Member("entry-2") != nil })
+	if err := behind.Leave(t.Context(), true); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, time.Second, "entry-2 gone", func() bool { return f.cfg.Store.Load().Member("entry-2") == nil })
 	if err := f.Leave(t.Context(), true); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/follow/join.go
+++ b/internal/process/follow/join.go
@@ -51,7 +51,7 @@
 }
 
 func (f *Follower) join(ctx context.Context) error {
-	return f.callControl(ctx, func(ctx context.Context, c fescuepb.MembersClient) error {
+	return f.callMembers(ctx, controlThenRelays, func(ctx context.Context, c fescuepb.MembersClient) error {
 		_, err := c.Join(ctx, &fescuepb.JoinRequest{Member: f.cfg.Self})
 		return err
 	})
@@ -63,7 +63,7 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
-	return f.callControl(ctx, func(ctx context.Context, c fescuepb.MembersClient) error {
+	return f.callMembers(ctx, controlThenRelays, func(ctx context.Context, c fescuepb.MembersClient) error {
 		_, err := c.Leave(ctx, &fescuepb.LeaveRequest{
 			Instance: f.cfg.Self.Instance, Incarnation: f.cfg.Self.Incarnation, Gone: gone,
 		})
@@ -71,14 +71,15 @@
 	})
 }
 
-// callControl calls the control replicas in turn until one answers. A
+// controlThenRelays is the order in which a join or leave is tried: an entry
+// that does not reach control may reach another entry that does.
+var controlThenRelays = []sourceKind{fromControl, fromRelay, fromPeer}
+
+// callMembers calls the sources of the kinds in turn until one answers. A
 // refusal by the state machine is final.
-func (f *Follower) callControl(ctx context.Context, call func(context.Context, fescuepb.MembersClient) error) error {
+func (f *Follower) callMembers(ctx context.Context, kinds []sourceKind, call func(context.Context, fescuepb.MembersClient) error) error {
 	err := errkind.New(errkind.NoQuorum, "no control replica is known")
-	for _, s := range f.sources() {
-		if s.kind != fromControl {
-			continue
-		}
+	for _, s := range ofKinds(f.sources(), kinds) {
 		if err = f.callOne(ctx, s.addr, call); err == nil {
 			return nil
 		}
@@ -90,6 +91,19 @@
 	return err
 }
 
+// ofKinds returns the sources of the kinds, in the order of the kinds.
+func ofKinds(list []source, kinds []sourceKind) []source {
+	var out []source
+	for _, k := range kinds {
+		for _, s := range list {
+			if s.kind == k {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
 func (f *Follower) callOne(ctx context.Context, addr string, call func(context.Context, fescuepb.MembersClient) error) error {
 	conn, err := f.cfg.Dial(addr)
 	if err != nil {
--- a/internal/process/follow/relay.go
+++ b/internal/process/follow/relay.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"context"
+
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"google.golang.org/grpc"
 )
@@ -39,7 +41,34 @@
 	return r.f.hub.Watch(stream)
 }
 
-// Register serves Follow to the other entries of the data centre.
+// membersRelay passes the joins and leaves of entries that do not reach
+// control on to it. Both may be repeated. It calls control only, so calls do
+// not circle.
+type membersRelay struct {
+	fescuepb.UnimplementedMembersServer
+	f *Follower
+}
+
+// Join passes a join on.
+func (r *membersRelay) Join(ctx context.Context, req *fescuepb.JoinRequest) (reply *fescuepb.JoinReply, err error) {
+	err = r.f.callMembers(ctx, []sourceKind{fromControl}, func(ctx context.Context, c fescuepb.MembersClient) error {
+		reply, err = c.Join(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
+// Leave passes a leave on.
+func (r *membersRelay) Leave(ctx context.Context, req *fescuepb.LeaveRequest) (reply *fescuepb.LeaveReply, err error) {
+	err = r.f.callMembers(ctx, []sourceKind{fromControl}, func(ctx context.Context, c fescuepb.MembersClient) error {
+		reply, err = c.Leave(ctx, req)
+		return err
+	})
+	return reply, err
+}
+
+// Register serves Follow and Members to the other entries of the data centre.
 func (f *Follower) Register(s *grpc.Server) {
+	fescuepb.RegisterMembersServer(s, &membersRelay{f: f})
 	fescuepb.RegisterFollowServer(s, &relayServer{f: f})
 }
