--- a/internal/process/budget/server.go
+++ b/internal/process/budget/server.go
@@ -8,6 +8,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/fescuejunction/fescuejunction/internal/version/state"
 )
 
 // Leadership is what the server needs to know of its control replica.
@@ -25,6 +26,9 @@
 // concurrent use.
 type Server struct {
 	fescuepb.UnimplementedBudgetServer
+	// Heard is called for each request, also by a replica that does not lead;
+	// it may be nil. Set it before the server is registered.
+	Heard func(instance string, version uint64)
 
 	mu      sync.Mutex
 	granter *Granter
@@ -48,6 +52,14 @@
 	s.granter.Observe(snap)
 }
 
+// Restored tells that the version observed last came with a state snapshot,
+// and which caps revisions before it had. Call it after Observe.
+func (s *Server) Restored(earlier []state.EarlierCap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.granter.Restored(earlier)
+}
+
 // Sync takes over the replica's role. Call it when the role or the committed
 // version has changed.
 func (s *Server) Sync() {
@@ -74,6 +86,9 @@
 
 // Lease answers one request of a holder.
 func (s *Server) Lease(_ context.Context, req *fescuepb.LeaseRequest) (*fescuepb.LeaseReply, error) {
+	if s.Heard != nil {
+		s.Heard(req.Instance, req.VersionInForce)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.follow() {
