proxy: tests, and the faults that they found

- A target's answer with status 099 made WriteHeader panic, and the unit and the slot of the request were never given back.
Statuses below 200 are refused as answer_broken now, 101 included, and write gives everything back on a panic.
- A caller that stopped reading a long answer held its unit and slot without end, because the write had no deadline.
It has the request's deadline now.
An answer that has arrived as a whole holds nothing while it is written.
- HEAD answers without Content-Length were refused: they looked like bodies that end by closing.
- Fescue-Error-Kind in a target's answer passed the dispatching entry, and the forwarding entry took it for a refusal and sent the request again.
Fescue-Not-Run on an answer other than a shed reached callers as well.
- A refusal of bad input said 'not run' for a key that an earlier request may have used, e.g. for a resent request with no time left.
Only kinds with Retry-After were covered.
- A proof of an earlier try at the key's home was kept for later tries.
- Bodies are read before admission, so nothing bounded their memory over all requests.
BodyMemory does; a body beyond it is refused as queue_full.

goleak checks that no goroutine is left.

--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -187,7 +187,7 @@
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
-		Services: &proxy.Services{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
+		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(proxy.DefaultBodyMemory), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
 		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -58,6 +59,7 @@
 	deadline time.Time
 	received time.Time
 	body     []byte
+	release  func() // gives the body's memory back; nil without a body
 
 	method string
 	path   string // with query, as sent to the target
@@ -77,14 +79,16 @@
 
 // didRun says whether the work of the request ran, given the kind of its
 // error. A refusal before the ledger was asked proves nothing about a key: an
-// earlier request with the key may have run.
+// earlier request with the key may have run. This holds for bad input too,
+// such as a resent request with no time left; only a key that no ledger takes
+// cannot have run.
 func (c *call) didRun(kind errkind.Kind) errkind.DidRun {
-	a := kind.Answer()
+	didRun := kind.Answer().DidRun
 	mayBeOnce := c.route == nil || c.once()
-	if a.DidRun == errkind.No && a.Retry && c.keyed && mayBeOnce && !c.proved {
+	if didRun == errkind.No && c.keyed && mayBeOnce && !c.proved && kind != errkind.BadKey {
 		return errkind.Unknown
 	}
-	return a.DidRun
+	return didRun
 }
 
 // left returns the time until the deadline.
@@ -191,8 +195,13 @@
 	return nil
 }
 
+// routePath returns the path as the target decodes it. An escaped spelling
+// must not lead around the rules of an at-most-once route.
 func routePath(requestURI string) string {
 	path, _, _ := strings.Cut(requestURI, "?")
+	if decoded, err := url.PathUnescape(path); err == nil {
+		return decoded
+	}
 	return path
 }
 
@@ -243,7 +252,7 @@
 
 // readBody reads the whole body before admission, so that a slow sender
 // holds no slot.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request) error {
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, mem *BodyMemory) error {
 	limit := c.service.MaxBodyBytes
 	if r.ContentLength > limit {
 		return errkind.New(errkind.BodyTooLarge, "the body has %d bytes, service %q allows %d", r.ContentLength, c.service.Name, limit)
@@ -253,9 +262,13 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(c.received.Add(min(bodyTimeout, c.left(c.received))))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	in := &bodyReader{Reader: io.LimitReader(r.Body, limit+1), mem: mem}
+	body, err := io.ReadAll(in)
 	_ = rc.SetReadDeadline(time.Time{})
+	c.release = in.release
 	switch {
+	case errkind.Of(err) == errkind.QueueFull:
+		return err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.New(errkind.SlowSender, "the body did not arrive in time")
 	case err != nil:
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -74,6 +74,7 @@
 	Places     *spill.Chooser
 	Ledger     Ledger
 	Services   *Services
+	Bodies     *BodyMemory // shared by the handlers of an entry; nil: DefaultBodyMemory for this one
 	Targets    http.RoundTripper
 	Peers      http.RoundTripper
 	PeerScheme string // "http" or "https"
@@ -98,6 +99,9 @@
 
 // New returns the handler for callers, or for other entries if peer is set.
 func New(cfg Config, peer bool) *Handler {
+	if cfg.Bodies == nil {
+		cfg.Bodies = NewBodyMemory(DefaultBodyMemory)
+	}
 	scope := cfg.Metrics.SubScope("requests")
 	h := &Handler{Config: cfg, peer: peer}
 	h.m.requests = scope.Counter("received")
@@ -116,23 +120,29 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := h.Now()
 	h.m.requests.Inc(1)
-	rep := h.answer(w, r, start)
+	c, err := h.accept(w, r, start)
+	if c.release != nil {
+		defer c.release()
+	}
+	rep := h.answer(r.Context(), c, err)
 	rep.header.Set(HeaderInstance, h.Instance)
 	defer func() { h.m.latency.RecordDuration(h.Now().Sub(start)) }()
 	rep.write(w)
 }
 
-func (h *Handler) answer(w http.ResponseWriter, r *http.Request, now time.Time) *reply {
-	c, err := h.accept(w, r, now)
+// answer serves a request that was accepted, or else turns the error into
+// its answer.
+func (h *Handler) answer(ctx context.Context, c *call, err error) *reply {
 	if err != nil {
 		return h.fail(c, err)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	rep, err := h.serve(ctx, c)
 	if err != nil {
 		cancel()
 		return h.fail(c, err)
 	}
+	rep.deadline = c.deadline
 	end := rep.end
 	rep.end = func(err error) {
 		cancel()
@@ -152,7 +162,7 @@
 	if err != nil {
 		return c, err
 	}
-	return c, c.readBody(w, r)
+	return c, c.readBody(w, r, h.Bodies)
 }
 
 // fail logs and counts an error and turns it into its answer.
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -217,9 +217,19 @@
 		s.rep.finish(nil)
 		s.rep, s.err = nil, errkind.New(errkind.TargetShed, "target %q shed the request", t.Target.ID)
 	}
+	if s.err == nil {
+		for _, name := range systemHeaders {
+			s.rep.header.Del(name)
+		}
+	}
 	return s
 }
 
+// systemHeaders of an answer are set by entries only. An entry would take the
+// answer of a target that sets them for the refusal of another entry and send
+// the request again.
+var systemHeaders = []string{headerKind, HeaderNotRun, HeaderReplayed, headerQueued, headerFree, headerWait}
+
 func shed(r *reply) bool {
 	return r.status == http.StatusServiceUnavailable && r.header.Get(HeaderNotRun) == "true"
 }
--- a/internal/request/proxy/once.go
+++ b/internal/request/proxy/once.go
@@ -33,6 +33,8 @@
 }
 
 func (h *Handler) tryOnce(ctx context.Context, c *call, dc string) (*reply, error) {
+	// What an earlier try proved may have changed since.
+	c.recorded, c.proved = false, false
 	if _, here := h.Ledger.Home(c.snap, c.service.Name, c.key); here {
 		return h.runOnce(ctx, c)
 	}
--- /dev/null
+++ b/internal/request/proxy/proxy_test.go
@@ -0,0 +1,341 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testDocument = `
+team: kerala
+services:
+  - name: rota
+    data_centres: [a]
+    slots_per_target: 2
+    default_deadline: 2s
+    max_body_bytes: 200000
+    routes:
+      - {path: /}
+      - {path: /safe, safe: true}
+      - {path: /claim, once: true}
+    hedge: {budget_percent: 100, min_delay: 5ms}
+    retry: {budget_percent: 100}
+shifts:
+  - {name: s1, cap: 10}
+`
+
+// testCaps counts the units in use.
+type testCaps struct {
+	inUse  atomic.Int32
+	lapsed atomic.Bool
+}
+
+func (c *testCaps) Acquire(context.Context, string) (Unit, error) {
+	c.inUse.Add(1)
+	return &testUnit{caps: c}, nil
+}
+
+type testUnit struct {
+	caps *testCaps
+	done atomic.Bool
+}
+
+func (u *testUnit) Valid() bool { return !u.caps.lapsed.Load() }
+func (u *testUnit) Release() {
+	if u.done.Swap(true) {
+		panic("unit released twice")
+	}
+	u.caps.inUse.Add(-1)
+}
+
+// testGroups names a dispatcher or a home.
+type testGroups struct {
+	mu   sync.Mutex
+	d    *dispatch.Dispatcher
+	home *fescuepb.Member
+}
+
+func (g *testGroups) Dispatcher(string) *dispatch.Dispatcher {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.d
+}
+
+func (g *testGroups) Home(string) *fescuepb.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.home
+}
+
+func (g *testGroups) set(d *dispatch.Dispatcher, home *fescuepb.Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.d, g.home = d, home
+}
+
+// testLedger keeps keys here and notes what became of them.
+type testLedger struct {
+	elsewhere bool
+	start     error
+	stored    *Stored
+	mu        sync.Mutex
+	ends      []string
+}
+
+func (l *testLedger) Home(*snapshot.Snapshot, string, string) (string, bool) {
+	return "a", !l.elsewhere
+}
+
+func (l *testLedger) Start(context.Context, string, string, []byte) (*Stored, error) {
+	return l.stored, l.start
+}
+
+func (l *testLedger) Finish(_ context.Context, _, _ string, _ *Stored, notRun bool) {
+	l.note(map[bool]string{true: "not run", false: "stored"}[notRun])
+}
+func (l *testLedger) Abandon(string, string) { l.note("abandoned") }
+
+func (l *testLedger) note(s string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends = append(l.ends, s)
+}
+
+func (l *testLedger) ended() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.ends, ",")
+}
+
+// world is an entry with stand-in targets.
+type world struct {
+	*testing.T
+	h      *Handler
+	d      *dispatch.Dispatcher
+	caps   *testCaps
+	groups *testGroups
+	ledger *testLedger
+	addr   string // of the entry
+	client *http.Client
+}
+
+func newWorld(t *testing.T, peer bool, targets ...string) *world {
+	t.Helper()
+	snap, err := snapshot.Build(1, []*fescuepb.Section{{Team: "kerala", Yaml: []byte(testDocument)}}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{T: t, caps: &testCaps{}, ledger: &testLedger{}, groups: &testGroups{}, client: &http.Client{Transport: &http.Transport{}}}
+	w.d = dispatch.NewDispatcher(dispatch.Settings{Slots: 2, QueueLimit: 8, HedgePercent: 100, HedgeMinDelay: 5 * time.Millisecond}, time.Now)
+	var infos []dispatch.TargetInfo
+	for i, addr := range targets {
+		infos = append(infos, dispatch.TargetInfo{ID: strconv.Itoa(i), Addr: addr, Slots: 2, ReportedLoad: -1})
+	}
+	w.d.SetTargets(infos)
+	w.groups.d = w.d
+	store := &snapshot.Store{}
+	store.Swap(snap)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	transport := &http.Transport{DisableCompression: true}
+	w.h = New(Config{
+		Instance: "e1", DataCentre: "a", Store: store, Ready: func() bool { return true },
+		Groups: w.groups, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
+		Services: &Services{}, Targets: transport, Peers: transport, PeerScheme: "http",
+		Now: time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
+	}, peer)
+	srv := httptest.NewUnstartedServer(w.h)
+	srv.Config.ErrorLog = nil
+	srv.Start()
+	w.addr = strings.TrimPrefix(srv.URL, "http://")
+	t.Cleanup(func() {
+		w.client.CloseIdleConnections()
+		srv.Close()
+		transport.CloseIdleConnections()
+	})
+	return w
+}
+
+// request returns a request that the entry accepts; headers are pairs.
+func (w *world) request(method, path, body string, headers ...string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+w.addr+path, strings.NewReader(body))
+	if err != nil {
+		w.Fatal(err)
+	}
+	req.Header.Set(HeaderService, "rota")
+	req.Header.Set(HeaderShift, "s1")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return req
+}
+
+// do sends a request and returns the answer with its whole body, or the
+// error of reading it.
+func (w *world) do(req *http.Request) (*http.Response, string, error) {
+	w.Helper()
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// expect sends a request that must get an error answer.
+func (w *world) expect(req *http.Request, kind errkind.Kind, didRun errkind.DidRun) {
+	w.Helper()
+	resp, body, err := w.do(req)
+	if err != nil {
+		w.Fatal(err)
+	}
+	notRun := resp.Header.Get(HeaderNotRun) == "true"
+	if resp.StatusCode != kind.Answer().Status || !strings.Contains(body, `"kind":"`+string(kind)+`"`) ||
+		!strings.Contains(body, `"did_run":"`+string(didRun)+`"`) || notRun != (didRun == errkind.No) {
+		w.Errorf("got %d %s (not run %v), want %s with did_run %s", resp.StatusCode, body, notRun, kind, didRun)
+	}
+}
+
+// allReturned waits until no unit and no slot is in use.
+func (w *world) allReturned() {
+	w.Helper()
+	for end := time.Now().Add(3 * time.Second); w.caps.inUse.Load() != 0 || w.d.Load().InFlight != 0; time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.Fatalf("%d units and %d slots are still in use", w.caps.inUse.Load(), w.d.Load().InFlight)
+		}
+	}
+}
+
+// target starts an HTTP stand-in and returns its address.
+func target(t *testing.T, f http.HandlerFunc) string {
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// rawTarget answers every request with the bytes that answer returns for it
+// and closes the connection if they are empty or asked for it.
+func rawTarget(t *testing.T, answer func(n int) (text string, hangUp bool)) (addr string, seen *atomic.Int32) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen = &atomic.Int32{}
+	var wg sync.WaitGroup
+	t.Cleanup(func() { lis.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					text, hangUp := answer(int(seen.Add(1)))
+					_, _ = io.WriteString(conn, text)
+					if hangUp {
+						return
+					}
+				}
+			})
+		}
+	})
+	return lis.Addr().String(), seen
+}
+
+func constant(text string) func(int) (string, bool) {
+	return func(int) (string, bool) { return text, true }
+}
+
+// Guards against short or foreign answers that look whole to the caller, and
+// against units and slots that such answers keep.
+func TestAnswerNeverCutShort(t *testing.T) {
+	big := strings.Repeat("x", bufferedBytes+1000)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(big), big)
+	for _, c := range []struct {
+		name, answer string
+		kind         errkind.Kind // "": the connection breaks off
+	}{
+		{"length, buffered", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345", errkind.AnswerBroken},
+		{"length, nothing", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", errkind.AnswerBroken},
+		{"chunked, buffered", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n", errkind.AnswerBroken},
+		{"length, beyond", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(big)+1, big), ""},
+		{"chunked, beyond", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk, ""},
+		{"ends by closing", "HTTP/1.1 200 OK\r\n\r\n12345", errkind.AnswerBroken},
+		{"other request", "HTTP/1.1 200 OK\r\nFescue-Request-Id: other\r\nContent-Length: 2\r\n\r\nok", errkind.AnswerMismatch},
+		{"status below 100", "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok", errkind.AnswerBroken},
+		{"switching protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", errkind.AnswerBroken},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, _ := rawTarget(t, constant(c.answer))
+			w := newWorld(t, false, addr)
+			if c.kind != "" {
+				w.expect(w.request("GET", "/", ""), c.kind, errkind.Unknown)
+			} else if _, body, err := w.do(w.request("GET", "/", "")); err == nil {
+				t.Errorf("a short answer of %d bytes ended cleanly", len(body))
+			}
+			w.allReturned()
+		})
+	}
+}
+
+// Guards against answers without a body that are refused or changed.
+func TestAnswersWithoutBody(t *testing.T) {
+	for _, c := range []struct{ method, answer, wantLength string }{
+		{"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", "100000"},
+		{"HEAD", "HTTP/1.1 200 OK\r\n\r\n", ""},
+		{"HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+		{"GET", "HTTP/1.1 204 No Content\r\n\r\n", ""},
+		{"GET", "HTTP/1.1 304 Not Modified\r\nEtag: x\r\n\r\n", ""},
+		{"GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "0"},
+	} {
+		addr, _ := rawTarget(t, constant(c.answer))
+		w := newWorld(t, false, addr)
+		resp, body, err := w.do(w.request(c.method, "/", ""))
+		if err != nil || resp.StatusCode >= 400 || body != "" || resp.Header.Get("Content-Length") != c.wantLength {
+			t.Errorf("%s %q: %v %q %v", c.method, c.answer, resp, body, err)
+		}
+		w.allReturned()
+	}
+}
+
+// Guards against an error answer to HEAD that sends a body, which the next
+// answer on the connection would be read from.
+func TestErrorAnswerToHead(t *testing.T) {
+	w := newWorld(t, false)
+	for range 2 {
+		resp, body, err := w.do(w.request("HEAD", "/", "", HeaderShift, "none"))
+		if err != nil || body != "" || resp.StatusCode != http.StatusForbidden || resp.ContentLength <= 0 {
+			t.Fatalf("%v %q %v", resp, body, err)
+		}
+	}
+}
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -25,6 +25,9 @@
 	rest   io.ReadCloser // what follows head, or nil
 	length int64         // -1 if unknown
 	end    func(err error)
+	// deadline ends the streaming of rest, also to a caller that does not
+	// read: the slot is held until then at most.
+	deadline time.Time
 }
 
 // finish releases what the reply holds; err is nil if the whole answer
@@ -61,10 +64,23 @@
 	return out
 }
 
+// writeTimeout bounds the write of an answer that has arrived as a whole.
+const writeTimeout = 5 * time.Second
+
 // write sends the reply to the caller. If the answer breaks off after the
 // first byte went out, the connection is aborted: the caller must never see
-// a clean end of a short answer.
+// a clean end of a short answer. An answer that has arrived as a whole holds
+// nothing while it is written.
 func (r *reply) write(w http.ResponseWriter) {
+	until := r.deadline
+	if r.rest == nil {
+		r.finish(nil)
+		until = time.Now().Add(writeTimeout)
+	}
+	defer r.finish(http.ErrAbortHandler) // does nothing after a finish below
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(until)
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	h := w.Header()
 	for name, values := range r.header {
 		h[name] = values
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -107,7 +107,11 @@
 		resp.Body.Close()
 		return nil, errkind.New(errkind.AnswerMismatch, "the answer names request %q instead of %q", echoed, c.id)
 	}
-	if endsByClose(resp) {
+	if resp.StatusCode < http.StatusOK {
+		resp.Body.Close()
+		return nil, errkind.New(errkind.AnswerBroken, "the answer has status %d, which ends no request", resp.StatusCode)
+	}
+	if c.method != http.MethodHead && endsByClose(resp) {
 		resp.Body.Close()
 		return nil, errkind.New(errkind.AnswerBroken, "the answer has neither a length nor chunks, so it cannot be proved whole")
 	}
--- /dev/null
+++ b/internal/request/proxy/send_test.go
@@ -0,0 +1,336 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+const shedAnswer = "HTTP/1.1 503 Busy\r\nFescue-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+
+// Guards against the transport's own second try of a request that the target
+// of a reused connection has read.
+func TestNeverSentTwice(t *testing.T) {
+	for _, c := range []struct{ method, path, body string }{
+		{"POST", "/claim", "x"}, {"POST", "/claim", ""}, {"GET", "/claim", ""}, {"GET", "/", ""}, {"DELETE", "/", ""},
+	} {
+		addr, seen := rawTarget(t, func(n int) (string, bool) {
+			if n == 2 {
+				return "", true
+			}
+			return okAnswer, false
+		})
+		w := newWorld(t, false, addr)
+		if _, _, err := w.do(w.request("GET", "/", "")); err != nil {
+			t.Fatal(err)
+		}
+		w.expect(w.request(c.method, c.path, c.body, HeaderKey, "k"), errkind.TargetFailed, errkind.Unknown)
+		if seen.Load() != 2 {
+			t.Errorf("%s %s: the target read %d requests, want 2", c.method, c.path, seen.Load())
+		}
+		if end := w.ledger.ended(); c.path == "/claim" && end != "abandoned" {
+			t.Errorf("the ledger noted %q", end)
+		}
+		w.allReturned()
+	}
+}
+
+// Guards against a shed answer that is not tried again, or is tried again
+// for at-most-once work.
+func TestShedAnswer(t *testing.T) {
+	shedFirst := func(n int) (string, bool) {
+		if n == 1 {
+			return shedAnswer, false
+		}
+		return okAnswer, false
+	}
+	for _, path := range []string{"/", "/claim"} {
+		addr, seen := rawTarget(t, shedFirst)
+		w := newWorld(t, false, addr, addr)
+		req := w.request("GET", path, "", HeaderKey, "k")
+		if path == "/claim" {
+			w.expect(req, errkind.TargetShed, errkind.No)
+			if w.ledger.ended() != "not run" || seen.Load() != 1 {
+				t.Errorf("the ledger noted %q after %d attempts", w.ledger.ended(), seen.Load())
+			}
+		} else if resp, body, err := w.do(req); err != nil || body != "ok" || seen.Load() != 2 {
+			t.Error(resp, body, err)
+		}
+		w.allReturned()
+	}
+}
+
+// Guards against a hedge whose loser keeps running or keeps its slot.
+func TestHedgeLoser(t *testing.T) {
+	gone := make(chan struct{}, 2)
+	var slow atomic.Bool
+	f := func(w http.ResponseWriter, r *http.Request) {
+		if slow.CompareAndSwap(true, false) {
+			<-r.Context().Done()
+			gone <- struct{}{}
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	}
+	w := newWorld(t, false, target(t, f), target(t, f))
+	for range 25 { // the route's times must be known before it is hedged
+		_, _, _ = w.do(w.request("GET", "/safe", ""))
+	}
+	slow.Store(true)
+	if resp, body, err := w.do(w.request("GET", "/safe", "")); err != nil || body != "ok" {
+		t.Fatal(resp, body, err)
+	}
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Error("the loser was not cancelled")
+	}
+	w.allReturned()
+}
+
+// Guards against units and slots that stay in use when the caller goes away
+// before or during the answer, or stops reading it.
+func TestCallerGone(t *testing.T) {
+	started := make(chan struct{}, 3)
+	w := newWorld(t, false, target(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/big" {
+			_, err := w.Write(make([]byte, 64<<20))
+			_ = err
+			return
+		}
+		started <- struct{}{}
+		<-r.Context().Done()
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	if _, _, err := w.do(w.request("GET", "/", "").WithContext(ctx)); err == nil {
+		t.Error("an answer after the caller went away")
+	}
+	w.allReturned()
+	conn, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /big HTTP/1.1\r\nHost: x\r\nFescue-Service: rota\r\nFescue-Shift: s1\r\nFescue-Deadline-Ms: 300\r\n\r\n")
+	for w.caps.inUse.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.allReturned()
+}
+
+// Guards against a target that does not learn the deadline and the request
+// identifier, and against internal headers of callers.
+func TestTargetHeader(t *testing.T) {
+	var got http.Header
+	w := newWorld(t, false, target(t, func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Clone() }))
+	// A hop count that is too high would be refused if it were read.
+	_, _, err := w.do(w.request("GET", "/", "", headerHops, "9", headerForwardedBy, "e2", headerRecorded, "1", headerRemote, "1",
+		HeaderRequestID, "id-1", HeaderDeadline, "700", "Connection", "X-Drop", "X-Drop", "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ms := got.Get(HeaderDeadline); len(ms) != 3 || ms > "700" || got.Get(HeaderRequestID) != "id-1" || got.Get("X-Drop") != "" {
+		t.Errorf("target got %v", got)
+	}
+	for _, name := range internalHeaders {
+		if got.Get(name) != "" {
+			t.Errorf("target got %s", name)
+		}
+	}
+	w.ledger.start = errkind.New(errkind.OutcomeUnknown, "not here")
+	w.expect(w.request("GET", "/claim", "", headerRecorded, "1", HeaderKey, "k"), errkind.OutcomeUnknown, errkind.Unknown)
+}
+
+// Guards against a request that stays at the target although the budget
+// lease that admitted it lapsed while it was sent.
+func TestLeaseLapsedDuringSend(t *testing.T) {
+	cancelled := make(chan struct{}, 1)
+	w := newWorld(t, false, target(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	}))
+	w.caps.lapsed.Store(true)
+	w.expect(w.request("GET", "/", ""), errkind.OutcomeUnknown, errkind.Unknown)
+	<-cancelled
+	w.allReturned()
+}
+
+// Guards against headers of a target that speak for the system: an entry
+// would take its answer for a refusal of another entry and send the request
+// again.
+func TestTargetCannotRefuseForAnEntry(t *testing.T) {
+	addr, seen := rawTarget(t, constant("HTTP/1.1 200 OK\r\nFescue-Error-Kind: not_dispatcher\r\nFescue-Not-Run: true\r\nFescue-Replayed: x\r\nContent-Length: 2\r\n\r\nok"))
+	home := newWorld(t, true, addr)
+	w := newWorld(t, false)
+	w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: home.addr})
+	resp, body, err := w.do(w.request("GET", "/", ""))
+	if err != nil || body != "ok" || resp.Header.Get(HeaderNotRun) != "" || resp.Header.Get(HeaderReplayed) != "" || seen.Load() != 1 {
+		t.Errorf("%v %q %v after %d requests at the target", resp, body, err, seen.Load())
+	}
+}
+
+// Guards against forwarded requests that lose their identifier or travel in
+// circles.
+func TestForward(t *testing.T) {
+	var got http.Header
+	peer := target(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	})
+	w := newWorld(t, true)
+	w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: peer})
+	resp, _, err := w.do(w.request("GET", "/", "", headerHops, "2", headerForwardedBy, "e3", HeaderRequestID, "id-1"))
+	if err != nil || resp.StatusCode != 200 || got.Get(headerHops) != "3" || got.Get(HeaderRequestID) != "id-1" ||
+		got.Get(HeaderService) != "rota" || got.Get(headerForwardedBy) != "e1" || resp.Header.Get(HeaderRequestID) != "id-1" {
+		t.Errorf("peer got %v; answer %v %v", got, resp, err)
+	}
+	w.expect(w.request("GET", "/", "", headerHops, "3"), errkind.HopLimit, errkind.No)
+	w.expect(w.request("GET", "/", "", headerHops, "4"), errkind.HopLimit, errkind.No)
+	w.expect(w.request("GET", "/", "", headerHops, "x"), errkind.BadRequest, errkind.No)
+	w.expect(w.request("GET", "/", "", headerHops, "1", headerForwardedBy, "e2"), errkind.NotDispatcher, errkind.No)
+}
+
+// Guards against requests that are refused because the entry that queued
+// them stops: the next dispatcher must get them.
+func TestStopWhileQueued(t *testing.T) {
+	ok := target(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	next := newWorld(t, true, ok)
+	w := newWorld(t, false, ok)
+	var held []*dispatch.Ticket
+	for range 2 {
+		tk, err := w.d.Acquire(context.Background(), dispatch.Work{Class: document.Short})
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, tk)
+	}
+	go func() {
+		for w.d.Load().Queued == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: next.addr})
+		w.d.Stop()
+	}()
+	if resp, body, err := w.do(w.request("GET", "/", "")); err != nil || body != "ok" {
+		t.Error(resp, body, err)
+	}
+	for _, tk := range held {
+		tk.Done(dispatch.Outcome{})
+	}
+	w.allReturned()
+}
+
+// Guards against bad input with a wrong or unstable kind, and against "not
+// run" for a key that an earlier request may have used.
+func TestBadInput(t *testing.T) {
+	w := newWorld(t, false)
+	w.ledger.start = errkind.New(errkind.LedgerNoBackup, "no backup")
+	long := strings.Repeat("x", maxHeaderBytes)
+	for _, c := range []struct {
+		name, method, path, body string
+		headers                  []string
+		kind                     errkind.Kind
+		didRun                   errkind.DidRun
+	}{
+		{"service", "GET", "/", "", []string{HeaderService, "none"}, errkind.UnknownService, errkind.No},
+		{"no shift", "GET", "/", "", []string{HeaderShift, ""}, errkind.MissingShift, errkind.No},
+		{"shift", "GET", "/", "", []string{HeaderShift, "none"}, errkind.UnknownShift, errkind.No},
+		{"deadline 0", "GET", "/", "", []string{HeaderDeadline, "0"}, errkind.BadDeadline, errkind.No},
+		{"deadline text", "GET", "/", "", []string{HeaderDeadline, "soon"}, errkind.BadDeadline, errkind.No},
+		{"no key", "POST", "/claim", "", nil, errkind.MissingKey, errkind.No},
+		{"bad key", "POST", "/claim", "", []string{HeaderKey, "a b"}, errkind.BadKey, errkind.No},
+		{"long key", "POST", "/claim", "", []string{HeaderKey, long[:maxKeyBytes+1]}, errkind.BadKey, errkind.No},
+		{"large header", "GET", "/", "", []string{"X", long}, errkind.HeaderTooLarge, errkind.No},
+		{"large body", "POST", "/", strings.Repeat("x", 200001), nil, errkind.BodyTooLarge, errkind.No},
+		{"no target", "GET", "/", "", nil, errkind.NoTarget, errkind.No},
+		{"key on another route", "GET", "/", "", []string{HeaderKey, "k"}, errkind.NoTarget, errkind.No},
+		// An earlier request with the key may have run.
+		{"keyed, service", "POST", "/claim", "", []string{HeaderKey, "k", HeaderService, "none"}, errkind.UnknownService, errkind.Unknown},
+		{"keyed, shift", "POST", "/claim", "", []string{HeaderKey, "k", HeaderShift, "none"}, errkind.UnknownShift, errkind.Unknown},
+		{"keyed, deadline", "POST", "/claim", "", []string{HeaderKey, "k", HeaderDeadline, "0"}, errkind.BadDeadline, errkind.Unknown},
+		{"keyed, large body", "POST", "/claim", strings.Repeat("x", 200001), []string{HeaderKey, "k"}, errkind.BodyTooLarge, errkind.Unknown},
+		// The ledger has read the history.
+		{"keyed, no backup", "POST", "/claim", "", []string{HeaderKey, "k", HeaderDeadline, "50"}, errkind.LedgerNoBackup, errkind.No},
+		{"escaped path", "POST", "/%63laim", "", nil, errkind.MissingKey, errkind.No},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := *w
+			w.T = t
+			w.expect(w.request(c.method, c.path, c.body, c.headers...), c.kind, c.didRun)
+			w.allReturned()
+		})
+	}
+	w.h.Ready = func() bool { return false }
+	w.expect(w.request("GET", "/", ""), errkind.NotReady, errkind.No)
+	w.expect(w.request("GET", "/", "", HeaderKey, "k"), errkind.NotReady, errkind.Unknown)
+}
+
+// Guards against bodies that take memory without a bound over all requests.
+func TestBodyMemory(t *testing.T) {
+	release := make(chan struct{})
+	w := newWorld(t, false, target(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	}))
+	w.h.Bodies = NewBodyMemory(150_000)
+	done := make(chan error)
+	go func() {
+		_, _, err := w.do(w.request("POST", "/", strings.Repeat("x", 100_000)))
+		done <- err
+	}()
+	for w.d.Load().InFlight == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.expect(w.request("POST", "/", strings.Repeat("x", 100_000)), errkind.QueueFull, errkind.No)
+	close(release)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if resp, _, err := w.do(w.request("POST", "/", strings.Repeat("x", 100_000))); err != nil || resp.StatusCode != 200 {
+		t.Error(resp, err)
+	}
+}
+
+// Guards against a replayed answer that names the wrong request.
+func TestReplay(t *testing.T) {
+	w := newWorld(t, false)
+	w.ledger.stored = &Stored{Status: 201, Header: http.Header{HeaderRequestID: {"first"}}, Body: []byte("done")}
+	resp, body, err := w.do(w.request("POST", "/claim", "", HeaderKey, "k", HeaderRequestID, "second"))
+	if err != nil || resp.StatusCode != 201 || body != "done" || resp.Header.Get(HeaderRequestID) != "second" || resp.Header.Get(HeaderReplayed) != "first" {
+		t.Error(resp, body, err)
+	}
+}
+
+// Guards against "not run" that rests on an earlier try: another request with
+// the key may have run since.
+func TestProofOfEarlierTry(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = lis.Close()
+		w.Header().Set("Connection", "close")
+		w.Header().Set(headerKind, string(errkind.Stopping))
+		w.Header().Set(HeaderNotRun, "true")
+	})}
+	defer srv.Close()
+	go func() { _ = srv.Serve(lis) }()
+	w := newWorld(t, false)
+	w.ledger.elsewhere = true
+	w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: lis.Addr().String()})
+	w.expect(w.request("GET", "/claim", "", HeaderKey, "k", HeaderDeadline, "150"), errkind.TargetUnreachable, errkind.Unknown)
+}
