lookup: tests; a leaving entry leaves the cached answer at once

An encoded answer is kept for 100 ms, so that an entry was still named for that long after it had begun to leave. The answer now ends as soon as an entry of this data centre that it names takes no requests.

--- a/internal/request/lookup/lookup.go
+++ b/internal/request/lookup/lookup.go
@@ -67,10 +67,12 @@
 type cacheKey struct{ service, dc string }
 
 // cached is an encoded answer. It holds for a short time because the state
-// of the members that it depends on changes without a new version.
+// of the members that it depends on changes without a new version. It ends at
+// once when a member that it names stops taking requests.
 type cached struct {
 	version uint64
 	until   time.Time
+	local   []string // the instances of this data centre that it names
 	body    []byte
 	ttl     string
 }
@@ -125,7 +127,7 @@
 	key := cacheKey{service, dc}
 	now := time.Now()
 	if v, ok := h.cache.Load(key); ok {
-		if c := v.(*cached); c.version == snap.Version && now.Before(c.until) {
+		if c := v.(*cached); c.version == snap.Version && now.Before(c.until) && h.allUsable(c.local) {
 			return c.body, c.ttl, nil
 		}
 	}
@@ -171,7 +173,30 @@
 		return nil, errkind.Wrap(errkind.Internal, err, "encode the answer")
 	}
 	ttl := "max-age=" + strconv.Itoa(int(a.TTLSeconds))
-	return &cached{version: snap.Version, until: now.Add(cacheTime), body: append(body, '\n'), ttl: ttl}, nil
+	c := &cached{version: snap.Version, until: now.Add(cacheTime), body: append(body, '\n'), ttl: ttl}
+	for _, e := range a.Entries {
+		if e.DataCentre == h.cfg.DataCentre {
+			c.local = append(c.local, e.Instance)
+		}
+	}
+	return c, nil
+}
+
+func (h *Handler) allUsable(instances []string) bool {
+	for _, name := range instances {
+		if !h.usable(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// usable reports whether a member of this data centre takes new requests.
+func (h *Handler) usable(instance string) bool {
+	if instance == h.cfg.Instance && h.cfg.Stopping() {
+		return false
+	}
+	return h.cfg.Usable(instance)
 }
 
 func (h *Handler) build(snap *snapshot.Snapshot, svc *snapshot.Service, clientDC string) *Answer {
@@ -214,10 +239,9 @@
 	}
 	usable := order[:0:0]
 	for _, m := range order {
-		if m.Instance == h.cfg.Instance && h.cfg.Stopping() || !h.cfg.Usable(m.Instance) {
-			continue
+		if h.usable(m.Instance) {
+			usable = append(usable, m)
 		}
-		usable = append(usable, m)
 	}
 	if home := h.cfg.Home(service); home != nil {
 		sort.SliceStable(usable, func(i, j int) bool {
--- /dev/null
+++ b/internal/request/lookup/lookup_test.go
@@ -0,0 +1,199 @@
+package lookup
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/uber-go/tally/v4"
+)
+
+const platformSection = `
+team: platform
+regions:
+  - {name: n, data_centres: [n1, n2]}
+  - {name: s, data_centres: [s1]}
+  - {name: e, data_centres: [e1]}
+links:
+  - {from: n, to: s, bytes_per_second: 1000, delay_ms: 50}
+  - {from: n, to: e, bytes_per_second: 1000, delay_ms: 20}
+limits: {lookup_ttl: 1500ms}
+`
+
+const teamSection = `
+team: kerala
+services:
+  - {name: rota, data_centres: [s1, e1, n1, n2], slots_per_target: 2, routes: [{path: /}]}
+`
+
+// world is a handler of instance n1-a with what its answers depend on.
+type world struct {
+	*testing.T
+	h        *Handler
+	store    snapshot.Store
+	stopping atomic.Bool
+	unusable string
+	home     string
+	ready    bool
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{T: t, ready: true}
+	w.swap(1, "")
+	table := blocks.New()
+	for prefix, dc := range map[string]string{"10.0.0.0/8": "s1", "10.1.0.0/16": "n2", "10.1.2.0/24": "e1", "2001:db8::/32": "s1"} {
+		if err := table.Insert(netip.MustParsePrefix(prefix), dc); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var p atomic.Pointer[blocks.Table]
+	p.Store(table)
+	w.h = New(Config{
+		Instance: "n1-a", DataCentre: "n1", Store: &w.store, Blocks: &p,
+		Ready: func() bool { return w.ready }, Stopping: w.stopping.Load,
+		Home:     func(string) *fescuepb.Member { return w.store.Load().Member(w.home) },
+		Usable:   func(instance string) bool { return instance != w.unusable },
+		KeyToken: func(string) string { return "tok" }, Metrics: tally.NoopScope,
+	})
+	return w
+}
+
+// swap puts a version with these drains in force.
+func (w *world) swap(version uint64, drains string) {
+	var members []*fescuepb.Member
+	for _, name := range []string{"n1-a", "n1-b", "n1-c", "n2-a", "s1-a", "e1-a"} {
+		members = append(members, &fescuepb.Member{Instance: name, DataCentre: name[:2], Role: fescuepb.Role_ROLE_ENTRY, CallerAddr: name + ":80"})
+	}
+	snap, err := snapshot.Build(version, []*fescuepb.Section{
+		{Team: "platform", Yaml: []byte(platformSection)}, {Team: "kerala", Yaml: []byte(teamSection + drains)},
+	}, members, nil)
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.store.Swap(snap)
+}
+
+func (w *world) get(query string) (*httptest.ResponseRecorder, Answer) {
+	w.Helper()
+	rec := httptest.NewRecorder()
+	r := httptest.NewRequest("GET", "/lookup?"+query, nil)
+	r.RemoteAddr = "192.0.2.1:1"
+	w.h.ServeHTTP(rec, r)
+	var a Answer
+	if err := json.Unmarshal(rec.Body.Bytes(), &a); err != nil {
+		w.Fatal(err)
+	}
+	return rec, a
+}
+
+// order returns the data centres of the answer, each once.
+func (w *world) order(client string) string {
+	w.Helper()
+	_, a := w.get("service=rota&client=" + url.QueryEscape(client))
+	var out []string
+	for _, e := range a.Entries {
+		if len(out) == 0 || out[len(out)-1] != e.DataCentre {
+			out = append(out, e.DataCentre)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func (w *world) names(instance string) bool {
+	w.Helper()
+	_, a := w.get("service=rota")
+	for _, e := range a.Entries {
+		if e.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against callers that are sent to the wrong data centre first, and
+// against drained places before others.
+func TestOrder(t *testing.T) {
+	w := newWorld(t)
+	for _, c := range []struct{ client, want string }{
+		{"10.1.3.4", "n2 n1 e1 s1"},        // /16, the region, the shorter link
+		{"10.1.2.3", "e1 s1 n1 n2"},        // /24 before /16
+		{"10.9.9.9", "s1 e1 n1 n2"},        // /8
+		{"::ffff:10.1.2.3", "e1 s1 n1 n2"}, // the same IPv4 address
+		{"2001:db8::1", "s1 e1 n1 n2"},
+		{"203.0.113.1", "n1 n2 e1 s1"}, // unknown: near this entry
+	} {
+		if got := w.order(c.client); got != c.want {
+			t.Errorf("%s: %s, want %s", c.client, got, c.want)
+		}
+	}
+	w.swap(2, "drains: [{service: rota, data_centre: n2}]")
+	if got := w.order("10.1.3.4"); got != "n1 e1 s1 n2" {
+		t.Errorf("with n2 drained: %s", got)
+	}
+}
+
+// Guards against an extra hop on the usual path: the dispatcher comes first.
+func TestDispatcherFirst(t *testing.T) {
+	for _, home := range []string{"n1-a", "n1-b", "n1-c"} {
+		w := newWorld(t)
+		w.home = home
+		if _, a := w.get("service=rota"); a.Entries[0].Instance != home || a.KeyPrefix != "n1.tok~" || a.DataCentre != "n1" {
+			t.Errorf("home %s: %+v", home, a)
+		}
+	}
+}
+
+// Guards against look-ups that name an entry after it began to leave, also
+// from the cached answer.
+func TestLeavingAtOnce(t *testing.T) {
+	w := newWorld(t)
+	if !w.names("n1-a") || !w.names("n1-b") {
+		t.Fatal("entries are missing")
+	}
+	w.unusable = "n1-b"
+	if w.names("n1-b") {
+		t.Error("an entry that is leaving is still named")
+	}
+	w.stopping.Store(true)
+	if w.names("n1-a") {
+		t.Error("this entry is still named while it stops")
+	}
+	w.swap(2, "drains: [{instance: n1-c}]")
+	if w.names("n1-c") {
+		t.Error("a drained entry is still named")
+	}
+}
+
+// Guards against wrong cache times and error kinds.
+func TestHeadersAndErrors(t *testing.T) {
+	w := newWorld(t)
+	rec, a := w.get("service=rota")
+	if a.TTLSeconds != 1.5 || rec.Header().Get("Cache-Control") != "max-age=1" || rec.Header().Get("Content-Type") != "application/json" || a.Version != 1 {
+		t.Errorf("%+v %v", a, rec.Header())
+	}
+	for _, c := range []struct {
+		query, kind string
+		status      int
+	}{
+		{"service=none", "unknown_service", 404},
+		{"", "unknown_service", 404},
+		{"service=rota&client=here", "bad_request", 400},
+		{"service=rota&client=10.0.0.0/8", "bad_request", 400},
+	} {
+		rec, _ := w.get(c.query)
+		if rec.Code != c.status || !strings.Contains(rec.Body.String(), `"kind":"`+c.kind+`"`) || rec.Header().Get("Cache-Control") != "no-store" {
+			t.Errorf("%q: %d %s", c.query, rec.Code, rec.Body)
+		}
+	}
+	w.ready = false
+	if rec, _ := w.get("service=rota"); rec.Code != 503 {
+		t.Errorf("not ready: %d", rec.Code)
+	}
+}
