--- /dev/null
+++ b/internal/request/once/fuzz_test.go
@@ -0,0 +1,27 @@
+package once
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a prefix that is not the key's own, which would send the key
+// to another home each time its spelling is read.
+func FuzzSplitKey(f *testing.F) {
+	for _, key := range []string{"", "k", "n1~k", "n1.t~k", "a.b.t~k~l", "~", ".~", "n1.~k"} {
+		f.Add(key)
+	}
+	f.Fuzz(func(t *testing.T, key string) {
+		dc, token := SplitKey(key)
+		prefix, _, marked := strings.Cut(key, keyMark)
+		if !marked && dc+token != "" {
+			t.Errorf("%q has no prefix, got %q and %q", key, dc, token)
+		}
+		if marked && dc != prefix && dc+"."+token != prefix {
+			t.Errorf("%q: got %q and %q", key, dc, token)
+		}
+		if strings.Contains(token, ".") || strings.Contains(dc+token, keyMark) {
+			t.Errorf("%q: got %q and %q", key, dc, token)
+		}
+	})
+}
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -47,11 +47,15 @@
 
 // testCaps counts the units in use.
 type testCaps struct {
+	full   bool
 	inUse  atomic.Int32
 	lapsed atomic.Bool
 }
 
 func (c *testCaps) Acquire(context.Context, string) (Unit, error) {
+	if c.full {
+		return nil, errkind.New(errkind.ShiftCapReached, "full")
+	}
 	c.inUse.Add(1)
 	return &testUnit{caps: c}, nil
 }
@@ -141,6 +145,20 @@
 }
 
 func newWorld(t *testing.T, peer bool, targets ...string) *world {
+	t.Helper()
+	w := newHandler(t, peer, targets...)
+	srv := httptest.NewServer(w.h)
+	w.addr = strings.TrimPrefix(srv.URL, "http://")
+	t.Cleanup(func() {
+		w.client.CloseIdleConnections()
+		srv.Close()
+		w.h.Targets.(*http.Transport).CloseIdleConnections()
+	})
+	return w
+}
+
+// newHandler returns an entry without a listener.
+func newHandler(t *testing.T, peer bool, targets ...string) *world {
 	t.Helper()
 	snap, err := snapshot.Build(1, []*fescuepb.Section{{Team: "kerala", Yaml: []byte(testDocument)}}, nil, nil)
 	if err != nil {
@@ -165,15 +183,6 @@
 		Services: &Services{}, Targets: transport, Peers: transport, PeerScheme: "http",
 		Now: time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
 	}, peer)
-	srv := httptest.NewUnstartedServer(w.h)
-	srv.Config.ErrorLog = nil
-	srv.Start()
-	w.addr = strings.TrimPrefix(srv.URL, "http://")
-	t.Cleanup(func() {
-		w.client.CloseIdleConnections()
-		srv.Close()
-		transport.CloseIdleConnections()
-	})
 	return w
 }
 
--- a/internal/version/blocks/chunk.go
+++ b/internal/version/blocks/chunk.go
@@ -114,7 +114,8 @@
 	return Chunk{Hash: sha256.Sum256(buf.Bytes()), Data: buf.Bytes()}, nil
 }
 
-// AddChunk checks data against hash and inserts its blocks into t.
+// AddChunk checks data against hash and inserts its blocks into t. After an
+// error t may hold a part of them and must not be used.
 func (t *Table) AddChunk(hash Hash, data []byte) error {
 	if sha256.Sum256(data) != hash {
 		return errkind.New(errkind.CorruptLog, "client-block chunk does not match its hash %x", hash[:8])
