entry: the graceful stop outlasts the longest request

It ended after 60 s, 3 s of them spent lingering, but a document may allow deadlines of up to 10 minutes: such requests were interrupted by a planned stop. TestStopOutlastsLongestRequest fails with the old constant.

--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -26,6 +26,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
@@ -40,10 +41,22 @@
 	idleTimeout       = 60 * time.Second
 	// lingerTime keeps a stopping entry answering while callers with a cached
 	// look-up still come.
-	lingerTime  = 3 * time.Second
-	stopTimeout = 60 * time.Second
+	lingerTime = 3 * time.Second
+	// stopMargin is for leaving at control and for writing the last answers.
+	stopMargin = 10 * time.Second
 )
 
+// stopTimeout bounds the graceful stop. It outlasts the longest request that
+// is admitted while the entry lingers: a document may allow more than a
+// minute.
+func stopTimeout(snap *snapshot.Snapshot) time.Duration {
+	longest := document.DefaultLongestDeadline
+	if snap != nil {
+		longest = snap.Limits.LongestDeadline.D()
+	}
+	return lingerTime + longest + stopMargin
+}
+
 // process holds the parts of a running entry.
 type process struct {
 	set      *Settings
@@ -274,7 +287,7 @@
 // until nothing is in flight.
 func (p *process) stop(servers []*http.Server) {
 	p.log.Info("stopping: out of look-ups, handing over")
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout(p.store.Load()))
 	defer cancel()
 	p.stopping.Store(true)
 	p.groups.Stop()
