proxy: keep the remote mark and the trailers of forwarded requests

- A request from another data centre that reached a member which does not dispatch the service was passed to the dispatcher without its mark.
It avoided the ramp of remote requests and could be sent on to a third data centre.
TestRemoteMarkIsKept failed before.
- Trailers of a target were dropped, so that an answer lost a part such as a checksum.
Announced trailers reach the caller now, also through another entry.
TestTrailers failed before.
The stored answers of at-most-once requests still lack them.

--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -23,7 +23,7 @@
 	if c.hops >= maxHops {
 		return nil, errkind.New(errkind.HopLimit, "the request was forwarded %d times already", c.hops)
 	}
-	remote := to.DataCentre != h.DataCentre
+	remote := c.remote || to.DataCentre != h.DataCentre
 	h.m.forwarded.Inc(1)
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "shift": c.shift,
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -348,3 +348,21 @@
 		}
 	}
 }
+
+// Guards against answers that lose their trailers, which may hold a checksum.
+func TestTrailers(t *testing.T) {
+	for _, size := range []int{0, 5, bufferedBytes, bufferedBytes + 5} {
+		home := newWorld(t, true, target(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = io.WriteString(w, strings.Repeat("x", size))
+			w.Header().Set("X-Sum", strconv.Itoa(size))
+		}))
+		w := newWorld(t, false)
+		w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: home.addr})
+		resp, body, err := w.do(w.request("GET", "/", ""))
+		if err != nil || len(body) != size || resp.Trailer.Get("X-Sum") != strconv.Itoa(size) {
+			t.Errorf("%d bytes: got %d, trailer %v, %v", size, len(body), resp.Trailer, err)
+		}
+		home.allReturned()
+	}
+}
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -24,7 +24,10 @@
 	head   []byte        // first bytes of the body
 	rest   io.ReadCloser // what follows head, or nil
 	length int64         // -1 if unknown
-	end    func(err error)
+	// trailer has the names that were announced; the values are there once
+	// the body was read.
+	trailer http.Header
+	end     func(err error)
 	// deadline ends the streaming of rest, also to a caller that does not
 	// read: the slot is held until then at most.
 	deadline time.Time
@@ -85,6 +88,9 @@
 	for name, values := range r.header {
 		h[name] = values
 	}
+	for name := range r.trailer {
+		h.Add("Trailer", name)
+	}
 	if r.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
@@ -93,6 +99,9 @@
 		r.finish(err)
 		panic(http.ErrAbortHandler)
 	}
+	for name, values := range r.trailer {
+		h[name] = values
+	}
 	r.finish(nil)
 }
 
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -116,6 +116,9 @@
 		return nil, errkind.New(errkind.AnswerBroken, "the answer has neither a length nor chunks, so it cannot be proved whole")
 	}
 	r := &reply{status: resp.StatusCode, header: copyHeader(resp.Header), length: resp.ContentLength, rest: resp.Body}
+	if c.method != http.MethodHead {
+		r.trailer = resp.Trailer
+	}
 	buf := make([]byte, headBuffer(resp.ContentLength))
 	n, err := io.ReadFull(resp.Body, buf)
 	r.head = buf[:n]
@@ -123,8 +126,8 @@
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && whole(resp, n):
 		resp.Body.Close()
 		r.rest, r.length = nil, int64(n)
-		if c.method == http.MethodHead {
-			r.length = resp.ContentLength
+		if c.method == http.MethodHead || len(r.trailer) > 0 {
+			r.length = resp.ContentLength // trailers need chunks
 		}
 	case err != nil:
 		resp.Body.Close()
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -334,3 +334,17 @@
 	w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: lis.Addr().String()})
 	w.expect(w.request("GET", "/claim", "", HeaderKey, "k", HeaderDeadline, "150"), errkind.TargetUnreachable, errkind.Unknown)
 }
+
+// Guards against a request from another data centre that avoids the ramp, and
+// is sent on to a third one, because a member that does not dispatch passed
+// it to the one that does.
+func TestRemoteMarkIsKept(t *testing.T) {
+	var got http.Header
+	w := newWorld(t, true)
+	w.groups.set(nil, &fescuepb.Member{Instance: "e2", DataCentre: "a", PeerAddr: target(t, func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Clone() })})
+	for _, remote := range []string{"1", ""} {
+		if _, _, err := w.do(w.request("GET", "/", "", headerHops, "1", headerRemote, remote)); err != nil || got.Get(headerRemote) != remote {
+			t.Errorf("%q became %q, %v", remote, got.Get(headerRemote), err)
+		}
+	}
+}
