--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -27,6 +27,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
@@ -41,10 +42,22 @@
 	idleTimeout       = 60 * time.Second
 	// lingerTime keeps a stopping entry answering while callers with a cached
 	// look-up still come.
-	lingerTime  = 3 * time.Second
-	stopTimeout = 60 * time.Second
+	lingerTime = 3 * time.Second
+	// stopMargin is for leaving at control and for writing the last answers.
+	stopMargin = 10 * time.Second
 )
 
+// stopTimeout bounds the graceful stop. It outlasts the longest request that
+// is admitted while the entry lingers: a document may allow more than a
+// minute.
+func stopTimeout(snap *snapshot.Snapshot) time.Duration {
+	longest := document.DefaultLongestDeadline
+	if snap != nil {
+		longest = snap.Limits.LongestDeadline.D()
+	}
+	return lingerTime + longest + stopMargin
+}
+
 // process holds the parts of a running entry.
 type process struct {
 	set      *Settings
@@ -203,7 +216,7 @@
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
-		Services: &proxy.Services{}, Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
+		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(proxy.DefaultBodyMemory), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
 		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
@@ -291,7 +304,7 @@
 // until nothing is in flight.
 func (p *process) stop(servers []*http.Server) {
 	p.log.Info("stopping: out of look-ups, handing over")
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout(p.store.Load()))
 	defer cancel()
 	p.fire(lifecycle.Stop)
 	p.groups.Stop()
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -24,7 +24,13 @@
 	head   []byte        // first bytes of the body
 	rest   io.ReadCloser // what follows head, or nil
 	length int64         // -1 if unknown
-	end    func(err error)
+	// trailer has the names that were announced; the values are there once
+	// the body was read.
+	trailer http.Header
+	end     func(err error)
+	// deadline ends the streaming of rest, also to a caller that does not
+	// read: the slot is held until then at most.
+	deadline time.Time
 }
 
 // finish releases what the reply holds; err is nil if the whole answer
@@ -61,14 +67,30 @@
 	return out
 }
 
+// writeTimeout bounds the write of an answer that has arrived as a whole.
+const writeTimeout = 5 * time.Second
+
 // write sends the reply to the caller. If the answer breaks off after the
 // first byte went out, the connection is aborted: the caller must never see
-// a clean end of a short answer.
+// a clean end of a short answer. An answer that has arrived as a whole holds
+// nothing while it is written.
 func (r *reply) write(w http.ResponseWriter) {
+	until := r.deadline
+	if r.rest == nil {
+		r.finish(nil)
+		until = time.Now().Add(writeTimeout)
+	}
+	defer r.finish(http.ErrAbortHandler) // does nothing after a finish below
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(until)
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	h := w.Header()
 	for name, values := range r.header {
 		h[name] = values
 	}
+	for name := range r.trailer {
+		h.Add("Trailer", name)
+	}
 	if r.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
@@ -77,6 +99,9 @@
 		r.finish(err)
 		panic(http.ErrAbortHandler)
 	}
+	for name, values := range r.trailer {
+		h[name] = values
+	}
 	r.finish(nil)
 }
 
