--- a/scenarios/system_test.go
+++ b/scenarios/system_test.go
@@ -44,6 +44,7 @@
 		ts.Setenv("TARGETS", args[0])
 	}
 	cmdPorts(ts, false, systemPorts)
+	ts.Setenv("CONTROL", strconv.Quote(ts.Getenv("CTL")))
 	cmdExpand(ts, false, systemFiles)
 	cmdStart(ts, false, []string{"platform", "fescue-lab", "platform", "-c", "platform.yaml"})
 	cmdStart(ts, false, []string{"targets", "fescue-lab", "target", "-c", "targets.yaml"})
