--- a/internal/process/operator/apply.go
+++ b/internal/process/operator/apply.go
@@ -16,6 +16,10 @@
 const (
 	defaultWaitLimit = 10 * time.Second
 	pollInterval     = 100 * time.Millisecond
+	// moveTime is how long --wait counts an instance that no replica hears as
+	// missing while a replica does not report: the instance may have followed
+	// that replica. It moves to another one within 1.5 s and acknowledges there.
+	moveTime = 3 * time.Second
 )
 
 // applyOptions are the arguments of every command that changes a section.
@@ -176,13 +180,17 @@
 // await waits until every live instance acts on the version of the change.
 func (o *applyOptions) await(cl *client, out *outcome) error {
 	out.Waited = true
-	end := time.Now().Add(o.limit)
+	start := time.Now()
+	end := start.Add(o.limit)
 	for {
 		st, err := call(cl, fescuepb.OperatorClient.Status, &fescuepb.StatusRequest{})
 		if err != nil {
 			return fail(ExitNotInForce, "accepted as version %d, but the status is not known: %w", out.Version, err)
 		}
 		out.Missing, out.Pending = missing(st, out.Version), pendingCaps(st)
+		if time.Since(start) < moveTime {
+			out.Missing = append(out.Missing, unheard(st)...)
+		}
 		if len(out.Missing) == 0 && st.Version >= out.Version {
 			out.InForce = true
 			return nil
@@ -207,6 +215,27 @@
 	return out
 }
 
+// unheard returns the entries that no replica hears, if a replica did not
+// report its acknowledgements. Otherwise they are not live.
+func unheard(st *fescuepb.StatusReply) []string {
+	var out []string
+	silent := false
+	for _, i := range st.Instances {
+		switch {
+		case i.Alive || i.Member.GetLeaving():
+		case i.Member.GetRole() == fescuepb.Role_ROLE_CONTROL:
+			silent = true
+		default:
+			out = append(out, i.Member.GetInstance())
+		}
+	}
+	if !silent {
+		return nil
+	}
+	slices.Sort(out)
+	return out
+}
+
 func pendingCaps(st *fescuepb.StatusReply) []string {
 	var out []string
 	for _, p := range st.PendingCaps {
