--- a/cmd/fescue-lab/main.go
+++ b/cmd/fescue-lab/main.go
@@ -22,7 +22,7 @@
 	flaggy.SetName("fescue-lab")
 	flaggy.SetDescription("Stand-ins, load generator and checks for fescuejunction.")
 	flaggy.SetVersion(version)
-	commands := []command{targetCommand(), platformCommand(), linkCommand(), loadCommand(), checkCommand(), compareCommand()}
+	commands := []command{targetCommand(), platformCommand(), linkCommand(), loadCommand(), checkCommand(), compareCommand(), examplesCommand()}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parser, 1)
 	}
