--- a/internal/process/controlmain/settings.go
+++ b/internal/process/controlmain/settings.go
@@ -2,7 +2,6 @@
 package controlmain
 
 import (
-	"net"
 	"net/url"
 	"slices"
 
@@ -42,8 +41,8 @@
 	c.Require(s.Region, "region")
 	c.Require(s.DataCentre, "data_centre")
 	c.Require(s.DataDir, "data_dir")
-	checkAddr(c, s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
-	checkAddr(c, s.AdminAddr, false, "admin_addr")
+	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
+	c.Addr(s.AdminAddr, false, "admin_addr")
 	s.checkReplicas(c)
 	checkURL(c, s.PlatformURL, "platform_url")
 	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback {
@@ -55,10 +54,10 @@
 
 func (s *Settings) checkReplicas(c *settings.Check) {
 	for i, addr := range s.Replicas {
-		checkAddr(c, addr, s.TLS.PlaintextLoopback, "replicas", i)
+		c.Addr(addr, s.TLS.PlaintextLoopback, "replicas", i)
 	}
 	for i, addr := range s.Join {
-		checkAddr(c, addr, s.TLS.PlaintextLoopback, "join", i)
+		c.Addr(addr, s.TLS.PlaintextLoopback, "join", i)
 	}
 	if s.Bootstrap && len(s.Join) > 0 {
 		c.Add([]any{"join"}, "a replica either bootstraps a cluster or joins one")
@@ -78,16 +77,3 @@
 		c.Add(path, "%q is not a URL such as \"http://127.0.0.1:7001/instances\"", text)
 	}
 }
-
-// checkAddr records a problem unless addr is an IP address and port, on
-// loopback if that is required.
-func checkAddr(c *settings.Check, addr string, loopback bool, path ...any) {
-	host, _, err := net.SplitHostPort(addr)
-	ip := net.ParseIP(host)
-	switch {
-	case err != nil || ip == nil:
-		c.Add(path, "%q is not an address such as \"127.0.0.1:7001\"", addr)
-	case loopback && !ip.IsLoopback():
-		c.Add(path, "%q must be a loopback address because tls.plaintext_loopback is set", addr)
-	}
-}
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -2,8 +2,6 @@
 package entry
 
 import (
-	"net"
-
 	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
@@ -36,33 +34,20 @@
 	c.Require(s.Region, "region")
 	c.Require(s.DataCentre, "data_centre")
 	c.Require(s.PlatformURL, "platform_url")
-	checkAddr(c, s.CallerAddr, false, "caller_addr")
-	checkAddr(c, s.PeerAddr, s.TLS.PlaintextLoopback, "peer_addr")
-	checkAddr(c, s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
-	checkAddr(c, s.AdminAddr, false, "admin_addr")
+	c.Addr(s.CallerAddr, false, "caller_addr")
+	c.Addr(s.PeerAddr, s.TLS.PlaintextLoopback, "peer_addr")
+	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
+	c.Addr(s.AdminAddr, false, "admin_addr")
 	if len(s.Control) == 0 {
 		c.Add([]any{"control"}, "at least one address is required")
 	}
 	for i, a := range s.Control {
-		checkAddr(c, a, s.TLS.PlaintextLoopback, "control", i)
+		c.Addr(a, s.TLS.PlaintextLoopback, "control", i)
 	}
 	for i, a := range s.Peers {
-		checkAddr(c, a, s.TLS.PlaintextLoopback, "peers", i)
+		c.Addr(a, s.TLS.PlaintextLoopback, "peers", i)
 	}
 	c.IntRange(s.MemoryLimit, 0, maxMemoryMiB, "memory_limit_mib")
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
-
-// checkAddr records a problem unless addr is an IP address and port, on
-// loopback if that is required.
-func checkAddr(c *settings.Check, addr string, loopback bool, path ...any) {
-	host, _, err := net.SplitHostPort(addr)
-	ip := net.ParseIP(host)
-	switch {
-	case err != nil || ip == nil:
-		c.Add(path, "%q is not an address such as \"127.0.0.1:8001\"", addr)
-	case loopback && !ip.IsLoopback():
-		c.Add(path, "%q must be a loopback address because tls.plaintext_loopback is set", addr)
-	}
-}
--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -51,12 +48,6 @@
 	urgent     bool // the next pings do not wait: a home changed here
 }
 
-// Timeouts of the exchange with another entry.
-const (
-	pingTimeout   = time.Second
-	refuseTimeout = 300 * time.Millisecond
-)
-
 // NewManager returns a manager; Run starts it.
 func NewManager(cfg Config) *Manager {
 	return &Manager{
@@ -112,23 +103,6 @@
 	}
 }
 
-// inUse counts the requests in flight of a service. The caller holds the lock.
-func (m *Manager) inUse(service string) map[string]uint32 {
-	out := map[string]uint32{}
-	add := func(d *dispatch.Dispatcher) {
-		for target, n := range d.InUse() {
-			out[target] += n
-		}
-	}
-	for _, d := range m.retired[service] {
-		add(d)
-	}
-	if d := m.active[service]; d != nil {
-		add(d)
-	}
-	return out
-}
-
 func (m *Manager) duePeers() []*fescuepb.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -171,176 +145,6 @@
 	}
 }
 
-// refresh brings the dispatchers in line with the core and returns the
-// services whose home changed.
-func (m *Manager) refresh(now time.Time) (moved []string) {
-	if m.snap == nil {
-		return nil
-	}
-	for name, svc := range m.snap.Services {
-		if !svc.In(m.cfg.DataCentre) {
-			continue
-		}
-		if home := m.core.Home(name); home != m.homes[name] {
-			m.homes[name] = home
-			moved = append(moved, name)
-		}
-		m.refreshService(name, svc, now)
-	}
-	m.pruneRetired()
-	return moved
-}
-
-func (m *Manager) refreshService(name string, svc *snapshot.Service, now time.Time) {
-	d := m.active[name]
-	if !m.core.IsHome(name) {
-		if d != nil {
-			d.Stop()
-			delete(m.active, name)
-			delete(m.emptySince, name)
-			m.retired[name] = append(m.retired[name], d)
-		}
-		return
-	}
-	settings := m.settings(svc)
-	if d == nil {
-		d = dispatch.NewDispatcher(settings, time.Now)
-		m.active[name] = d
-	} else {
-		d.Configure(settings)
-	}
-	d.SetTargets(m.targets(name, svc, now))
-}
-
-func (m *Manager) settings(svc *snapshot.Service) dispatch.Settings {
-	s := dispatch.Settings{
-		Service: svc.Name, DataCentre: m.cfg.DataCentre, Slots: svc.SlotsPerTarget,
-		QueueLimit: svc.QueueLimit, LongSharePercent: svc.LongShare, Warmup: svc.Warmup.D(),
-		LongestDeadline: m.snap.LongestDeadline(svc),
-	}
-	if svc.Hedge != nil {
-		s.HedgePercent, s.HedgeMinDelay = svc.Hedge.BudgetPercent, svc.Hedge.MinDelay.D()
-	}
-	return s
-}
-
-func (m *Manager) targets(name string, svc *snapshot.Service, now time.Time) []dispatch.TargetInfo {
-	retired := map[string]uint32{}
-	for _, d := range m.retired[name] {
-		for id, n := range d.InUse() {
-			retired[id] += n
-		}
-	}
-	var out []dispatch.TargetInfo
-	total := 0
-	for _, t := range m.cfg.Targets(name) {
-		slots := svc.SlotsPerTarget
-		if t.Slots > 0 {
-			slots = min(slots, t.Slots)
-		}
-		usable := m.core.Usable(name, t.ID, slots, now) - int(retired[t.ID])
-		total += max(usable, 0)
-		out = append(out, dispatch.TargetInfo{
-			ID: t.ID, Addr: t.Addr, State: m.state(t), Slots: max(usable, 0),
-			ReportedLoad: t.ReportedLoad, Since: t.HealthySince,
-		})
-	}
-	if m.withoutSlots(name, total, now) {
-		for i := range out {
-			out[i].State = dispatch.Down
-		}
-	}
-	return out
-}
-
-// maxWithoutSlots is how long requests wait for a dispatcher that has no
-// slots yet, as after a takeover, before they are sent elsewhere.
-const maxWithoutSlots = 3 * time.Second
-
-// withoutSlots reports whether the service has had no slots for too long.
-func (m *Manager) withoutSlots(name string, total int, now time.Time) bool {
-	if total > 0 {
-		delete(m.emptySince, name)
-		return false
-	}
-	since, ok := m.emptySince[name]
-	if !ok {
-		m.emptySince[name] = now
-		return false
-	}
-	return now.Sub(since) > maxWithoutSlots
-}
-
-func (m *Manager) state(t target.Target) dispatch.TargetState {
-	switch {
-	case t.Status == target.Leaving || m.snap.TargetDrained(t.Service, m.cfg.DataCentre, t.ID):
-		return dispatch.Leaving
-	case t.Status == target.Down:
-		return dispatch.Down
-	}
-	return dispatch.Active
-}
-
-// pruneRetired forgets handed-over dispatchers without requests in flight.
-func (m *Manager) pruneRetired() {
-	for name, list := range m.retired {
-		kept := list[:0]
-		for _, d := range list {
-			if d.Load().InFlight > 0 {
-				kept = append(kept, d)
-			}
-		}
-		m.retired[name] = kept
-	}
-}
-
-// exchange pings one member.
-func (m *Manager) exchange(ctx context.Context, peer *fescuepb.Member) {
-	defer func() {
-		m.mu.Lock()
-		delete(m.inFlight, peer.Instance)
-		m.mu.Unlock()
-	}()
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	if err := m.ping(ctx, peer); err != nil {
-		m.probeRefused(ctx, peer)
-	}
-}
-
-func (m *Manager) ping(ctx context.Context, peer *fescuepb.Member) error {
-	conn, err := m.cfg.Dial(peer.GrpcAddr)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	req := m.core.Ping(peer.Instance)
-	m.mu.Unlock()
-	sentAt := time.Now()
-	reply, err := fescuepb.NewPeersClient(conn).Ping(ctx, req)
-	if err != nil {
-		return err
-	}
-	m.update(func() { m.core.OnPingReply(peer.Instance, reply, sentAt, time.Now()) })
-	return nil
-}
-
-// probeRefused finds out whether the address of a member that did not answer
-// refuses connections. A connection of its own is tried because the state of
-// a pooled one may be old.
-func (m *Manager) probeRefused(ctx context.Context, peer *fescuepb.Member) {
-	sentAt := time.Now()
-	d := net.Dialer{Timeout: refuseTimeout}
-	conn, err := d.DialContext(ctx, "tcp", peer.GrpcAddr)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		m.update(func() { m.core.OnRefused(peer.Instance, sentAt) })
-	}
-}
-
 // Ping answers another entry. Whenever the lock is free, dispatchers run only
 // for services whose home is this instance, so a promise made in the answer
 // holds from then on: update applies a change of home before it unlocks.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -36,6 +37,19 @@
 	}
 }
 
+// Addr records a problem unless addr is an IP address and port, on loopback
+// if that is required.
+func (c *Check) Addr(addr string, loopback bool, path ...any) {
+	host, _, err := net.SplitHostPort(addr)
+	ip := net.ParseIP(host)
+	switch {
+	case err != nil || ip == nil:
+		c.Add(path, "%q is not an address such as \"127.0.0.1:8001\"", addr)
+	case loopback && !ip.IsLoopback():
+		c.Add(path, "%q must be a loopback address because tls.plaintext_loopback is set", addr)
+	}
+}
+
 // DurationRange records a problem if value is outside low to high.
 func (c *Check) DurationRange(value document.Duration, low, high time.Duration, path ...any) {
 	if value.D() < low || value.D() > high {
