--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -37,5 +37,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return entry.Run(ctx, &s, logging.New(os.Stderr, s.Log.Level, "fescue-entry", s.Instance))
+	log, flush := logging.NewAsync(os.Stderr, s.Log.Level, "fescue-entry", s.Instance)
+	defer flush()
+	return entry.Run(ctx, &s, log)
 }
