--- a/internal/process/operator/app.go
+++ b/internal/process/operator/app.go
@@ -62,7 +62,7 @@
 	p := newParser(a.Version, &e.g)
 	commands := []command{
 		&validateCmd{}, &diffCmd{}, &applyCmd{}, &getCmd{}, &historyCmd{}, &statusCmd{},
-		&drainCmd{}, &explainCmd{}, &certsCmd{}, &keygenCmd{},
+		&drainCmd{}, &blocksCmd{}, &explainCmd{}, &certsCmd{}, &keygenCmd{},
 	}
 	subs := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
