status: pending caps, term and indexes come from the leader

A replica that does not lead showed lowered caps as pending for ever and no match indexes. The leader now reports them with its acknowledgements, and fescuectl says so if it did not answer. Pending caps have fields in JSON, and an instance that was never heard is shown as such.

--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -38,8 +38,9 @@
 	OtherVoters func() []string
 	// Chunks keeps the client-block table; nil if there is none.
 	Chunks *chunkstore.Store
-	// Describe adds what the log knows to a status; it may be nil.
-	Describe func(*fescuepb.StatusReply)
+	// Describe returns what the replica knows of the term, its replicas and, if
+	// it leads, the pending caps; it may be nil.
+	Describe func() (st *fescuepb.LeaderStatus, leads bool)
 	Dial     func(addr string) (*grpc.ClientConn, error)
 	Logger   *logrus.Entry
 	Metrics  tally.Scope
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -17,8 +17,8 @@
 	s *Server
 }
 
-// Acks returns the acknowledgements that arrived at this replica, and its
-// own version.
+// Acks returns the acknowledgements that arrived at this replica, its own
+// version and, if it leads, what only the leader knows.
 func (c *controlPeers) Acks(context.Context, *fescuepb.AcksRequest) (*fescuepb.AcksReply, error) {
 	reply := &fescuepb.AcksReply{Acks: []*fescuepb.Ack{{
 		Instance: c.s.cfg.Instance,
@@ -31,6 +31,9 @@
 			AgeMs:    time.Since(ack.Heard).Milliseconds(),
 		})
 	}
+	if st, leads := c.s.describe(); leads {
+		reply.Leader = st
+	}
 	return reply, nil
 }
 
@@ -49,21 +52,30 @@
 // LocalStatus returns the status as this replica knows it, which a quorum
 // need not have confirmed.
 func (s *Server) LocalStatus(ctx context.Context) *fescuepb.StatusReply {
-	acks, _ := s.collectAcks(ctx)
+	reports := s.collect(ctx)
 	reply := &fescuepb.StatusReply{
 		Version: s.cfg.Machine.Version(),
 		Counter: s.cfg.Log.Counter(),
 		Leader:  s.cfg.Log.LeaderAddr(),
 	}
 	for _, m := range s.cfg.Machine.Members() {
-		reply.Instances = append(reply.Instances, instanceStatus(m, acks))
+		reply.Instances = append(reply.Instances, instanceStatus(m, reports.acks))
 	}
-	if s.cfg.Describe != nil {
-		s.cfg.Describe(reply)
+	st := reports.leader
+	if reply.LeaderAnswered = st != nil; !reply.LeaderAnswered {
+		st, _ = s.describe()
 	}
+	reply.Term, reply.PendingCaps, reply.Replicas = st.Term, st.PendingCaps, st.Replicas
 	return reply
 }
 
+func (s *Server) describe() (st *fescuepb.LeaderStatus, leads bool) {
+	if s.cfg.Describe == nil {
+		return &fescuepb.LeaderStatus{}, false
+	}
+	return s.cfg.Describe()
+}
+
 func instanceStatus(m *fescuepb.Member, acks map[string]feed.Ack) *fescuepb.InstanceStatus {
 	ack, heard := acks[m.Instance]
 	st := &fescuepb.InstanceStatus{Member: m, LastHeardMs: -1}
@@ -87,24 +99,32 @@
 
 // Hearing asks the other replicas whom they hear.
 func (s *Server) Hearing(ctx context.Context) Hearing {
-	acks, answered := s.collectAcks(ctx)
-	h := Hearing{Last: make(map[string]time.Time, len(acks)), Answered: answered}
-	for instance, ack := range acks {
+	reports := s.collect(ctx)
+	h := Hearing{Last: make(map[string]time.Time, len(reports.acks)), Answered: reports.answered}
+	for instance, ack := range reports.acks {
 		h.Last[instance] = ack.Heard
 	}
 	return h
 }
 
-// collectAcks merges the acknowledgements of all replicas; the one heard
-// last wins. It returns the addresses of the other replicas that answered in
-// time.
-func (s *Server) collectAcks(ctx context.Context) (map[string]feed.Ack, map[string]bool) {
+// reports are what this and the other replicas know.
+type reports struct {
+	mu       sync.Mutex
+	acks     map[string]feed.Ack    // by instance; the one heard last wins
+	answered map[string]bool        // by address of the other replica
+	leader   *fescuepb.LeaderStatus // nil if no leader answered
+}
+
+// collect asks the other replicas. One that does not answer in time is left
+// out.
+func (s *Server) collect(ctx context.Context) *reports {
 	ctx, cancel := context.WithTimeout(ctx, acksTimeout)
 	defer cancel()
-	all := s.hub.Acks.All()
-	all[s.cfg.Instance] = feed.Ack{Version: s.cfg.Machine.Version(), Heard: time.Now()}
-	answered := map[string]bool{}
-	var mu sync.Mutex
+	r := &reports{acks: s.hub.Acks.All(), answered: map[string]bool{}}
+	r.acks[s.cfg.Instance] = feed.Ack{Version: s.cfg.Machine.Version(), Heard: time.Now()}
+	if st, leads := s.describe(); leads {
+		r.leader = st
+	}
 	var wg sync.WaitGroup
 	for _, addr := range s.cfg.Replicas() {
 		wg.Go(func() {
@@ -113,14 +133,23 @@
 				s.cfg.Logger.WithError(err).WithField("replica", addr).Warn("replica did not report its acknowledgements")
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			mergeAcks(all, reply, time.Now())
-			answered[addr] = true
+			r.add(addr, reply, time.Now())
 		})
 	}
 	wg.Wait()
-	return all, answered
+	return r
+}
+
+// add takes over a reply. Of two replicas that both claim to lead, the one
+// with the higher term does.
+func (r *reports) add(addr string, reply *fescuepb.AcksReply, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mergeAcks(r.acks, reply, now)
+	r.answered[addr] = true
+	if st := reply.Leader; st != nil && st.Term >= r.leader.GetTerm() {
+		r.leader = st
+	}
 }
 
 func (s *Server) askAcks(ctx context.Context, addr string) (*fescuepb.AcksReply, error) {
--- a/internal/process/controlmain/cluster.go
+++ b/internal/process/controlmain/cluster.go
@@ -74,14 +74,18 @@
 	return out
 }
 
-// describe adds the replication and the pending caps to a status.
-func (p *process) describe(reply *fescuepb.StatusReply) {
+// describe returns the replication and, at the leader, the pending caps.
+func (p *process) describe() (*fescuepb.LeaderStatus, bool) {
 	st := p.replica.Status()
-	reply.Term = st.Term
-	reply.PendingCaps = p.budgets.PendingCaps()
+	reply := &fescuepb.LeaderStatus{Term: st.Term}
+	leads := p.lead.IsLeader()
+	if leads {
+		reply.PendingCaps = p.budgets.PendingCaps()
+	}
 	for _, peer := range st.Peers {
 		reply.Replicas = append(reply.Replicas, &fescuepb.ReplicaStatus{
 			Id: peer.ID, Addr: peer.Addr, Voter: peer.Voter, MatchIndex: peer.Match,
 		})
 	}
+	return reply, leads
 }
--- a/internal/process/operator/apply.go
+++ b/internal/process/operator/apply.go
@@ -74,17 +74,17 @@
 
 // outcome is the result of a change.
 type outcome struct {
-	Team     string   `json:"team"`
-	Revision uint64   `json:"revision"`
-	Version  uint64   `json:"version"`
-	ChangeID string   `json:"change_id"`
-	Repeated bool     `json:"repeated"` // the change had been applied before
-	InForce  bool     `json:"in_force"` // only known with --wait
-	Waited   bool     `json:"waited"`
-	Missing  []string `json:"missing,omitempty"`
-	Pending  []string `json:"pending_caps,omitempty"`
-	Error    string   `json:"error,omitempty"`
-	ExitCode int      `json:"exit_code"`
+	Team     string       `json:"team"`
+	Revision uint64       `json:"revision"`
+	Version  uint64       `json:"version"`
+	ChangeID string       `json:"change_id"`
+	Repeated bool         `json:"repeated"` // the change had been applied before
+	InForce  bool         `json:"in_force"` // only known with --wait
+	Waited   bool         `json:"waited"`
+	Missing  []string     `json:"missing,omitempty"`
+	Pending  []pendingCap `json:"pending_caps,omitempty"`
+	Error    string       `json:"error,omitempty"`
+	ExitCode int          `json:"exit_code"`
 }
 
 // apply sends the change. base is the section that the change was made from,
@@ -206,11 +206,3 @@
 	slices.Sort(out)
 	return out
 }
-
-func pendingCaps(st *fescuepb.StatusReply) []string {
-	var out []string
-	for _, p := range st.PendingCaps {
-		out = append(out, fmt.Sprintf("shift %s from %d to %d, missing: %s", p.Shift, p.OldCap, p.NewCap, strings.Join(p.Missing, ", ")))
-	}
-	return out
-}
--- a/internal/process/operator/status.go
+++ b/internal/process/operator/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/integrii/flaggy"
@@ -24,7 +25,7 @@
 	Alive       bool   `json:"alive"`
 	Leaving     bool   `json:"leaving"`
 	InForce     uint64 `json:"version_in_force"`
-	LastHeardMs int64  `json:"last_heard_ms"`
+	LastHeardMs *int64 `json:"last_heard_ms"` // null: never
 	GRPCAddr    string `json:"grpc_addr"`
 	CallerAddr  string `json:"caller_addr,omitempty"`
 }
@@ -42,7 +43,8 @@
 	Leader    string         `json:"leader"`
 	Term      uint64         `json:"term"`
 	Instances []instanceView `json:"instances"`
-	Pending   []string       `json:"pending_caps"`
+	Answered  bool           `json:"leader_answered"` // if not, the pending caps are not known
+	Pending   []pendingCap   `json:"pending_caps"`
 	Replicas  []replicaView  `json:"replicas"`
 }
 
@@ -57,12 +59,12 @@
 }
 
 func statusOf(st *fescuepb.StatusReply) statusView {
-	v := statusView{Version: st.Version, Counter: st.Counter, Leader: st.Leader, Term: st.Term, Pending: pendingCaps(st)}
+	v := statusView{Version: st.Version, Counter: st.Counter, Leader: st.Leader, Term: st.Term, Answered: st.LeaderAnswered, Pending: pendingCaps(st)}
 	for _, i := range st.Instances {
 		m := i.Member
 		v.Instances = append(v.Instances, instanceView{
 			Instance: m.GetInstance(), Region: m.GetRegion(), DataCentre: m.GetDataCentre(), Role: roleName(m.GetRole()),
-			Alive: i.Alive, Leaving: m.GetLeaving(), InForce: i.VersionInForce, LastHeardMs: i.LastHeardMs,
+			Alive: i.Alive, Leaving: m.GetLeaving(), InForce: i.VersionInForce, LastHeardMs: lastHeard(i),
 			GRPCAddr: m.GetGrpcAddr(), CallerAddr: m.GetCallerAddr(),
 		})
 	}
@@ -72,6 +74,13 @@
 	return v
 }
 
+func lastHeard(i *fescuepb.InstanceStatus) *int64 {
+	if i.LastHeardMs < 0 {
+		return nil
+	}
+	return &i.LastHeardMs
+}
+
 func (c *statusCmd) run(e *env) error {
 	cl, err := e.connect()
 	if err != nil {
@@ -91,9 +100,13 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tIN FORCE\tLAST HEARD")
 	for _, i := range v.Instances {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d ms\n", i.Instance, i.Role, i.DataCentre, i.state(), i.InForce, i.LastHeardMs)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", i.Instance, i.Role, i.DataCentre, i.state(), i.inForce(), i.lastHeard())
 	}
 	t.Flush()
+	fmt.Fprintln(w)
+	if !v.Answered {
+		fmt.Fprintln(w, "the leader did not answer: pending caps and replica indexes are not known")
+	}
 	for _, p := range v.Pending {
 		fmt.Fprintln(w, "pending cap:", p)
 	}
@@ -115,3 +128,17 @@
 	}
 	return "live"
 }
+
+func (i instanceView) inForce() string {
+	if i.InForce == 0 {
+		return "-"
+	}
+	return fmt.Sprint(i.InForce)
+}
+
+func (i instanceView) lastHeard() string {
+	if i.LastHeardMs == nil {
+		return "never"
+	}
+	return (time.Duration(*i.LastHeardMs) * time.Millisecond).String() + " ago"
+}
