fescuectl: show drained instances and targets, say what drain needs

A target drain without a service was refused with a message about the service "". status showed an instance that the document drains as live, and explain did not mention drained targets or that a dispatcher keeps its services.

--- a/internal/process/control/server_test.go
+++ b/internal/process/control/server_test.go
@@ -165,6 +165,34 @@
 	}
 }
 
+// Guards against pending caps that a replica shows without knowing them, or
+// takes from a leader that was replaced.
+func TestStatusOfTheLeader(t *testing.T) {
+	s := newServer(t, true)
+	leads := false
+	s.cfg.Describe = func() (*fescuepb.LeaderStatus, bool) { return &fescuepb.LeaderStatus{Term: 4}, leads }
+	acks, err := (&controlPeers{s: s}).Acks(t.Context(), nil)
+	if st := s.LocalStatus(t.Context()); st.LeaderAnswered || st.Term != 4 || err != nil || acks.Leader != nil {
+		t.Fatalf("a follower speaks as the leader: %v, %v, %v", st, acks, err)
+	}
+	leads = true
+	acks, err = (&controlPeers{s: s}).Acks(t.Context(), nil)
+	if st := s.LocalStatus(t.Context()); !st.LeaderAnswered || err != nil || acks.Leader.GetTerm() != 4 {
+		t.Fatalf("the leader does not tell what it knows: %v, %v, %v", st, acks, err)
+	}
+	r := &reports{acks: map[string]feed.Ack{}, answered: map[string]bool{}}
+	for _, term := range []uint64{0, 4, 3} {
+		reply := &fescuepb.AcksReply{}
+		if term > 0 {
+			reply.Leader = &fescuepb.LeaderStatus{Term: term}
+		}
+		r.add(string(rune('a'+term)), reply, time.Now())
+	}
+	if r.leader.GetTerm() != 4 || len(r.answered) != 3 {
+		t.Fatalf("leader of term %d, answered %v", r.leader.GetTerm(), r.answered)
+	}
+}
+
 // Guards against errors that lose their kind on the way to the caller.
 func TestRPCError(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/process/operator/drain.go
+++ b/internal/process/operator/drain.go
@@ -22,8 +22,10 @@
 }
 
 func (c *drainCmd) define() *flaggy.Subcommand {
-	s := sub("drain", "Takes a place of the team out of service, or puts it back.",
+	s := sub("drain", "Takes a place, a target or an entry instance out of service, or puts it back.",
 		"fescuectl --config ctl.yaml drain --service rota --data-centre kochi-1 --wait\n"+
+			"  fescuectl --config ctl.yaml drain --service rota --data-centre kochi-1 --target rota-7 --wait\n"+
+			"  fescuectl --config platform.yaml drain --instance kochi-1a --wait\n"+
 			"  fescuectl --config ctl.yaml drain --service rota --data-centre kochi-1 --remove --wait")
 	s.String(&c.DataCentre, "", "data-centre", "Data centre to drain; all if absent.")
 	s.String(&c.Service, "", "service", "Service to drain.")
@@ -42,6 +44,9 @@
 	if c.Drain == (document.Drain{}) {
 		return fail(ExitUsage, "set at least one of --data-centre, --service, --target, --instance")
 	}
+	if c.Target != "" && c.Service == "" {
+		return fail(ExitUsage, "--target needs --service, the service of the target")
+	}
 	cl, err := e.connect()
 	if err != nil {
 		return err
--- a/internal/process/operator/explain.go
+++ b/internal/process/operator/explain.go
@@ -208,9 +208,14 @@
 }
 
 func (c *explainCmd) notes(snap *snapshot.Snapshot, st *fescuepb.StatusReply, ex *explanation) {
-	for _, p := range st.PendingCaps {
+	for _, p := range pendingCaps(st) {
 		if p.Shift == c.shift {
-			ex.Notes = append(ex.Notes, fmt.Sprintf("the cap of the shift is still %d in part: not acknowledged by %s", p.OldCap, strings.Join(p.Missing, ", ")))
+			ex.Notes = append(ex.Notes, "pending cap: "+p.String())
+		}
+	}
+	for _, d := range snap.Drains() {
+		if d.Target != "" && (d.Service == "" || d.Service == c.service) {
+			ex.Notes = append(ex.Notes, "drained by the document: target "+d.Target)
 		}
 	}
 	if behind := missing(st, snap.Version); len(behind) > 0 {
@@ -219,6 +224,7 @@
 	if c.client != "" {
 		ex.Notes = append(ex.Notes, fmt.Sprintf("client %s is taken to reach %s; entries find the data centre of a client in the block table", c.client, c.dc))
 	}
+	ex.Notes = append(ex.Notes, "an entry that dispatches the service already keeps it, also if it is not first in the order")
 	ex.Notes = append(ex.Notes, "queues, load and free slots are known to the dispatchers only and may change the choice")
 }
 
--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -48,7 +48,8 @@
 	applied  int
 	lose     int // answers to Apply that are lost after the change was made
 	down     bool
-	lag      uint64            // versions that the status is behind, as at a follower
+	lag      uint64 // versions that the status is behind, as at a follower
+	pending  []*fescuepb.PendingCap
 	behind   map[string]uint64 // how many versions an instance is behind
 }
 
@@ -120,7 +121,7 @@
 func (f *fake) Status(context.Context, *fescuepb.StatusRequest) (*fescuepb.StatusReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &fescuepb.StatusReply{Version: f.version - f.lag, Leader: "c1"}
+	reply := &fescuepb.StatusReply{Version: f.version - f.lag, Leader: "c1", LeaderAnswered: f.pending != nil, PendingCaps: f.pending}
 	if f.lag > 0 {
 		return reply, nil
 	}
@@ -128,7 +129,7 @@
 		for _, n := range []string{"a", "b"} {
 			m := &fescuepb.Member{Instance: dc + n, DataCentre: dc, Role: fescuepb.Role_ROLE_ENTRY}
 			reply.Instances = append(reply.Instances, &fescuepb.InstanceStatus{
-				Member: m, Alive: n == "a", VersionInForce: f.version - f.behind[m.Instance],
+				Member: m, Alive: n == "a", LastHeardMs: map[string]int64{"a": 1500, "b": -1}[n], VersionInForce: f.version - f.behind[m.Instance],
 			})
 		}
 	}
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
@@ -107,6 +108,25 @@
 	r.expect(ExitInvalid, append(drain, "--remove"), "no such drain")
 	r.expect(ExitOK, args("explain", "--service", "rota", "--shift", "coast", "--data-centre", "kochi-1"), "goes to dispatcher kochi-1a")
 	r.expect(ExitUsage, args("drain"))
+	r.expect(ExitUsage, args("drain", "--target", "rota-1"), "--service")
+}
+
+// Guards against a status that hides pending caps, a leader that did not tell
+// them, drained instances, or how long ago an instance was heard.
+func TestStatus(t *testing.T) {
+	r := newRig(t)
+	r.expect(ExitOK, args("status"), "the leader did not answer", "1.5s ago", "never")
+	r.mu.Lock()
+	r.pending = []*fescuepb.PendingCap{
+		{Shift: "coast", OldCap: 40, NewCap: 8, Missing: []string{"leh-1a", "leh-1b"}}, {Shift: "hills", OldCap: 9, NewCap: 3},
+	}
+	r.sections["platform"].Yaml = []byte(platformYAML + "drains: [{instance: kochi-2a}]\n")
+	r.mu.Unlock()
+	text := r.expect(ExitOK, args("status"), "shift coast from 40 to 8: not acknowledged by leh-1a, leh-1b", "shift hills from 9 to 3: every holder", "drained")
+	if strings.Contains(text, "did not answer") {
+		t.Error(text)
+	}
+	r.expect(ExitOK, args("status", "--output", "json"), `"new_cap": 8`, `"leh-1b"`, `"missing": []`, `"last_heard_ms": null`, `"drained": true`)
 }
 
 // Guards against commands that disagree with the document at the server.
--- a/internal/process/operator/status.go
+++ b/internal/process/operator/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/integrii/flaggy"
 )
 
@@ -24,6 +25,7 @@
 	Role        string `json:"role"`
 	Alive       bool   `json:"alive"`
 	Leaving     bool   `json:"leaving"`
+	Drained     bool   `json:"drained"` // by the document
 	InForce     uint64 `json:"version_in_force"`
 	LastHeardMs *int64 `json:"last_heard_ms"` // null: never
 	GRPCAddr    string `json:"grpc_addr"`
@@ -90,11 +92,33 @@
 	if err != nil {
 		return err
 	}
+	doc, err := cl.sections("")
+	if err != nil {
+		return err
+	}
 	v := statusOf(st)
+	v.markDrained(doc)
 	e.print(v, v.write)
 	return nil
 }
 
+// markDrained marks the instances that the document drains.
+func (v *statusView) markDrained(doc *fescuepb.GetReply) {
+	drained := map[string]bool{}
+	for _, s := range doc.Sections {
+		src, problems := document.Parse(s.Team, s.Yaml)
+		if len(problems) > 0 {
+			continue // accepted by a newer version of control
+		}
+		for _, d := range src.Section.Drains {
+			drained[d.Instance] = true
+		}
+	}
+	for i := range v.Instances {
+		v.Instances[i].Drained = drained[v.Instances[i].Instance]
+	}
+}
+
 func (v statusView) write(w io.Writer) {
 	fmt.Fprintf(w, "version %d, counter %d, leader %s in term %d\n\n", v.Version, v.Counter, v.Leader, v.Term)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -125,6 +149,8 @@
 		return "not heard"
 	case i.Leaving:
 		return "leaving"
+	case i.Drained:
+		return "drained"
 	}
 	return "live"
 }
--- a/internal/version/document/validate.go
+++ b/internal/version/document/validate.go
@@ -268,6 +268,10 @@
 		v.add([]any{"drains", i, "instance"}, "only the section of team %q may drain an instance", PlatformTeam)
 		return
 	}
+	if d.Service == "" {
+		v.add([]any{"drains", i, "service"}, "a value is required: a team may only drain its own services")
+		return
+	}
 	if !v.ownsService(d.Service) {
 		v.add([]any{"drains", i, "service"}, "a team may only drain its own services; %q is not one of them", d.Service)
 	}
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -228,6 +228,9 @@
 	return xxhash.Sum64String(service + "\x00" + instance)
 }
 
+// Drains returns the drains of all sections.
+func (s *Snapshot) Drains() []document.Drain { return s.drains }
+
 // InstanceDrained reports whether the document drains an entry instance.
 func (s *Snapshot) InstanceDrained(instance string) bool {
 	for _, d := range s.drains {
