--- a/internal/process/budget/history.go
+++ b/internal/process/budget/history.go
@@ -58,12 +58,3 @@
 	a := g.account(shift, instance)
 	a.floor = max(a.floor, units)
 }
-
-// notePending records an earlier cap that is above the present one.
-func (g *Granter) notePending(e state.EarlierCap) {
-	if e.Cap <= g.cap(e.Shift) {
-		return
-	}
-	p := g.pending[e.Shift]
-	g.pending[e.Shift] = lowered{oldCap: max(p.oldCap, e.Cap), version: max(p.version, e.Until)}
-}
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -93,18 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.replica, err = replica.Start(replica.Config{
-		DataDir:      filepath.Join(s.DataDir, "log"),
-		Addr:         s.GRPCAddr,
-		InitialPeers: s.initialReplicas(),
-		Join:         s.Join,
-		Bootstrap:    s.Bootstrap,
-		Machine:      p.machine,
-		Dial:         links.Open,
-		Log:          log,
-		Seed:         uint64(time.Now().UnixNano()),
-	})
-	if err != nil {
+	if p.replica, err = p.startReplica(links); err != nil {
 		return nil, err
 	}
 	p.server = control.New(control.Config{
@@ -122,11 +111,31 @@
 		Metrics:     scope,
 	})
 	p.budgets.Heard = p.server.Heard
+	p.register(links)
+	return p, nil
+}
+
+func (p *process) startReplica(links *peer.Links) (*replica.Replica, error) {
+	s := p.settings
+	return replica.Start(replica.Config{
+		DataDir:      filepath.Join(s.DataDir, "log"),
+		Addr:         s.GRPCAddr,
+		InitialPeers: s.initialReplicas(),
+		Join:         s.Join,
+		Bootstrap:    s.Bootstrap,
+		Machine:      p.machine,
+		Dial:         links.Open,
+		Log:          p.log,
+		Seed:         uint64(time.Now().UnixNano()),
+	})
+}
+
+// register puts all services on the gRPC server.
+func (p *process) register(links *peer.Links) {
 	p.grpc = grpc.NewServer(append(links.ServerOptions(), grpc.ChainUnaryInterceptor(p.calls.intercept))...)
 	p.server.Register(p.grpc)
 	p.replica.Register(p.grpc)
 	fescuepb.RegisterBudgetServer(p.grpc, p.budgets)
-	return p, nil
 }
 
 // authenticator identifies operators by the keys file. Without one, on
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -205,10 +205,7 @@
 	defer cancel()
 	group, run := errgroup.WithContext(run)
 	callers, peers := p.handlers()
-	g := grpc.NewServer(p.peers.ServerOptions()...)
-	p.follower.Register(g)
-	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: p.set.Control, Dial: p.peers.Dial})
-	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
+	g := p.grpcServer()
 	servers := []*http.Server{
 		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
 	}
@@ -242,6 +239,15 @@
 	return err
 }
 
+// grpcServer serves the other entries.
+func (p *process) grpcServer() *grpc.Server {
+	g := grpc.NewServer(p.peers.ServerOptions()...)
+	p.follower.Register(g)
+	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: p.set.Control, Dial: p.peers.Dial})
+	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
+	return g
+}
+
 func (p *process) httpServer(addr string, h http.Handler) *http.Server {
 	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
