--- a/internal/process/operator/status.go
+++ b/internal/process/operator/status.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/integrii/flaggy"
 )
 
@@ -23,8 +25,9 @@
 	Role        string `json:"role"`
 	Alive       bool   `json:"alive"`
 	Leaving     bool   `json:"leaving"`
+	Drained     bool   `json:"drained"` // by the document
 	InForce     uint64 `json:"version_in_force"`
-	LastHeardMs int64  `json:"last_heard_ms"`
+	LastHeardMs *int64 `json:"last_heard_ms"` // null: never
 	GRPCAddr    string `json:"grpc_addr"`
 	CallerAddr  string `json:"caller_addr,omitempty"`
 }
@@ -42,7 +45,8 @@
 	Leader    string         `json:"leader"`
 	Term      uint64         `json:"term"`
 	Instances []instanceView `json:"instances"`
-	Pending   []string       `json:"pending_caps"`
+	Answered  bool           `json:"leader_answered"` // if not, the pending caps are not known
+	Pending   []pendingCap   `json:"pending_caps"`
 	Replicas  []replicaView  `json:"replicas"`
 }
 
@@ -57,12 +61,12 @@
 }
 
 func statusOf(st *fescuepb.StatusReply) statusView {
-	v := statusView{Version: st.Version, Counter: st.Counter, Leader: st.Leader, Term: st.Term, Pending: pendingCaps(st)}
+	v := statusView{Version: st.Version, Counter: st.Counter, Leader: st.Leader, Term: st.Term, Answered: st.LeaderAnswered, Pending: pendingCaps(st)}
 	for _, i := range st.Instances {
 		m := i.Member
 		v.Instances = append(v.Instances, instanceView{
 			Instance: m.GetInstance(), Region: m.GetRegion(), DataCentre: m.GetDataCentre(), Role: roleName(m.GetRole()),
-			Alive: i.Alive, Leaving: m.GetLeaving(), InForce: i.VersionInForce, LastHeardMs: i.LastHeardMs,
+			Alive: i.Alive, Leaving: m.GetLeaving(), InForce: i.VersionInForce, LastHeardMs: lastHeard(i),
 			GRPCAddr: m.GetGrpcAddr(), CallerAddr: m.GetCallerAddr(),
 		})
 	}
@@ -72,6 +76,13 @@
 	return v
 }
 
+func lastHeard(i *fescuepb.InstanceStatus) *int64 {
+	if i.LastHeardMs < 0 {
+		return nil
+	}
+	return &i.LastHeardMs
+}
+
 func (c *statusCmd) run(e *env) error {
 	cl, err := e.connect()
 	if err != nil {
@@ -81,19 +92,45 @@
 	if err != nil {
 		return err
 	}
+	doc, err := cl.sections("")
+	if err != nil {
+		return err
+	}
 	v := statusOf(st)
+	v.markDrained(doc)
 	e.print(v, v.write)
 	return nil
 }
 
+// markDrained marks the instances that the document drains.
+func (v *statusView) markDrained(doc *fescuepb.GetReply) {
+	drained := map[string]bool{}
+	for _, s := range doc.Sections {
+		src, problems := document.Parse(s.Team, s.Yaml)
+		if len(problems) > 0 {
+			continue // accepted by a newer version of control
+		}
+		for _, d := range src.Section.Drains {
+			drained[d.Instance] = true
+		}
+	}
+	for i := range v.Instances {
+		v.Instances[i].Drained = drained[v.Instances[i].Instance]
+	}
+}
+
 func (v statusView) write(w io.Writer) {
 	fmt.Fprintf(w, "version %d, counter %d, leader %s in term %d\n\n", v.Version, v.Counter, v.Leader, v.Term)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tIN FORCE\tLAST HEARD")
 	for _, i := range v.Instances {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d ms\n", i.Instance, i.Role, i.DataCentre, i.state(), i.InForce, i.LastHeardMs)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", i.Instance, i.Role, i.DataCentre, i.state(), i.inForce(), i.lastHeard())
 	}
 	t.Flush()
+	fmt.Fprintln(w)
+	if !v.Answered {
+		fmt.Fprintln(w, "the leader did not answer: pending caps and replica indexes are not known")
+	}
 	for _, p := range v.Pending {
 		fmt.Fprintln(w, "pending cap:", p)
 	}
@@ -112,6 +149,22 @@
 		return "not heard"
 	case i.Leaving:
 		return "leaving"
+	case i.Drained:
+		return "drained"
 	}
 	return "live"
 }
+
+func (i instanceView) inForce() string {
+	if i.InForce == 0 {
+		return "-"
+	}
+	return fmt.Sprint(i.InForce)
+}
+
+func (i instanceView) lastHeard() string {
+	if i.LastHeardMs == nil {
+		return "never"
+	}
+	return (time.Duration(*i.LastHeardMs) * time.Millisecond).String() + " ago"
+}
