--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -43,15 +43,20 @@
 	if kind := errkind.Kind(rep.header.Get(headerKind)); kind != "" {
 		defer rep.finish(nil)
 		c.proved = c.proved || rep.header.Get(HeaderNotRun) != ""
-		return nil, &peerError{err: errkind.New(kind, "instance %q refused the request", to.Instance), load: readLoad(rep.header)}
+		return nil, &peerError{
+			err:        errkind.New(kind, "instance %q refused the request", to.Instance),
+			load:       readLoad(rep.header),
+			retryAfter: rep.header.Get("Retry-After"),
+		}
 	}
 	return rep, nil
 }
 
 // peerError is an error answer of another entry with its load.
 type peerError struct {
-	err  error
-	load dispatch.Load
+	err        error
+	load       dispatch.Load
+	retryAfter string // in seconds, "" if it names none
 }
 
 func (e *peerError) Error() string { return e.err.Error() }
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -147,6 +148,10 @@
 }
 
 func retryAfterSeconds(err error) string {
+	var pe *peerError
+	if errors.As(err, &pe) && pe.retryAfter != "" {
+		return pe.retryAfter
+	}
 	after, ok := dispatch.RetryAfter(err)
 	if !ok {
 		after = defaultRetryAfter
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -353,3 +353,18 @@
 		}
 	}
 }
+
+// Guards against the hint when to try again that is lost on the way through
+// another entry.
+func TestForwardedRetryAfter(t *testing.T) {
+	w := newWorld(t, true)
+	w.groups.moveTo(target(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerKind, string(errkind.QueueFull))
+		w.Header().Set("Retry-After", "4")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	resp, _, err := w.do(w.request("GET", "/", "", headerHops, "1", headerRemote, "1"))
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "4" {
+		t.Error(resp, err)
+	}
+}
