proxy: HTTP/1.0 callers get no answer without a length

Such an answer ends by closing the connection, so one that broke off looked whole. Answers that were buffered as a whole get a length; longer ones without a length are refused as answer_broken.

--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -125,11 +125,29 @@
 		defer c.release()
 	}
 	rep := h.answer(r.Context(), c, err)
+	if !r.ProtoAtLeast(1, 1) {
+		rep = h.withLength(c, rep)
+	}
 	rep.header.Set(HeaderInstance, h.Instance)
 	defer func() { h.m.latency.RecordDuration(h.Now().Sub(start)) }()
 	rep.write(w)
 }
 
+// withLength returns rep for a caller of HTTP/1.0, which knows no chunks and
+// would take a broken connection for the end of an answer without a length.
+func (h *Handler) withLength(c *call, rep *reply) *reply {
+	switch {
+	case rep.length >= 0 || c.method == http.MethodHead:
+		return rep
+	case rep.rest == nil:
+		rep.trailer, rep.length = nil, int64(len(rep.head))
+		return rep
+	}
+	err := errkind.New(errkind.AnswerBroken, "an answer without a length cannot be proved whole over HTTP/1.0")
+	rep.finish(err)
+	return h.fail(c, err)
+}
+
 // answer serves a request that was accepted, or else turns the error into
 // its answer.
 func (h *Handler) answer(ctx context.Context, c *call, err error) *reply {
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -346,3 +346,27 @@
 		home.allReturned()
 	}
 }
+
+// Guards against an answer that breaks off and looks whole to a caller of
+// HTTP/1.0, which takes the close of the connection for the end.
+func TestHTTP10Caller(t *testing.T) {
+	body := strings.Repeat("x", bufferedBytes+1000)
+	for _, c := range []struct{ answer, want string }{
+		{fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body), "502 Bad Gateway"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", "200 OK"},
+	} {
+		addr, _ := rawTarget(t, constant(c.answer))
+		w := newWorld(t, false, addr)
+		conn, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "GET / HTTP/1.0\r\nFescue-Service: rota\r\nFescue-Shift: s1\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.Status != c.want || resp.ContentLength <= 0 {
+			t.Errorf("%v %v", resp, err)
+		}
+		_ = conn.Close()
+		w.allReturned()
+	}
+}
