--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -195,12 +195,21 @@
 	}
 }
 
+// bodyMemory returns the bytes that request bodies may take: half of the
+// memory limit if there is one.
+func bodyMemory(s *Settings) int64 {
+	if s.MemoryLimit > 0 {
+		return int64(s.MemoryLimit) << 20 / 2
+	}
+	return proxy.DefaultBodyMemory
+}
+
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
 		Ready: p.follower.Ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
-		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(proxy.DefaultBodyMemory), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
+		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
 		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
