--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -50,6 +50,7 @@
 	down     bool
 	lag      uint64            // versions that the status is behind, as at a follower
 	behind   map[string]uint64 // how many versions an instance is behind
+	silent   bool              // a control replica does not report
 }
 
 func (f *fake) team(ctx context.Context) (string, error) {
@@ -124,6 +125,9 @@
 	if f.lag > 0 {
 		return reply, nil
 	}
+	reply.Instances = append(reply.Instances, &fescuepb.InstanceStatus{
+		Member: &fescuepb.Member{Instance: "c2", Role: fescuepb.Role_ROLE_CONTROL}, Alive: !f.silent, VersionInForce: f.version,
+	})
 	for _, dc := range []string{"kochi-1", "kochi-2", "leh-1"} {
 		for _, n := range []string{"a", "b"} {
 			m := &fescuepb.Member{Instance: dc + n, DataCentre: dc, Role: fescuepb.Role_ROLE_ENTRY}
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -78,6 +78,17 @@
 	r.expect(ExitNotInForce, args("apply", file, "--wait", "--wait-limit", "300ms"), "status is of version")
 }
 
+// Guards against a wait that passes over the entries that followed a control
+// replica which has just stopped answering, and against one that never ends
+// for an entry that is gone.
+func TestWaitForUnheard(t *testing.T) {
+	r := newRig(t)
+	file := r.write("new.yaml", keralaYAML)
+	r.silent = true
+	r.expect(ExitNotInForce, args("apply", file, "--wait", "--wait-limit", "300ms"), "missing: kochi-1b, kochi-2b, leh-1b")
+	r.expect(ExitOK, args("apply", file, "--wait", "--wait-limit", "5s"), "in force at all live instances")
+}
+
 // Guards against operators who act for another team or without a valid key.
 func TestRefused(t *testing.T) {
 	r := newRig(t)
