Free caps and slots at the right moment around stops and cancellations

Cause (scenario restarts): a stopping entry kept its pinned share and leases until it had left, and what it had counted for the longest deadline more; with restarts in turn the new dispatcher got no units, and every request ended with shift_cap_reached. Ruled out: refused lease requests (the log showed none). A leaving entry has no share from the moment it says so. Cause (scenarios freeze, slow, overhead): the slot of a cancelled request was free at once, 0.04 to 1.2 ms before the target noticed the cancellation. It stays taken for 25 ms now, like the unit of the shift's cap.

--- a/internal/process/budget/pinned.go
+++ b/internal/process/budget/pinned.go
@@ -20,11 +20,13 @@
 // leased on demand.
 const pinnedDivisor = 2
 
-// entryNames returns the committed entry instances, ordered by name.
+// entryNames returns the committed entry instances, ordered by name. A
+// leaving one is left out: it hands its services over, so its share goes to
+// the others as soon as it acknowledges that.
 func entryNames(s *snapshot.Snapshot) []string {
 	var out []string
 	for _, m := range s.Members() {
-		if m.Role == fescuepb.Role_ROLE_ENTRY {
+		if m.Role == fescuepb.Role_ROLE_ENTRY && !m.Leaving {
 			out = append(out, m.Instance)
 		}
 	}
--- a/internal/process/entry/adapters.go
+++ b/internal/process/entry/adapters.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// TryAcquire takes one unit of the shift's cap if there is one now.
+func (c *caps) TryAcquire(shift string) (proxy.Unit, bool) {
+	t, ok := c.shared.Acquire(shift)
+	if !ok {
+		return nil, false
+	}
+	return capUnit{c.shared, t}, true
+}
+
 type capUnit struct {
 	shared *budget.Shared
 	ticket budget.Ticket
--- a/internal/process/group/dispatchers.go
+++ b/internal/process/group/dispatchers.go
@@ -82,7 +82,7 @@
 			ReportedLoad: t.ReportedLoad, Since: t.HealthySince,
 		})
 	}
-	if m.withoutSlots(name, total, now) {
+	if m.core.Leaving(m.cfg.Instance) || m.withoutSlots(name, total, now) {
 		for i := range out {
 			out[i].State = dispatch.Down
 		}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -33,6 +33,8 @@
 	// Acquire takes one unit of the shift's cap, waiting for it within ctx.
 	// The error has kind ShiftCapReached.
 	Acquire(ctx context.Context, shift string) (Unit, error)
+	// TryAcquire takes one unit if there is one now.
+	TryAcquire(shift string) (Unit, bool)
 }
 
 // Unit is one request in flight under a shift's cap.
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -25,14 +25,14 @@
 	}
 	rep, err := h.attempts(ctx, c, d, unit)
 	if err != nil {
-		unit.Release()
+		releaseUnit(unit, err)
 		h.leaveRamp(c, err)
 		return nil, err
 	}
 	end := rep.end
 	rep.end = func(err error) {
 		end(err)
-		unit.Release()
+		releaseUnit(unit, err)
 		h.leaveRamp(c, err)
 	}
 	return rep, nil
@@ -124,6 +124,7 @@
 	ticket *dispatch.Ticket
 	id     string // of the request
 	hedge  bool
+	unit   Unit // of the shift's cap, for a hedge; the first attempt's belongs to the call
 	cancel context.CancelCauseFunc
 	start  time.Time
 }
@@ -151,10 +152,8 @@
 	for {
 		select {
 		case <-timer.C:
-			if second, ok := t.Hedge(); ok {
-				h.m.hedged.Inc(1)
-				h.logDecision(c, second, 2)
-				cancelHedge = h.sendAsync(ctx, c, second, unit, true, results)
+			if second, extra, ok := h.takeHedge(c, t); ok {
+				cancelHedge = h.sendAsync(ctx, c, second, extra, true, results)
 				running++
 			}
 		case s := <-results:
@@ -176,12 +175,31 @@
 	}
 }
 
+// takeHedge takes a slot and a unit of the shift's cap for a hedge: it is one
+// more request in flight.
+func (h *Handler) takeHedge(c *call, t *dispatch.Ticket) (*dispatch.Ticket, Unit, bool) {
+	unit, ok := h.Caps.TryAcquire(c.shift)
+	if !ok {
+		return nil, nil, false
+	}
+	second, ok := t.Hedge()
+	if !ok {
+		unit.Release()
+		return nil, nil, false
+	}
+	h.m.hedged.Inc(1)
+	h.logDecision(c, second, 2)
+	return second, unit, true
+}
+
 // sendAsync runs one attempt in its own goroutine.
 func (h *Handler) sendAsync(ctx context.Context, c *call, t *dispatch.Ticket, unit Unit, hedge bool, results chan<- sent) context.CancelCauseFunc {
 	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
 		s := h.send(ctx, c, t, unit)
-		s.hedge = hedge
+		if hedge {
+			s.hedge, s.unit = true, unit
+		}
 		inner := s.cancel
 		s.cancel = func(err error) { inner(err); cancel(err) }
 		results <- s
@@ -196,7 +214,44 @@
 		loser.rep.finish(errHedgeLost)
 	}
 	loser.cancel(errHedgeLost)
-	loser.ticket.Done(dispatch.Outcome{Result: dispatch.CancelledByCaller})
+	loser.doneLater(dispatch.Outcome{Result: dispatch.CancelledByCaller, Latency: time.Since(loser.start)})
+}
+
+// cancelNotice is how long a slot stays taken after its request was
+// cancelled: the target notices the closed connection only a moment later, and
+// a new request before that would exceed its slots.
+const cancelNotice = 25 * time.Millisecond
+
+// done gives the slot back, and the unit of a hedge.
+func (s sent) done(o dispatch.Outcome) {
+	s.ticket.Done(o)
+	if s.unit != nil {
+		s.unit.Release()
+	}
+}
+
+// doneLater is done for a cancelled request.
+func (s sent) doneLater(o dispatch.Outcome) {
+	time.AfterFunc(cancelNotice, func() { s.done(o) })
+}
+
+// releaseUnit gives the unit of a request back that ended with err.
+func releaseUnit(u Unit, err error) {
+	if err != nil && (cancelledAfterSend(err) || errkind.Of(err) == errkind.Internal) {
+		time.AfterFunc(cancelNotice, u.Release)
+		return
+	}
+	u.Release()
+}
+
+// cancelledAfterSend reports whether err ended a request that the target may
+// still be working on.
+func cancelledAfterSend(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Cancelled, errkind.DeadlineExceeded, errkind.OutcomeUnknown, errkind.AnswerBroken, errkind.AnswerMismatch, errkind.TargetFailed:
+		return true
+	}
+	return false
 }
 
 // send makes one attempt at the ticket's target.
@@ -239,7 +294,12 @@
 func (h *Handler) settle(s sent) (*reply, error) {
 	if s.err != nil {
 		s.cancel(nil)
-		s.ticket.Done(dispatch.Outcome{Result: result(s.err), Latency: h.Now().Sub(s.start)})
+		o := dispatch.Outcome{Result: result(s.err), Latency: h.Now().Sub(s.start)}
+		if cancelledAfterSend(s.err) {
+			s.doneLater(o)
+		} else {
+			s.done(o)
+		}
 		return nil, s.err
 	}
 	firstByte := h.Now().Sub(s.start)
@@ -250,8 +310,10 @@
 		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte}
 		if err != nil {
 			o.Result = dispatch.CancelledByCaller
+			s.doneLater(o)
+			return
 		}
-		s.ticket.Done(o)
+		s.done(o)
 	}
 	return s.rep, nil
 }
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -60,6 +60,11 @@
 	return &testUnit{caps: c}, nil
 }
 
+func (c *testCaps) TryAcquire(shift string) (Unit, bool) {
+	u, err := c.Acquire(context.Background(), shift)
+	return u, err == nil
+}
+
 type testUnit struct {
 	caps *testCaps
 	done atomic.Bool
