dispatch: take a target out that answers with errors only

Three such answers in a row now start the back-off, for at most a third of the targets, because a bad route makes all of them answer so. Also: a drain that is sent again with its change identifier gets the first outcome.

--- a/internal/process/operator/drain.go
+++ b/internal/process/operator/drain.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
@@ -58,6 +59,13 @@
 	if cur.Revision == 0 || cur.Deleted {
 		return fail(ExitInvalid, "team %q has no section", e.Team)
 	}
+	if sent, err := c.sentBefore(cl, e.Team); err != nil || sent != nil {
+		if err != nil {
+			return err
+		}
+		c.expect = strconv.FormatUint(sent.Revision-1, 10)
+		return c.applyOptions.apply(e, &fescuepb.ApplyRequest{Team: e.Team, Yaml: sent.Yaml}, cur)
+	}
 	text, err := editDrains(cur.Yaml, c.Drain, c.remove)
 	if err != nil {
 		return err
@@ -69,6 +77,24 @@
 	return c.applyOptions.apply(e, &fescuepb.ApplyRequest{Team: e.Team, Yaml: text}, cur)
 }
 
+// sentBefore returns the revision that a change with this identifier made, or
+// nil. Its answer was lost; sending it again gives the first outcome.
+func (c *drainCmd) sentBefore(cl *client, team string) (*fescuepb.Section, error) {
+	if c.changeID == "" {
+		return nil, nil
+	}
+	reply, err := call(cl, fescuepb.OperatorClient.History, &fescuepb.HistoryRequest{Team: team})
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range reply.Revisions {
+		if s.ChangeId == c.changeID {
+			return s, nil
+		}
+	}
+	return nil, nil
+}
+
 // editDrains adds the drain to the text of a section or removes it. Comments
 // and the order of the other fields are kept.
 func editDrains(text []byte, d document.Drain, remove bool) ([]byte, error) {
--- a/internal/process/operator/pki.go
+++ b/internal/process/operator/pki.go
@@ -115,7 +115,7 @@
 type keygenCmd struct{ file string }
 
 func (c *keygenCmd) define() *flaggy.Subcommand {
-	s := sub("keygen", "Makes the operator key of --team and the entry for the keys file of control.", "fescuectl keygen --team kerala --out kerala.key >> keys.yaml")
+	s := sub("keygen", "Makes the operator key of --team and the entry for the keys file of control.", "fescuectl keygen --team kerala --out kerala.key\n  (add the printed line to the list \"keys:\" of the keys file)")
 	s.String(&c.file, "", "out", "File for the key; it must not exist.")
 	return s
 }
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -80,6 +80,7 @@
 	Unreachable                     // nothing was sent
 	Failed                          // the target failed or its response broke
 	CancelledByCaller               // the caller went away, or a hedge won
+	ServerError                     // the target answered with a status of 500 or above
 )
 
 // Outcome is what happened to a dispatched request.
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -298,12 +298,31 @@
 	g.fill(at)
 }
 
+// mayTakeOut reports whether another target may be taken out because of its
+// answers. If many answer with errors, the requests are likely at fault, and
+// taking the targets out would refuse the good ones as well.
+func (g *Group) mayTakeOut(at time.Duration) bool {
+	open, out := 0, 0
+	for _, t := range g.targets {
+		if !t.open() {
+			continue
+		}
+		open++
+		if at < t.outUntil {
+			out++
+		}
+	}
+	return (out+1)*demotedShare <= open
+}
+
 // measure updates the estimates from the outcome of r.
 func (g *Group) measure(at time.Duration, r *Request, o Outcome) {
 	if o.Latency <= 0 {
 		o.Latency = at - r.started
 	}
-	r.target.observe(at, o.Result)
+	if o.Result != ServerError || g.mayTakeOut(at) {
+		r.target.observe(at, o.Result)
+	}
 	g.watch(at, r, o)
 	if o.Result != OK {
 		return
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -104,7 +104,7 @@
 	case Shed:
 		t.takeOut(at, shedBackoff)
 		t.unproven = false
-	case Failed:
+	case Failed, ServerError:
 		if t.failures++; t.failures >= failuresBeforeBackoff {
 			t.takeOut(at, minBackoff)
 		}
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -308,6 +308,9 @@
 	s.rep.end = func(err error) {
 		s.cancel(nil)
 		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte}
+		if s.rep.status >= http.StatusInternalServerError {
+			o.Result = dispatch.ServerError
+		}
 		if err != nil {
 			o.Result = dispatch.CancelledByCaller
 			s.doneLater(o)
