--- a/scenarios/cluster_test.go
+++ b/scenarios/cluster_test.go
@@ -135,9 +135,9 @@
 	}
 }
 
-// leader sets LEADER, FOLLOWER and FOLLOWER2 to the names of the replicas
-// that run, and FOLLOWER_ADDR and FOLLOWER_ADMIN to the addresses of FOLLOWER.
-// FOLLOWER2 is empty if one is down.
+// leader sets LEADER and FOLLOWER to the names of the leader and of another
+// replica that runs, and LEADER_ADDR, LEADER_ADMIN, FOLLOWER_ADDR and
+// FOLLOWER_ADMIN to their addresses.
 func cmdLeader(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && len(args) == 0, "leader")
 	leader := ""
@@ -147,18 +147,17 @@
 	}) {
 		fail(ts, "no leader within %s", electionLimit)
 	}
-	var followers []string
-	for _, name := range replicaNames {
-		if name != leader && !find(ts, name).ended() {
-			followers = append(followers, name)
-		}
+	follower := slices.IndexFunc(replicaNames, func(name string) bool {
+		return name != leader && !find(ts, name).ended()
+	})
+	if follower < 0 {
+		fail(ts, "no follower runs beside the leader %s", leader)
+	}
+	for role, name := range map[string]string{"LEADER": leader, "FOLLOWER": replicaNames[follower]} {
+		ts.Setenv(role, name)
+		ts.Setenv(role+"_ADDR", ts.Getenv(strings.ToUpper(name)))
+		ts.Setenv(role+"_ADMIN", ts.Getenv(strings.ToUpper(name)+"_ADMIN"))
 	}
-	followers = append(followers, "", "")
-	ts.Setenv("LEADER", leader)
-	ts.Setenv("FOLLOWER", followers[0])
-	ts.Setenv("FOLLOWER2", followers[1])
-	ts.Setenv("FOLLOWER_ADDR", ts.Getenv(strings.ToUpper(followers[0])))
-	ts.Setenv("FOLLOWER_ADMIN", ts.Getenv(strings.ToUpper(followers[0])+"_ADMIN"))
 }
 
 // findLeader returns the leader that a healthy replica names, or "".
