target: check the lease again after the request has left the process

Cause (review): net/http reports a request as written before it flushes, so a process frozen in between sent late without noticing. The connection to a target now reports each write after it was made.

--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -4,7 +4,6 @@
 package target
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -64,7 +63,7 @@
 // are bounded by the slots, so the pool keeps them all.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}).DialContext,
+		DialContext:           dial,
 		MaxIdleConnsPerHost:   maxIdlePerTarget,
 		IdleConnTimeout:       30 * time.Second,
 		DisableCompression:    true,
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -22,12 +22,15 @@
 	addr      string
 	header    http.Header
 	replay    bool // the transport may send the request again by itself
-	// onWritten is called when the request is in the connection's write
-	// buffer. net/http flushes the end of the buffer only after that, so a
-	// process that is frozen in between sends late without noticing.
+	// onWritten is called after each write to the connection, if the transport
+	// makes connections that report it, and when the request is in the buffer.
 	onWritten func()
 }
 
+// writeReporter is a connection that reports its writes. net/http calls
+// WroteRequest before it flushes the end of the request.
+type writeReporter interface{ AfterWrite(f func()) }
+
 // written records how far a request got onto the wire.
 type written struct{ head, all atomic.Bool }
 
@@ -36,6 +39,11 @@
 func (x *exchange) do(ctx context.Context, c *call) (*reply, error) {
 	var sent written
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(writeReporter); ok {
+				c.AfterWrite(x.onWritten)
+			}
+		},
 		WroteHeaders: func() { sent.head.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			sent.all.Store(info.Err == nil)
