once: a key with another ledger's token may have run there

Cause (TestKeyRunsAtMostOnce with retries at every entry): two members that never reached each other both dispatched the group; the first was complete and also ran a key that carried the second one's token. A token that this ledger did not make or inherit now proves nothing.

--- a/internal/request/once/ledger.go
+++ b/internal/request/once/ledger.go
@@ -124,13 +124,17 @@
 	l.order = append(l.order, r)
 }
 
-// provable reports whether a key without a record certainly never started.
+// provable reports whether a key without a record certainly never started. A
+// token of another ledger's means that the key may have started there, even
+// if this ledger is complete for all others.
 func (l *Ledger) provable(key string, now time.Time) bool {
-	if l.complete || now.Sub(l.lostAt) >= l.retention {
+	if now.Sub(l.lostAt) >= l.retention {
 		return true
 	}
-	_, token := SplitKey(key)
-	return token != "" && l.tokens[token]
+	if _, token := SplitKey(key); token != "" {
+		return l.tokens[token]
+	}
+	return l.complete
 }
 
 // Finish stores the outcome of a key that ran.
