--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -62,6 +62,13 @@
 func (e *peerError) Error() string { return e.err.Error() }
 func (e *peerError) Unwrap() error { return e.err }
 
+// fromPeer reports whether err is the answer of another entry, which has tried
+// the other places already.
+func fromPeer(err error) bool {
+	var pe *peerError
+	return errors.As(err, &pe)
+}
+
 func setLoad(h http.Header, l dispatch.Load) {
 	h.Set(headerQueued, strconv.Itoa(l.Queued))
 	h.Set(headerFree, strconv.Itoa(l.FreeSlots))
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -224,7 +224,7 @@
 	var refusal error = errkind.New(errkind.NoTarget, "no data centre takes requests of service %q", c.service.Name)
 	if h.servedHere(c) {
 		rep, err := h.runHere(ctx, c)
-		if err == nil || !maySpill(c, err) {
+		if err == nil || !maySpill(c, err) || fromPeer(err) {
 			return rep, err
 		}
 		refusal = err
