dispatch: bound the trials of all demoted targets together

The trials were 0.5 % of the requests per demoted target, 1 % for two, which is the p99; a hedge brings such a request to about twice its time. Ruled out: demotion (p99.9 of 400 ms belongs to the trials and the first requests) and cancellations (102 of 25,496). Trials now are 0.4 % for all targets together.

--- a/internal/request/dispatch/slow.go
+++ b/internal/request/dispatch/slow.go
@@ -46,11 +46,12 @@
 )
 
 // Trials of demoted targets. In between, other requests must have started,
-// so that trials stay below half a percent of a busy group per target.
+// so that the trials of all demoted targets together stay below half a percent
+// of a busy group: at one percent they are its p99.
 const (
 	minTrialGap    = 20 * time.Millisecond
 	maxTrialGap    = 300 * time.Millisecond
-	trialSpacing   = 200             // starts in the group between trials
+	trialSpacing   = 250             // starts in the group between trials, per demoted target
 	longestNoTrial = 5 * time.Second // then a quiet group tries as well
 )
 
@@ -264,12 +265,22 @@
 		return true
 	}
 	waited := at - h.lastTrial
-	if waited < longestNoTrial && (waited < h.gap || g.starts-h.lastStart < trialSpacing) {
+	if waited < longestNoTrial && (waited < h.gap || g.starts-h.lastStart < trialSpacing*g.demotedTargets()) {
 		return false
 	}
 	return r.work.Safe || waited > 2*max(h.gap, minTrialGap)
 }
 
+func (g *Group) demotedTargets() int {
+	n := 0
+	for _, t := range g.targets {
+		if t.health.demoted {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Group) trialRunning(t *target) bool {
 	for _, r := range t.running {
 		if r.started >= t.health.since {
