--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -214,7 +214,7 @@
 		loser.rep.finish(errHedgeLost)
 	}
 	loser.cancel(errHedgeLost)
-	loser.doneLater(dispatch.Outcome{Result: dispatch.CancelledByCaller, Latency: time.Since(loser.start)})
+	loser.end(dispatch.Outcome{Result: dispatch.CancelledByCaller, Latency: time.Since(loser.start)}, true)
 }
 
 // cancelNotice is how long a slot stays taken after its request was
@@ -230,9 +230,13 @@
 	}
 }
 
-// doneLater is done for a cancelled request.
-func (s sent) doneLater(o dispatch.Outcome) {
-	time.AfterFunc(cancelNotice, func() { s.done(o) })
+// end is done, a moment later for a request that was cancelled.
+func (s sent) end(o dispatch.Outcome, cancelled bool) {
+	if cancelled {
+		time.AfterFunc(cancelNotice, func() { s.done(o) })
+		return
+	}
+	s.done(o)
 }
 
 // releaseUnit gives the unit of a request back that ended with err.
@@ -295,11 +299,7 @@
 	if s.err != nil {
 		s.cancel(nil)
 		o := dispatch.Outcome{Result: result(s.err), Latency: h.Now().Sub(s.start)}
-		if cancelledAfterSend(s.err) {
-			s.doneLater(o)
-		} else {
-			s.done(o)
-		}
+		s.end(o, cancelledAfterSend(s.err))
 		return nil, s.err
 	}
 	firstByte := h.Now().Sub(s.start)
@@ -313,10 +313,8 @@
 		}
 		if err != nil {
 			o.Result = dispatch.CancelledByCaller
-			s.doneLater(o)
-			return
 		}
-		s.done(o)
+		s.end(o, err != nil)
 	}
 	return s.rep, nil
 }
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -31,22 +31,18 @@
 // WroteRequest before it flushes the end of the request.
 type writeReporter interface{ AfterWrite(f func()) }
 
-// written records how far a request got onto the wire.
-type written struct{ head, all atomic.Bool }
-
 // do sends the call and reads the head of the answer. The error kind says
 // whether a byte was sent: TargetUnreachable proves that none was.
 func (x *exchange) do(ctx context.Context, c *call) (*reply, error) {
-	var sent written
+	var headSent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(writeReporter); ok {
 				c.AfterWrite(x.onWritten)
 			}
 		},
-		WroteHeaders: func() { sent.head.Store(true) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			sent.all.Store(info.Err == nil)
+		WroteHeaders: func() { headSent.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if x.onWritten != nil {
 				x.onWritten()
 			}
@@ -58,7 +54,7 @@
 	}
 	resp, err := x.transport.RoundTrip(req)
 	if err != nil {
-		return nil, sendError(ctx, err, sent.head.Load())
+		return nil, sendError(ctx, err, headSent.Load())
 	}
 	return readHead(ctx, c, resp)
 }
