--- a/internal/process/control/auth.go
+++ b/internal/process/control/auth.go
@@ -5,7 +5,6 @@
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
-	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"google.golang.org/grpc/metadata"
 )
 
@@ -37,8 +36,8 @@
 	if err != nil {
 		return "", err
 	}
-	if caller != team {
-		return "", errkind.New(errkind.Forbidden, "team %q may not change the section of team %q", caller, team)
+	if err := operatorauth.MayEdit(caller, team); err != nil {
+		return "", err
 	}
 	return caller, nil
 }
@@ -49,8 +48,5 @@
 	if err != nil {
 		return err
 	}
-	if caller != document.PlatformTeam {
-		return errkind.New(errkind.Forbidden, "only team %q may do this, not team %q", document.PlatformTeam, caller)
-	}
-	return nil
+	return operatorauth.MayPutBlocks(caller)
 }
--- a/internal/process/operatorauth/auth.go
+++ b/internal/process/operatorauth/auth.go
@@ -87,7 +87,7 @@
 // the client-block table.
 func MayPutBlocks(team string) error {
 	if team != document.PlatformTeam {
-		return errkind.New(errkind.Forbidden, "only team %q may replace the client-block table", document.PlatformTeam)
+		return errkind.New(errkind.Forbidden, "only team %q may do this, not team %q", document.PlatformTeam, team)
 	}
 	return nil
 }
