--- a/internal/connection/peer/creds.go
+++ b/internal/connection/peer/creds.go
@@ -84,7 +84,7 @@
 }
 
 func errPlaintext(addr string) error {
-	return errkind.New(errkind.Forbidden, "plaintext is allowed on loopback addresses only, not on %s", addr)
+	return errkind.New(errkind.Forbidden, "tls.plaintext_loopback allows loopback addresses only, not %s", addr)
 }
 
 // isLoopback reports whether addr, host:port, is certain to be loopback. Of
--- a/internal/connection/peer/links.go
+++ b/internal/connection/peer/links.go
@@ -1,6 +1,7 @@
 // Package peer holds the gRPC and HTTP links between instances, and from
 // operators to control instances. Links use mutual TLS; plaintext needs an
-// explicit setting and is limited to loopback addresses.
+// explicit setting, which allows either loopback addresses only or a private
+// network.
 package peer
 
 import (
@@ -18,6 +19,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 )
 
@@ -41,8 +43,10 @@
 // concurrent use.
 type Links struct {
 	log   *logrus.Entry
-	src   *tlsconf.Source // nil: plaintext on loopback
+	src   *tlsconf.Source // nil: plaintext
 	creds credentials.TransportCredentials
+	// loopbackOnly refuses addresses that are not loopback, in plaintext mode.
+	loopbackOnly bool
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -51,12 +55,16 @@
 // NewLinks reads the certificate files. The error has kind InvalidSettings.
 func NewLinks(t settings.TLS, log *logrus.Entry) (*Links, error) {
 	l := &Links{log: log, conns: map[string]*grpc.ClientConn{}}
-	if t == (settings.TLS{PlaintextLoopback: true}) {
-		l.creds = newLoopbackCreds(log)
+	switch {
+	case !t.Valid():
+		return nil, errkind.New(errkind.InvalidSettings, settings.TLSChoices)
+	case t.PlaintextLoopback:
+		l.loopbackOnly, l.creds = true, newLoopbackCreds(log)
+		return l, nil
+	case t.PlaintextPrivate:
+		log.Warn("links between instances use no TLS: whoever reaches this network may act as an instance")
+		l.creds = insecure.NewCredentials()
 		return l, nil
-	}
-	if t.PlaintextLoopback || t.CertFile == "" || t.KeyFile == "" || t.CAFile == "" {
-		return nil, errkind.New(errkind.InvalidSettings, "set cert_file, key_file and ca_file, or plaintext_loopback: true")
 	}
 	src, err := tlsconf.New(t, log)
 	if err != nil {
@@ -82,7 +90,7 @@
 // Open returns a connection of the caller's own to a gRPC address, host:port.
 // It connects in the background; the caller closes it.
 func (l *Links) Open(addr string) (*grpc.ClientConn, error) {
-	if l.src == nil && !isLoopback(addr) {
+	if l.loopbackOnly && !isLoopback(addr) {
 		return nil, errPlaintext(addr)
 	}
 	c, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions()...)
@@ -144,14 +152,14 @@
 // ListenGRPC listens for a gRPC server with ServerOptions, which does the TLS
 // handshake itself.
 func (l *Links) ListenGRPC(addr string) (net.Listener, error) {
-	if l.src == nil && !isLoopback(addr) {
+	if l.loopbackOnly && !isLoopback(addr) {
 		return nil, errPlaintext(addr)
 	}
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidSettings, err, "listen")
 	}
-	if l.src == nil && !isLoopback(lis.Addr().String()) {
+	if l.loopbackOnly && !isLoopback(lis.Addr().String()) {
 		lis.Close() // localhost does not resolve to a loopback address here
 		return nil, errPlaintext(lis.Addr().String())
 	}
@@ -198,7 +206,7 @@
 		if l.src != nil {
 			return nil, errkind.New(errkind.Forbidden, "plaintext link to %s while TLS is set", addr)
 		}
-		if !isLoopback(addr) {
+		if l.loopbackOnly && !isLoopback(addr) {
 			return nil, errPlaintext(addr)
 		}
 		return d.DialContext(ctx, network, addr)
--- a/internal/connection/peer/roles.go
+++ b/internal/connection/peer/roles.go
@@ -40,7 +40,7 @@
 // checkRole refuses a caller whose certificate has the wrong role.
 func (l *Links) checkRole(ctx context.Context, method string) error {
 	if l.src == nil {
-		return nil // plaintext on loopback has no certificates
+		return nil // plaintext has no certificates
 	}
 	id, ok := IdentityOf(ctx)
 	if !ok {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -34,6 +34,7 @@
 	NoTarget           Kind = "no_target"
 	TargetShed         Kind = "target_shed"
 	TargetUnreachable  Kind = "target_unreachable"
+	TargetGone         Kind = "target_gone" // another process answers at its address
 	TargetFailed       Kind = "target_failed"
 	AnswerBroken       Kind = "answer_broken"
 	AnswerMismatch     Kind = "answer_mismatch"
@@ -101,6 +102,7 @@
 	NoTarget:           {http.StatusServiceUnavailable, codes.Unavailable, No, true},
 	TargetShed:         {http.StatusServiceUnavailable, codes.Unavailable, No, true},
 	TargetUnreachable:  {http.StatusBadGateway, codes.Unavailable, No, true},
+	TargetGone:         {http.StatusServiceUnavailable, codes.Unavailable, No, true},
 	TargetFailed:       {http.StatusBadGateway, codes.Unknown, Unknown, false},
 	AnswerBroken:       {http.StatusBadGateway, codes.DataLoss, Unknown, false},
 	AnswerMismatch:     {http.StatusBadGateway, codes.DataLoss, Unknown, false},
--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -132,7 +132,7 @@
 
 // take compiles a committed version and gives it to the budget server.
 func (l *leadership) take(builder *snapshot.Builder, u *committed, server *budget.Server) {
-	snap, err := builder.Build(u.Version, u.Sections, u.Members, u.BlockTable)
+	snap, err := builder.Build(snapshot.Content{Version: u.Version, Sections: u.Sections, Members: u.Members, Targets: u.Targets, Blocks: u.BlockTable})
 	if err != nil {
 		l.log.WithError(err).WithField("version", u.Version).Error("committed version does not compile")
 		return
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -142,7 +142,7 @@
 // plaintext loopback links only, they name their team themselves.
 func authenticator(s *Settings, log *logrus.Entry) (control.Authenticator, error) {
 	if s.OperatorKeys == "" {
-		return control.LoopbackTeam{Plaintext: s.TLS.PlaintextLoopback}, nil
+		return control.LoopbackTeam{Plaintext: s.TLS.Plaintext()}, nil
 	}
 	return operatorauth.New(s.OperatorKeys, log)
 }
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -22,6 +22,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
@@ -222,7 +223,7 @@
 
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
-		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store,
+		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: dialect.Own{},
 		Ready: p.follower.Ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
 		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -154,7 +154,10 @@
 	if f.view.Version <= f.inForce {
 		return
 	}
-	snap, err := f.builder.Build(f.view.Version, f.view.LiveSections(), f.view.MemberList(), f.view.Blocks)
+	snap, err := f.builder.Build(snapshot.Content{
+		Version: f.view.Version, Sections: f.view.LiveSections(), Members: f.view.MemberList(),
+		Targets: f.view.TargetList(), Blocks: f.view.Blocks,
+	})
 	if err != nil {
 		f.cfg.Log.WithError(err).WithField("version", f.view.Version).Error("version not put in force")
 		return
--- a/internal/process/operator/client.go
+++ b/internal/process/operator/client.go
@@ -45,7 +45,7 @@
 	return &client{
 		servers: c.Servers,
 		links:   links,
-		creds:   operatorauth.PerCall{Key: key, Team: c.Team, Plaintext: c.TLS.PlaintextLoopback},
+		creds:   operatorauth.PerCall{Key: key, Team: c.Team, Plaintext: c.TLS.Plaintext()},
 		timeout: c.Timeout.D(),
 	}, nil
 }
--- a/internal/process/operator/config.go
+++ b/internal/process/operator/config.go
@@ -83,7 +83,7 @@
 // key reads the operator key. The error does not contain it. Without a key
 // file, the team is enough on plaintext loopback links.
 func (c Config) key() (string, error) {
-	if c.KeyFile == "" && c.TLS.PlaintextLoopback && c.Team != "" {
+	if c.KeyFile == "" && c.TLS.Plaintext() && c.Team != "" {
 		return "", nil
 	}
 	if c.KeyFile == "" {
--- a/internal/process/operator/explain.go
+++ b/internal/process/operator/explain.go
@@ -114,7 +114,7 @@
 	if route == nil {
 		return fmt.Sprintf("no route of %q matches %s %s", c.service, c.method, c.path)
 	}
-	ex.Route, ex.Class, ex.Safe, ex.Once = route.Path, string(route.Class), route.Safe, route.Once
+	ex.Route, ex.Class, ex.Safe, ex.Once = route.Prefix, string(route.Class), route.Safe, route.Once
 	if snap.Region(c.dc) == "" {
 		return fmt.Sprintf("data centre %q is not in the document", c.dc)
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -91,14 +91,35 @@
 	CAFile   string `yaml:"ca_file,omitempty"`
 	// PlaintextLoopback allows links without TLS, on loopback addresses only.
 	PlaintextLoopback bool `yaml:"plaintext_loopback,omitempty"`
+	// PlaintextPrivate allows links without TLS on any address, for a network
+	// that only instances of the system reach. Whoever reaches it may act as
+	// an instance.
+	PlaintextPrivate bool `yaml:"plaintext_private_network,omitempty"`
 }
 
-// Check records a problem unless the files or plaintext are set.
+// Plaintext reports whether links between instances use no TLS.
+func (t TLS) Plaintext() bool { return t.PlaintextLoopback || t.PlaintextPrivate }
+
+// Check records a problem unless the files or one kind of plaintext are set.
 func (t TLS) Check(c *Check, path ...any) {
-	files := t.CertFile != "" && t.KeyFile != "" && t.CAFile != ""
-	if files == t.PlaintextLoopback {
-		c.Add(path, "set cert_file, key_file and ca_file, or plaintext_loopback: true")
+	if !t.Valid() {
+		c.Add(path, TLSChoices)
+	}
+}
+
+// TLSChoices names the ways to set up links between instances.
+const TLSChoices = "set cert_file, key_file and ca_file, or plaintext_loopback: true, or plaintext_private_network: true"
+
+// Valid reports whether exactly one way to set up links is chosen.
+func (t TLS) Valid() bool {
+	ways := 0
+	for _, chosen := range []bool{t.CertFile != "" && t.KeyFile != "" && t.CAFile != "", t.PlaintextLoopback, t.PlaintextPrivate} {
+		if chosen {
+			ways++
+		}
 	}
+	some := t.CertFile != "" || t.KeyFile != "" || t.CAFile != ""
+	return ways == 1 && some != t.Plaintext()
 }
 
 // Log configures logging.
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -11,41 +11,40 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
 )
 
-// Headers between callers, entries and targets.
+// Headers between entries. The first ones go with a forwarded request, the
+// others with its answer.
 const (
-	HeaderService   = "Fescue-Service"
-	HeaderShift     = "Fescue-Shift"
-	HeaderDeadline  = "Fescue-Deadline-Ms"
-	HeaderRequestID = "Fescue-Request-Id"
-	HeaderNotRun    = "Fescue-Not-Run"
-	HeaderKey       = "Idempotency-Key"
-	HeaderInstance  = "Fescue-Instance"
-	HeaderTarget    = "Fescue-Target"
-	HeaderReplayed  = "Fescue-Replayed" // on stored answers: the request that ran
-
 	headerForwardedBy = "Fescue-Forwarded-By"
 	headerHops        = "Fescue-Hops"
 	headerRemote      = "Fescue-Remote"
 	headerRecorded    = "Fescue-Recorded"
-	headerQueued      = "Fescue-Queued"
-	headerFree        = "Fescue-Free-Slots"
-	headerWait        = "Fescue-Expected-Wait-Ms"
-	headerKind        = "Fescue-Error-Kind"
+	headerID          = "Fescue-Forwarded-Id"
+	headerLeft        = "Fescue-Forwarded-Left-Ms"
+	headerService     = "Fescue-Forwarded-Service"
+	headerVersion     = "Fescue-Forwarded-Version"
+
+	headerQueued     = "Fescue-Queued"
+	headerFree       = "Fescue-Free-Slots"
+	headerWait       = "Fescue-Expected-Wait-Ms"
+	headerKind       = dialect.HeaderKind
+	headerNotRun     = "Fescue-Provably-Not-Run"
+	headerRetryAfter = "Fescue-Retry-After-Ms"
 )
 
 // internalHeaders are accepted on the peer listener only.
-var internalHeaders = []string{headerForwardedBy, headerHops, headerRemote, headerRecorded}
+var internalHeaders = []string{
+	headerForwardedBy, headerHops, headerRemote, headerRecorded, headerID, headerLeft, headerService, headerVersion,
+}
 
 const (
-	maxHeaderBytes = 32 << 10
-	maxKeyBytes    = 200
-	maxIDBytes     = 64
-	maxHops        = 3
+	maxKeyBytes = 200
+	maxIDBytes  = 64
+	maxHops     = 3
 )
 
 // call is one request with everything that the decisions need.
@@ -53,22 +52,27 @@
 	id       string
 	snap     *snapshot.Snapshot
 	service  *snapshot.Service
-	route    *document.Route
+	route    *snapshot.Route
 	shift    string
 	key      string
-	deadline time.Time
+	affinity string
+	deadline time.Time // the caller's, or the route's timeout if that is sooner
 	received time.Time
 	body     []byte
 	release  func() // gives the body's memory back; nil without a body
 
 	method string
+	host   string // as the caller sent it
 	path   string // with query, as sent to the target
 	header http.Header
 
 	hops     int
-	from     string // instance that forwarded the call, "" for callers
-	remote   bool   // forwarded from another data centre
-	recorded bool   // the key's home has recorded the start already
+	from     string        // instance that forwarded the call, "" for callers
+	named    string        // service that the forwarding instance has chosen
+	granted  time.Duration // time left that the forwarding instance has granted
+	version  uint64        // in force at the forwarding instance
+	remote   bool          // forwarded from another data centre
+	recorded bool          // the key's home has recorded the start already
 
 	keyed  bool // carries an idempotency key
 	proved bool // the ledger has proved that the key had not started before
@@ -95,30 +99,39 @@
 func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
 // parse checks the head of a request. The error has one kind per fault.
-func parse(r *http.Request, snap *snapshot.Snapshot, peer bool, now time.Time) (*call, error) {
-	c := &call{snap: snap, received: now, method: r.Method, header: r.Header}
-	c.id = requestID(r.Header.Get(HeaderRequestID))
-	c.keyed = r.Header.Get(HeaderKey) != ""
-	if size := headerSize(r); size > maxHeaderBytes {
-		return c, errkind.New(errkind.HeaderTooLarge, "the header has %d bytes, at most %d are allowed", size, maxHeaderBytes)
-	}
-	if err := c.parseInternal(r.Header, peer); err != nil {
+func (h *Handler) parse(r *http.Request, snap *snapshot.Snapshot, now time.Time) (*call, error) {
+	c := newCall(r, snap, now)
+	head, err := h.Dialect.Request(r.Header)
+	c.id, c.keyed, c.affinity = requestID(head.ID), head.Key != "", head.Affinity
+	if limit := snap.Callers.MaxHeaderBytes; headerSize(r) > limit {
+		return c, errkind.New(errkind.HeaderTooLarge, "the header has %d bytes, at most %d are allowed", headerSize(r), limit)
+	}
+	if err := c.parseInternal(r.Header, h.peer); err != nil {
 		return c, err
 	}
-	if err := c.findService(r); err != nil {
+	if err != nil {
 		return c, err
 	}
-	c.route = c.service.Route(r.Method, routePath(c.path))
-	if c.route == nil {
-		return c, errkind.New(errkind.UnknownRoute, "service %q has no route for %s %s", c.service.Name, r.Method, routePath(c.path))
+	if err := h.findRoute(c, head.Service); err != nil {
+		return c, c.orBehind(err)
 	}
-	if err := c.parseShift(r.Header); err != nil {
+	if err := c.checkShift(head.Shift); err != nil {
 		return c, err
 	}
-	if err := c.parseDeadline(r.Header, now); err != nil {
-		return c, err
+	c.setDeadline(head.Wait)
+	return c, c.checkKey(head.Key)
+}
+
+func newCall(r *http.Request, snap *snapshot.Snapshot, now time.Time) *call {
+	return &call{snap: snap, received: now, method: r.Method, host: r.Host, path: requestTarget(r), header: r.Header}
+}
+
+// requestTarget returns path and query exactly as the caller wrote them.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
 	}
-	return c, c.parseKey(r.Header)
+	return r.URL.RequestURI()
 }
 
 func requestID(given string) string {
@@ -170,14 +183,73 @@
 	if hops > maxHops {
 		return errkind.New(errkind.HopLimit, "the request was forwarded %d times, at most %d are allowed", hops, maxHops)
 	}
+	if id := h.Get(headerID); validToken(id, maxIDBytes) {
+		c.id = id
+	}
+	c.named = h.Get(headerService)
+	c.granted, _ = dialect.Milliseconds(h.Get(headerLeft))         // without one, the caller's deadline holds
+	c.version, _ = strconv.ParseUint(h.Get(headerVersion), 10, 64) // without one, err stands as it is
+	return nil
+}
+
+// orBehind returns err, or that this instance is not ready if the forwarding
+// one acts on a later version, which may have the route.
+func (c *call) orBehind(err error) error {
+	if c.version <= c.snap.Version {
+		return err
+	}
+	return errkind.New(errkind.NotReady, "version %d is in force here, the request was forwarded on version %d", c.snap.Version, c.version)
+}
+
+// findRoute takes the route from host and path, or from the service that the
+// caller names, and chooses the service.
+func (h *Handler) findRoute(c *call, named string) error {
+	host, path := hostName(c.host), routePath(c.path)
+	if route := c.snap.HostRoute(host, path); route != nil {
+		c.route = route
+		return h.choosePart(c)
+	}
+	if c.snap.HasHost(host) {
+		return errkind.New(errkind.UnknownRoute, "host %q has no route for %s", host, path)
+	}
+	if err := c.findService(named); err != nil {
+		return err
+	}
+	path = routePath(c.path)
+	c.route = c.service.Route(c.method, path)
+	if c.route == nil {
+		return errkind.New(errkind.UnknownRoute, "service %q has no route for %s %s", c.service.Name, c.method, path)
+	}
 	return nil
 }
 
-// findService takes the service from its header, or from the first path
-// segment, which is then not passed on to the target.
-func (c *call) findService(r *http.Request) error {
-	name := r.Header.Get(HeaderService)
-	c.path = r.URL.RequestURI()
+// hostName returns the host of a Host header in lower case, without a port.
+func hostName(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(name)
+}
+
+// choosePart chooses the service of a route by host. A forwarded request
+// keeps the service that the forwarding instance has chosen.
+func (h *Handler) choosePart(c *call) error {
+	name := c.named
+	if name == "" {
+		name = h.Services.split.pick(c.route)
+	}
+	c.service = c.snap.Services[name]
+	if c.service == nil {
+		return errkind.New(errkind.NotReady, "service %q is not in the version in force here", name)
+	}
+	return nil
+}
+
+// findService takes the service from what the caller or the forwarding
+// instance names, or from the first path segment, which is then not passed on
+// to the target.
+func (c *call) findService(name string) error {
+	if c.named != "" {
+		name = c.named
+	}
 	if name == "" {
 		first, rest, _ := strings.Cut(strings.TrimPrefix(c.path, "/"), "/")
 		first, query, hasQuery := strings.Cut(first, "?")
@@ -205,44 +277,50 @@
 	return path
 }
 
-func (c *call) parseShift(h http.Header) error {
-	c.shift = h.Get(HeaderShift)
-	if c.shift == "" {
-		return errkind.New(errkind.MissingShift, "the header %s is required", HeaderShift)
+func (c *call) checkShift(shift string) error {
+	c.shift = shift
+	if !c.route.NeedsShift {
+		return nil
+	}
+	if shift == "" {
+		return errkind.New(errkind.MissingShift, "the request must name its shift")
 	}
-	if _, ok := c.snap.Shifts[c.shift]; !ok {
-		return errkind.New(errkind.UnknownShift, "shift %q is not in the steering document", c.shift)
+	if _, ok := c.snap.Shifts[shift]; !ok {
+		return errkind.New(errkind.UnknownShift, "shift %q is not in the steering document", shift)
 	}
 	return nil
 }
 
-func (c *call) parseDeadline(h http.Header, now time.Time) error {
+// setDeadline sets when the request ends: after the time that the caller
+// waits, within the bounds of the document.
+func (c *call) setDeadline(wait time.Duration) {
 	longest := c.snap.LongestDeadline(c.service)
+	if c.route.Timeout > 0 {
+		longest = min(longest, c.route.Timeout)
+	}
 	left := min(c.service.DefaultDeadline.D(), longest)
-	if text := h.Get(HeaderDeadline); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms <= 0 {
-			return errkind.New(errkind.BadDeadline, "%s: %q is not a positive number of milliseconds", HeaderDeadline, text)
-		}
-		left = longest
-		if ms < longest.Milliseconds() {
-			left = time.Duration(ms) * time.Millisecond
-		}
+	if c.route.Timeout > 0 {
+		left = c.route.Timeout
 	}
-	c.deadline = now.Add(left)
-	return nil
+	if c.granted > 0 {
+		wait = c.granted
+	}
+	if wait > 0 {
+		left = min(wait, longest)
+	}
+	c.deadline = c.received.Add(left)
 }
 
-func (c *call) parseKey(h http.Header) error {
-	c.key = h.Get(HeaderKey)
+func (c *call) checkKey(key string) error {
+	c.key = key
 	if !c.once() {
 		return nil
 	}
 	if c.key == "" {
-		return errkind.New(errkind.MissingKey, "route %q runs at most once and requires the header %s", c.route.Path, HeaderKey)
+		return errkind.New(errkind.MissingKey, "route %q runs at most once and requires an idempotency key", c.route.Name)
 	}
 	if !validToken(c.key, maxKeyBytes) {
-		return errkind.New(errkind.BadKey, "%s must have 1 to %d printable ASCII characters without spaces", HeaderKey, maxKeyBytes)
+		return errkind.New(errkind.BadKey, "the idempotency key must have 1 to %d printable ASCII characters without spaces", maxKeyBytes)
 	}
 	return nil
 }
@@ -254,6 +332,9 @@
 // holds no slot.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, mem *BodyMemory) error {
 	limit := c.service.MaxBodyBytes
+	if own := c.snap.Callers.MaxBodyBytes; c.route.Host != "" && own > 0 {
+		limit = own
+	}
 	if r.ContentLength > limit {
 		return errkind.New(errkind.BodyTooLarge, "the body has %d bytes, service %q allows %d", r.ContentLength, c.service.Name, limit)
 	}
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/sirupsen/logrus"
@@ -31,7 +32,7 @@
 	}).Info("request forwarded")
 	x := exchange{
 		transport: h.Peers, scheme: h.PeerScheme, addr: to.PeerAddr,
-		header: c.peerHeader(h.Instance, remote, recorded, h.Now()),
+		header: c.peerHeader(h.Instance, remote, recorded, h.Now()), idOf: forwardedID,
 	}
 	rep, err := x.do(ctx, c)
 	if err != nil {
@@ -42,21 +43,26 @@
 	}
 	if kind := errkind.Kind(rep.header.Get(headerKind)); kind != "" {
 		defer rep.finish(nil)
-		c.proved = c.proved || rep.header.Get(HeaderNotRun) != ""
+		c.proved = c.proved || rep.header.Get(headerNotRun) != ""
 		return nil, &peerError{
 			err:        errkind.New(kind, "instance %q refused the request", to.Instance),
 			load:       readLoad(rep.header),
-			retryAfter: rep.header.Get("Retry-After"),
+			retryAfter: readRetryAfter(rep.header),
 		}
 	}
+	rep.header.Del(headerID)
 	return rep, nil
 }
 
+// forwardedID returns the identifier of the request that another entry's
+// answer names.
+func forwardedID(resp *http.Response) string { return resp.Header.Get(headerID) }
+
 // peerError is an error answer of another entry with its load.
 type peerError struct {
 	err        error
 	load       dispatch.Load
-	retryAfter string // in seconds, "" if it names none
+	retryAfter time.Duration // 0 if it names none
 }
 
 func (e *peerError) Error() string { return e.err.Error() }
@@ -75,6 +81,11 @@
 	h.Set(headerWait, strconv.FormatInt(l.ExpectedWait.Milliseconds(), 10))
 }
 
+func readRetryAfter(h http.Header) time.Duration {
+	after, _ := dialect.Milliseconds(h.Get(headerRetryAfter)) // without one there is no hint
+	return after
+}
+
 func readLoad(h http.Header) dispatch.Load {
 	var l dispatch.Load
 	l.Queued, _ = strconv.Atoi(h.Get(headerQueued))
--- a/internal/request/proxy/fuzz_test.go
+++ b/internal/request/proxy/fuzz_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 )
 
 // Guards against input that panics, leaks, gets no kind of the closed list or
@@ -26,8 +27,8 @@
 		}
 		w := fuzzWorld(t, peer)
 		header := http.Header{
-			HeaderService: {service}, HeaderShift: {shift}, HeaderDeadline: {deadline}, HeaderKey: {key},
-			HeaderRequestID: {id}, headerHops: {hops}, headerForwardedBy: {from},
+			dialect.HeaderService: {service}, dialect.HeaderShift: {shift}, dialect.HeaderDeadline: {deadline}, dialect.HeaderKey: {key},
+			dialect.HeaderRequestID: {id}, headerHops: {hops}, headerForwardedBy: {from},
 		}
 		var first string
 		for range 2 {
@@ -37,7 +38,7 @@
 			if err := json.Unmarshal(rec.Body.Bytes(), &e); err != nil {
 				t.Fatalf("answer %q: %v", rec.Body, err)
 			}
-			if e.Kind == errkind.Internal || e.Kind.Answer().Status != rec.Code || e.RequestID == "" || e.RequestID != rec.Header().Get(HeaderRequestID) {
+			if e.Kind == errkind.Internal || e.Kind.Answer().Status != rec.Code || e.RequestID == "" || e.RequestID != rec.Header().Get(dialect.HeaderRequestID) {
 				t.Errorf("answer %d %+v", rec.Code, e)
 			}
 			if got := string(e.Kind) + string(e.DidRun); first == "" {
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -70,6 +71,7 @@
 	Instance   string
 	DataCentre string
 	Store      *snapshot.Store
+	Dialect    dialect.Dialect
 	Ready      func() bool // a confirmed version is in force
 	Groups     Groups
 	Caps       Caps
@@ -130,7 +132,10 @@
 	if !r.ProtoAtLeast(1, 1) {
 		rep = h.withLength(c, rep)
 	}
-	rep.header.Set(HeaderInstance, h.Instance)
+	if h.peer {
+		rep.header.Set(headerID, c.id)
+	}
+	h.Dialect.Name(rep.header, h.Instance, "", "")
 	defer func() { h.m.latency.RecordDuration(h.Now().Sub(start)) }()
 	rep.write(w)
 }
@@ -174,11 +179,12 @@
 }
 
 func (h *Handler) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
-	c := &call{id: requestID(r.Header.Get(HeaderRequestID)), keyed: r.Header.Get(HeaderKey) != ""}
 	if !h.Ready() {
+		head, _ := h.Dialect.Request(r.Header) // the answer is the same whatever the deadline
+		c := &call{id: requestID(head.ID), keyed: head.Key != ""}
 		return c, errkind.New(errkind.NotReady, "no confirmed version of the steering document is in force yet")
 	}
-	c, err := parse(r, h.Store.Load(), h.peer, now)
+	c, err := h.parse(r, h.Store.Load(), now)
 	if err != nil {
 		return c, err
 	}
@@ -194,7 +200,7 @@
 		fields["service"] = c.service.Name
 	}
 	h.Log.WithFields(fields).Info("request refused or failed")
-	rep := errorReply(c, err)
+	rep := h.errorReply(c, err)
 	h.describeLoad(c, rep.header)
 	return rep
 }
@@ -248,7 +254,7 @@
 	}
 	switch kind {
 	case errkind.QueueFull, errkind.DeadlineUnmeetable, errkind.NoTarget, errkind.TargetShed,
-		errkind.TargetUnreachable, errkind.NotDispatcher, errkind.NotReady, errkind.Stopping:
+		errkind.TargetUnreachable, errkind.TargetGone, errkind.NotDispatcher, errkind.NotReady, errkind.Stopping:
 		return true
 	}
 	return false
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/retry"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
@@ -18,7 +19,7 @@
 	if c.remote && !h.enterRamp(c, d) {
 		return nil, errkind.New(errkind.QueueFull, "requests from other data centres are still ramping up")
 	}
-	unit, err := h.Caps.Acquire(ctx, c.shift)
+	unit, err := h.acquireUnit(ctx, c)
 	if err != nil {
 		h.leaveRamp(c, err)
 		return nil, err
@@ -38,6 +39,29 @@
 	return rep, nil
 }
 
+// acquireUnit takes a unit of the shift's cap. A route that knows no shifts
+// needs none.
+func (h *Handler) acquireUnit(ctx context.Context, c *call) (Unit, error) {
+	if !c.route.NeedsShift {
+		return noUnit{}, nil
+	}
+	return h.Caps.Acquire(ctx, c.shift)
+}
+
+// tryAcquireUnit is acquireUnit without waiting.
+func (h *Handler) tryAcquireUnit(c *call) (Unit, bool) {
+	if !c.route.NeedsShift {
+		return noUnit{}, true
+	}
+	return h.Caps.TryAcquire(c.shift)
+}
+
+// noUnit stands for a unit where no cap applies.
+type noUnit struct{}
+
+func (noUnit) Valid() bool { return true }
+func (noUnit) Release()    {}
+
 func (h *Handler) enterRamp(c *call, d *dispatch.Dispatcher) bool {
 	load := d.Load()
 	return h.Services.get(c.service, h.Now()).ramp.Admit(h.Now(), load.InFlight+load.FreeSlots)
@@ -64,7 +88,7 @@
 // did not run it, within the retry budget and the deadline.
 func (h *Handler) attempts(ctx context.Context, c *call, d *dispatch.Dispatcher, unit Unit) (*reply, error) {
 	w := dispatch.Work{
-		Class: c.route.Class, Route: c.route.Path, Deadline: c.deadline,
+		Class: c.route.Class, Route: c.route.Name, Deadline: c.deadline,
 		Safe: c.route.Safe, Once: c.once(), Remote: c.remote,
 	}
 	for attempt := 1; ; attempt++ {
@@ -86,7 +110,7 @@
 	now := h.Now()
 	decision := retry.Decide(retry.Attempt{
 		Kind: errkind.Of(err), Once: c.once(), Tries: attempt,
-		MaxAttempts: c.service.Retry.MaxAttempts, Remaining: c.left(now),
+		Safe: c.route.Safe, MaxAttempts: c.route.MaxAttempts, Remaining: c.left(now),
 	}, h.Services.get(c.service, now).retries, now, rand.Float64())
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "attempt": attempt, "retry": decision.Retry,
@@ -111,7 +135,7 @@
 
 func (h *Handler) logDecision(c *call, t *dispatch.Ticket, attempt int) {
 	h.Log.WithFields(logrus.Fields{
-		"request_id": c.id, "service": c.service.Name, "route": c.route.Path, "shift": c.shift,
+		"request_id": c.id, "service": c.service.Name, "route": c.route.Name, "shift": c.shift,
 		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
 		"queued_ms": float64(t.QueuedFor.Microseconds()) / 1000, "version": c.snap.Version,
 	}).Info("request dispatched")
@@ -127,6 +151,7 @@
 	unit   Unit // of the shift's cap, for a hedge; the first attempt's belongs to the call
 	cancel context.CancelCauseFunc
 	start  time.Time
+	load   *dialect.Load // that the target reported in its answer
 }
 
 // errHedgeLost cancels the attempt that lost against its hedge.
@@ -178,7 +203,7 @@
 // takeHedge takes a slot and a unit of the shift's cap for a hedge: it is one
 // more request in flight.
 func (h *Handler) takeHedge(c *call, t *dispatch.Ticket) (*dispatch.Ticket, Unit, bool) {
-	unit, ok := h.Caps.TryAcquire(c.shift)
+	unit, ok := h.tryAcquireUnit(c)
 	if !ok {
 		return nil, nil, false
 	}
@@ -264,7 +289,7 @@
 	ctx, s.cancel = context.WithCancelCause(ctx)
 	x := exchange{
 		transport: h.Targets, scheme: "http", addr: t.Target.Addr,
-		header: c.targetHeader(s.start), replay: c.route.Safe,
+		header: h.targetHeader(c, t.Target.ID, s.start), replay: c.route.Safe, idOf: h.answerID,
 		onWritten: func() {
 			if !unit.Valid() || h.Now().After(c.deadline) {
 				s.cancel(errLeaseLapsed)
@@ -272,26 +297,49 @@
 		},
 	}
 	s.rep, s.err = x.do(ctx, c)
-	if s.err == nil && shed(s.rep) {
-		s.rep.finish(nil)
-		s.rep, s.err = nil, errkind.New(errkind.TargetShed, "target %q shed the request", t.Target.ID)
+	if s.err == nil {
+		h.judgeAnswer(&s)
 	}
 	if s.err == nil {
 		for _, name := range systemHeaders {
 			s.rep.header.Del(name)
 		}
+		for _, name := range h.Dialect.Reserved() {
+			s.rep.header.Del(name)
+		}
 	}
 	return s
 }
 
+// answerID returns the identifier of the request that a target's answer names.
+func (h *Handler) answerID(resp *http.Response) string {
+	return h.Dialect.Answer(resp.StatusCode, resp.Header).ID
+}
+
+// judgeAnswer turns the answer of a target into an error if the target did not
+// run the request, or if it cannot be proved to be the target's.
+func (h *Handler) judgeAnswer(s *sent) {
+	head := h.Dialect.Answer(s.rep.status, s.rep.header)
+	target := s.ticket.Target.ID
+	s.load = head.Load
+	switch {
+	case head.OtherTarget:
+		s.err = errkind.New(errkind.TargetGone, "another target answered for %q", target)
+	case head.NotRun:
+		s.err = errkind.New(errkind.TargetShed, "target %q shed the request", target)
+	case head.Unproved:
+		s.err = errkind.New(errkind.AnswerBroken, "the answer of target %q lacks its mark", target)
+	}
+	if s.err != nil {
+		s.rep.finish(nil)
+		s.rep = nil
+	}
+}
+
 // systemHeaders of an answer are set by entries only. An entry would take the
 // answer of a target that sets them for the refusal of another entry and send
 // the request again.
-var systemHeaders = []string{headerKind, HeaderNotRun, HeaderReplayed, headerQueued, headerFree, headerWait}
-
-func shed(r *reply) bool {
-	return r.status == http.StatusServiceUnavailable && r.header.Get(HeaderNotRun) == "true"
-}
+var systemHeaders = []string{headerKind, headerNotRun, headerRetryAfter, headerQueued, headerFree, headerWait}
 
 // settle ends the ticket of an attempt that failed, or ties it to the end of
 // the answer's body.
@@ -303,8 +351,7 @@
 		return nil, s.err
 	}
 	firstByte := h.Now().Sub(s.start)
-	s.rep.header.Set(HeaderTarget, s.ticket.Target.ID)
-	s.rep.header.Set(HeaderRequestID, s.id)
+	h.Dialect.Name(s.rep.header, h.Instance, s.ticket.Target.ID, s.id)
 	s.rep.end = func(err error) {
 		s.cancel(nil)
 		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte}
@@ -323,7 +370,7 @@
 	switch errkind.Of(err) {
 	case errkind.TargetShed:
 		return dispatch.Shed
-	case errkind.TargetUnreachable:
+	case errkind.TargetUnreachable, errkind.TargetGone:
 		return dispatch.Unreachable
 	case errkind.Cancelled, errkind.DeadlineUnmeetable:
 		return dispatch.CancelledByCaller
--- a/internal/request/proxy/once.go
+++ b/internal/request/proxy/once.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 )
 
 // maxStoredBody bounds the answer that is kept for duplicates of an
@@ -111,13 +112,13 @@
 // replayed marks a stored answer; the answer names the request that ran.
 func replayed(s *Stored, id string) *reply {
 	rep := storedReply(s, id)
-	rep.header.Set(HeaderReplayed, s.Header.Get(HeaderRequestID))
+	rep.header.Set(dialect.HeaderReplayed, s.Header.Get(dialect.HeaderRequestID))
 	return rep
 }
 
 func storedReply(s *Stored, id string) *reply {
 	header := s.Header.Clone()
-	header.Set(HeaderRequestID, id)
+	header.Set(dialect.HeaderRequestID, id)
 	return &reply{status: s.Status, header: header, head: bytes.Clone(s.Body), length: int64(len(s.Body))}
 }
 
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -163,7 +164,7 @@
 	log.SetOutput(io.Discard)
 	transport := &http.Transport{DisableCompression: true}
 	w.h = New(Config{
-		Instance: "e1", DataCentre: "a", Store: store, Ready: func() bool { return true },
+		Instance: "e1", DataCentre: "a", Store: store, Dialect: dialect.Own{}, Ready: func() bool { return true },
 		Groups: w.groups, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
 		Services: &Services{}, Targets: transport, Peers: transport, PeerScheme: "http",
 		Now: time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
@@ -177,8 +178,8 @@
 	if err != nil {
 		w.Fatal(err)
 	}
-	req.Header.Set(HeaderService, "rota")
-	req.Header.Set(HeaderShift, "s1")
+	req.Header.Set(dialect.HeaderService, "rota")
+	req.Header.Set(dialect.HeaderShift, "s1")
 	for i := 0; i < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
@@ -205,7 +206,7 @@
 	if err != nil {
 		w.Fatal(err)
 	}
-	notRun := resp.Header.Get(HeaderNotRun) == "true"
+	notRun := resp.Header.Get(dialect.HeaderNotRun) == "true"
 	if resp.StatusCode != kind.Answer().Status || !strings.Contains(body, `"kind":"`+string(kind)+`"`) ||
 		!strings.Contains(body, `"did_run":"`+string(didRun)+`"`) || notRun != (didRun == errkind.No) {
 		w.Errorf("got %d %s (not run %v), want %s with did_run %s", resp.StatusCode, body, notRun, kind, didRun)
@@ -327,7 +328,7 @@
 func TestErrorAnswerToHead(t *testing.T) {
 	w := newWorld(t, false)
 	for range 2 {
-		resp, body, err := w.do(w.request("HEAD", "/", "", HeaderShift, "none"))
+		resp, body, err := w.do(w.request("HEAD", "/", "", dialect.HeaderShift, "none"))
 		if err != nil || body != "" || resp.StatusCode != http.StatusForbidden || resp.ContentLength <= 0 {
 			t.Fatalf("%v %q %v", resp, body, err)
 		}
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 )
 
@@ -129,33 +130,41 @@
 const defaultRetryAfter = time.Second
 
 // errorReply turns err into the answer of its kind.
-func errorReply(c *call, err error) *reply {
+func (h *Handler) errorReply(c *call, err error) *reply {
 	kind := errkind.Of(err)
-	a, didRun := kind.Answer(), c.didRun(kind)
-	body, _ := json.Marshal(errorBody{Kind: kind, Message: err.Error(), DidRun: didRun, RequestID: c.id})
-	h := http.Header{}
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderRequestID, c.id)
-	h.Set(headerKind, string(kind))
-	if didRun == errkind.No {
-		h.Set(HeaderNotRun, "true")
-	}
-	if a.Retry {
-		h.Set("Retry-After", retryAfterSeconds(err))
+	ref := dialect.Refusal{ID: c.id, Kind: kind, DidRun: c.didRun(kind)}
+	if kind.Answer().Retry {
+		ref.RetryAfter = retryAfter(err)
+	}
+	body, _ := json.Marshal(errorBody{Kind: kind, Message: err.Error(), DidRun: ref.DidRun, RequestID: c.id})
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	if h.peer {
+		describeRefusal(header, ref)
 	}
 	body = append(body, '\n')
-	return &reply{status: a.Status, header: h, head: body, length: int64(len(body))}
+	return &reply{status: h.Dialect.Refusal(header, ref), header: header, head: body, length: int64(len(body))}
+}
+
+// describeRefusal tells another entry about a refusal, whatever the dialect of
+// the callers can express.
+func describeRefusal(header http.Header, ref dialect.Refusal) {
+	header.Set(headerKind, string(ref.Kind))
+	if ref.DidRun == errkind.No {
+		header.Set(headerNotRun, "true")
+	}
+	if ref.RetryAfter > 0 {
+		header.Set(headerRetryAfter, dialect.FormatMilliseconds(ref.RetryAfter))
+	}
 }
 
-func retryAfterSeconds(err error) string {
+func retryAfter(err error) time.Duration {
 	var pe *peerError
-	if errors.As(err, &pe) && pe.retryAfter != "" {
+	if errors.As(err, &pe) && pe.retryAfter > 0 {
 		return pe.retryAfter
 	}
-	after, ok := dispatch.RetryAfter(err)
-	if !ok {
-		after = defaultRetryAfter
+	if after, ok := dispatch.RetryAfter(err); ok {
+		return after
 	}
-	seconds := int64((after + time.Second - 1) / time.Second)
-	return strconv.FormatInt(max(seconds, 1), 10)
+	return defaultRetryAfter
 }
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 )
 
 // exchange is one request to a target or to another entry.
@@ -25,6 +26,8 @@
 	// onWritten is called after each write to the connection, if the transport
 	// makes connections that report it, and when the request is in the buffer.
 	onWritten func()
+	// idOf returns the identifier of the request that an answer names.
+	idOf func(resp *http.Response) string
 }
 
 // writeReporter is a connection that reports its writes. net/http calls
@@ -56,7 +59,7 @@
 	if err != nil {
 		return nil, sendError(ctx, err, headSent.Load())
 	}
-	return readHead(ctx, c, resp)
+	return x.readHead(ctx, c, resp)
 }
 
 func (x *exchange) request(ctx context.Context, c *call) (*http.Request, error) {
@@ -109,10 +112,12 @@
 
 // readHead checks that the answer belongs to the call and that its end can
 // be recognised, and reads its first bytes.
-func readHead(ctx context.Context, c *call, resp *http.Response) (*reply, error) {
-	if echoed := resp.Header.Get(HeaderRequestID); echoed != "" && echoed != c.id {
-		resp.Body.Close()
-		return nil, errkind.New(errkind.AnswerMismatch, "the answer names request %q instead of %q", echoed, c.id)
+func (x *exchange) readHead(ctx context.Context, c *call, resp *http.Response) (*reply, error) {
+	if x.idOf != nil {
+		if echoed := x.idOf(resp); echoed != "" && echoed != c.id {
+			resp.Body.Close()
+			return nil, errkind.New(errkind.AnswerMismatch, "the answer names request %q instead of %q", echoed, c.id)
+		}
 	}
 	if resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
@@ -175,31 +180,34 @@
 }
 
 // targetHeader returns the header that goes to a target.
-func (c *call) targetHeader(now time.Time) http.Header {
-	h := copyHeader(c.header)
+func (h *Handler) targetHeader(c *call, target string, now time.Time) http.Header {
+	out := copyHeader(c.header)
 	for _, name := range internalHeaders {
-		h.Del(name)
+		out.Del(name)
 	}
-	h.Set(HeaderRequestID, c.id)
-	h.Set(HeaderDeadline, millisLeft(c.left(now)))
-	return h
+	h.Dialect.Forward(out, dialect.Forward{ID: c.id, Left: c.left(now), Target: target})
+	return out
 }
 
-// peerHeader returns the header that goes to another entry.
+// peerHeader returns the header that goes to another entry: the caller's own,
+// and what this entry has decided.
 func (c *call) peerHeader(self string, remote, recorded bool, now time.Time) http.Header {
-	h := c.targetHeader(now)
-	h.Set(HeaderService, c.service.Name)
+	h := copyHeader(c.header)
+	h.Set(headerID, c.id)
+	h.Set(headerLeft, dialect.FormatMilliseconds(c.left(now)))
+	h.Set(headerService, c.service.Name)
+	h.Set(headerVersion, strconv.FormatUint(c.snap.Version, 10))
 	h.Set(headerForwardedBy, self)
 	h.Set(headerHops, strconv.Itoa(c.hops+1))
-	if remote {
-		h.Set(headerRemote, "1")
-	}
-	if recorded {
-		h.Set(headerRecorded, "1")
-	}
+	setFlag(h, headerRemote, remote)
+	setFlag(h, headerRecorded, recorded)
 	return h
 }
 
-func millisLeft(d time.Duration) string {
-	return strconv.FormatInt(max(d.Milliseconds(), 1), 10)
+func setFlag(h http.Header, name string, on bool) {
+	if on {
+		h.Set(name, "1")
+		return
+	}
+	h.Del(name)
 }
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
@@ -35,7 +36,7 @@
 		if _, _, err := w.do(w.request("GET", "/", "")); err != nil {
 			t.Fatal(err)
 		}
-		w.expect(w.request(c.method, c.path, c.body, HeaderKey, "k"), errkind.TargetFailed, errkind.Unknown)
+		w.expect(w.request(c.method, c.path, c.body, dialect.HeaderKey, "k"), errkind.TargetFailed, errkind.Unknown)
 		if seen.Load() != 2 {
 			t.Errorf("%s %s: the target read %d requests, want 2", c.method, c.path, seen.Load())
 		}
@@ -58,7 +59,7 @@
 	for _, path := range []string{"/", "/claim"} {
 		addr, seen := rawTarget(t, shedFirst)
 		w := newWorld(t, false, addr, addr)
-		req := w.request("GET", path, "", HeaderKey, "k")
+		req := w.request("GET", path, "", dialect.HeaderKey, "k")
 		if path == "/claim" {
 			w.expect(req, errkind.TargetShed, errkind.No)
 			if w.ledger.ended.Load() != "not run" || seen.Load() != 1 {
@@ -142,12 +143,12 @@
 	w := newWorld(t, false, target(t, func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Clone() }))
 	// A hop count that is too high would be refused if it were read.
 	_, _, err := w.do(w.request("GET", "/", "", headerHops, "9", headerForwardedBy, "e2", headerRecorded, "1", headerRemote, "1",
-		HeaderRequestID, "id-1", HeaderDeadline, "99999999", "Connection", "X-Drop", "X-Drop", "1"))
+		dialect.HeaderRequestID, "id-1", dialect.HeaderDeadline, "99999999", "Connection", "X-Drop", "X-Drop", "1"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	// The longest deadline is a minute.
-	if ms := got.Get(HeaderDeadline); len(ms) != 5 || ms > "60000" || got.Get(HeaderRequestID) != "id-1" || got.Get("X-Drop") != "" {
+	if ms := got.Get(dialect.HeaderDeadline); len(ms) != 5 || ms > "60000" || got.Get(dialect.HeaderRequestID) != "id-1" || got.Get("X-Drop") != "" {
 		t.Errorf("target got %v", got)
 	}
 	for _, name := range internalHeaders {
@@ -156,7 +157,7 @@
 		}
 	}
 	w.ledger.start = errkind.New(errkind.OutcomeUnknown, "not here")
-	w.expect(w.request("GET", "/claim", "", headerRecorded, "1", HeaderKey, "k"), errkind.OutcomeUnknown, errkind.Unknown)
+	w.expect(w.request("GET", "/claim", "", headerRecorded, "1", dialect.HeaderKey, "k"), errkind.OutcomeUnknown, errkind.Unknown)
 }
 
 // Guards against a request that stays at the target although the budget
@@ -189,7 +190,7 @@
 	w := newWorld(t, false)
 	w.groups.moveTo(home.addr)
 	resp, body, err := w.do(w.request("GET", "/", ""))
-	if err != nil || body != "ok" || resp.Header.Get(HeaderNotRun) != "" || resp.Header.Get(HeaderReplayed) != "" || seen.Load() != 1 {
+	if err != nil || body != "ok" || resp.Header.Get(dialect.HeaderNotRun) != "" || resp.Header.Get(dialect.HeaderReplayed) != "" || seen.Load() != 1 {
 		t.Errorf("%v %q %v after %d requests at the target", resp, body, err, seen.Load())
 	}
 }
@@ -200,13 +201,13 @@
 	var got http.Header
 	peer := target(t, func(w http.ResponseWriter, r *http.Request) {
 		got = r.Header.Clone()
-		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		w.Header().Set(dialect.HeaderRequestID, r.Header.Get(dialect.HeaderRequestID))
 	})
 	w := newWorld(t, true)
 	w.groups.moveTo(peer)
-	resp, _, err := w.do(w.request("GET", "/", "", headerHops, "2", headerForwardedBy, "e3", HeaderRequestID, "id-1"))
-	if err != nil || resp.StatusCode != 200 || got.Get(headerHops) != "3" || got.Get(HeaderRequestID) != "id-1" ||
-		got.Get(HeaderService) != "rota" || got.Get(headerForwardedBy) != "e1" || resp.Header.Get(HeaderRequestID) != "id-1" {
+	resp, _, err := w.do(w.request("GET", "/", "", headerHops, "2", headerForwardedBy, "e3", dialect.HeaderRequestID, "id-1"))
+	if err != nil || resp.StatusCode != 200 || got.Get(headerHops) != "3" || got.Get(dialect.HeaderRequestID) != "id-1" ||
+		got.Get(dialect.HeaderService) != "rota" || got.Get(headerForwardedBy) != "e1" || resp.Header.Get(dialect.HeaderRequestID) != "id-1" {
 		t.Errorf("peer got %v; answer %v %v", got, resp, err)
 	}
 	w.expect(w.request("GET", "/", "", headerHops, "3"), errkind.HopLimit, errkind.No)
@@ -214,7 +215,7 @@
 	w.expect(w.request("GET", "/", "", headerHops, "x"), errkind.BadRequest, errkind.No)
 	w.expect(w.request("GET", "/", "", headerHops, "1", headerForwardedBy, "e2"), errkind.NotDispatcher, errkind.No)
 	// The key's home has proved that the key had not run.
-	w.expect(w.request("GET", "/claim", "", headerHops, "1", headerForwardedBy, "e2", headerRecorded, "1", HeaderKey, "k"), errkind.NotDispatcher, errkind.No)
+	w.expect(w.request("GET", "/claim", "", headerHops, "1", headerForwardedBy, "e2", headerRecorded, "1", dialect.HeaderKey, "k"), errkind.NotDispatcher, errkind.No)
 }
 
 // Guards against requests that are refused because the entry that queued
@@ -252,32 +253,32 @@
 func TestBadInput(t *testing.T) {
 	w := newWorld(t, false)
 	w.ledger.start = errkind.New(errkind.LedgerNoBackup, "no backup")
-	long := strings.Repeat("x", maxHeaderBytes)
+	long := strings.Repeat("x", document.DefaultMaxHeaderBytes)
 	for _, c := range []struct {
 		name, method, path, body string
 		headers                  []string
 		kind                     errkind.Kind
 		didRun                   errkind.DidRun
 	}{
-		{"service", "GET", "/", "", []string{HeaderService, "none"}, errkind.UnknownService, errkind.No},
-		{"no shift", "GET", "/", "", []string{HeaderShift, ""}, errkind.MissingShift, errkind.No},
-		{"shift", "GET", "/", "", []string{HeaderShift, "none"}, errkind.UnknownShift, errkind.No},
-		{"deadline 0", "GET", "/", "", []string{HeaderDeadline, "0"}, errkind.BadDeadline, errkind.No},
-		{"deadline text", "GET", "/", "", []string{HeaderDeadline, "soon"}, errkind.BadDeadline, errkind.No},
+		{"service", "GET", "/", "", []string{dialect.HeaderService, "none"}, errkind.UnknownService, errkind.No},
+		{"no shift", "GET", "/", "", []string{dialect.HeaderShift, ""}, errkind.MissingShift, errkind.No},
+		{"shift", "GET", "/", "", []string{dialect.HeaderShift, "none"}, errkind.UnknownShift, errkind.No},
+		{"deadline 0", "GET", "/", "", []string{dialect.HeaderDeadline, "0"}, errkind.BadDeadline, errkind.No},
+		{"deadline text", "GET", "/", "", []string{dialect.HeaderDeadline, "soon"}, errkind.BadDeadline, errkind.No},
 		{"no key", "POST", "/claim", "", nil, errkind.MissingKey, errkind.No},
-		{"bad key", "POST", "/claim", "", []string{HeaderKey, "a b"}, errkind.BadKey, errkind.No},
-		{"long key", "POST", "/claim", "", []string{HeaderKey, long[:maxKeyBytes+1]}, errkind.BadKey, errkind.No},
+		{"bad key", "POST", "/claim", "", []string{dialect.HeaderKey, "a b"}, errkind.BadKey, errkind.No},
+		{"long key", "POST", "/claim", "", []string{dialect.HeaderKey, long[:maxKeyBytes+1]}, errkind.BadKey, errkind.No},
 		{"large header", "GET", "/", "", []string{"X", long}, errkind.HeaderTooLarge, errkind.No},
 		{"large body", "POST", "/", strings.Repeat("x", 200001), nil, errkind.BodyTooLarge, errkind.No},
 		{"no target", "GET", "/", "", nil, errkind.NoTarget, errkind.No},
-		{"key on another route", "GET", "/", "", []string{HeaderKey, "k"}, errkind.NoTarget, errkind.No},
+		{"key on another route", "GET", "/", "", []string{dialect.HeaderKey, "k"}, errkind.NoTarget, errkind.No},
 		// An earlier request with the key may have run.
-		{"keyed, service", "POST", "/claim", "", []string{HeaderKey, "k", HeaderService, "none"}, errkind.UnknownService, errkind.Unknown},
-		{"keyed, shift", "POST", "/claim", "", []string{HeaderKey, "k", HeaderShift, "none"}, errkind.UnknownShift, errkind.Unknown},
-		{"keyed, deadline", "POST", "/claim", "", []string{HeaderKey, "k", HeaderDeadline, "0"}, errkind.BadDeadline, errkind.Unknown},
-		{"keyed, large body", "POST", "/claim", strings.Repeat("x", 200001), []string{HeaderKey, "k"}, errkind.BodyTooLarge, errkind.Unknown},
+		{"keyed, service", "POST", "/claim", "", []string{dialect.HeaderKey, "k", dialect.HeaderService, "none"}, errkind.UnknownService, errkind.Unknown},
+		{"keyed, shift", "POST", "/claim", "", []string{dialect.HeaderKey, "k", dialect.HeaderShift, "none"}, errkind.UnknownShift, errkind.Unknown},
+		{"keyed, deadline", "POST", "/claim", "", []string{dialect.HeaderKey, "k", dialect.HeaderDeadline, "0"}, errkind.BadDeadline, errkind.Unknown},
+		{"keyed, large body", "POST", "/claim", strings.Repeat("x", 200001), []string{dialect.HeaderKey, "k"}, errkind.BodyTooLarge, errkind.Unknown},
 		// The ledger has read the history.
-		{"keyed, no backup", "POST", "/claim", "", []string{HeaderKey, "k", HeaderDeadline, "50"}, errkind.LedgerNoBackup, errkind.No},
+		{"keyed, no backup", "POST", "/claim", "", []string{dialect.HeaderKey, "k", dialect.HeaderDeadline, "50"}, errkind.LedgerNoBackup, errkind.No},
 		{"escaped path", "POST", "/%63laim", "", nil, errkind.MissingKey, errkind.No},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -289,7 +290,7 @@
 	}
 	w.h.Ready = func() bool { return false }
 	w.expect(w.request("GET", "/", ""), errkind.NotReady, errkind.No)
-	w.expect(w.request("GET", "/", "", HeaderKey, "k"), errkind.NotReady, errkind.Unknown)
+	w.expect(w.request("GET", "/", "", dialect.HeaderKey, "k"), errkind.NotReady, errkind.Unknown)
 }
 
 // Guards against bodies that take memory without a bound over all requests.
@@ -321,9 +322,9 @@
 // Guards against a replayed answer that names the wrong request.
 func TestReplay(t *testing.T) {
 	w := newWorld(t, false)
-	w.ledger.stored = &Stored{Status: 201, Header: http.Header{HeaderRequestID: {"first"}}, Body: []byte("done")}
-	resp, body, err := w.do(w.request("POST", "/claim", "", HeaderKey, "k", HeaderRequestID, "second"))
-	if err != nil || resp.StatusCode != 201 || body != "done" || resp.Header.Get(HeaderRequestID) != "second" || resp.Header.Get(HeaderReplayed) != "first" {
+	w.ledger.stored = &Stored{Status: 201, Header: http.Header{dialect.HeaderRequestID: {"first"}}, Body: []byte("done")}
+	resp, body, err := w.do(w.request("POST", "/claim", "", dialect.HeaderKey, "k", dialect.HeaderRequestID, "second"))
+	if err != nil || resp.StatusCode != 201 || body != "done" || resp.Header.Get(dialect.HeaderRequestID) != "second" || resp.Header.Get(dialect.HeaderReplayed) != "first" {
 		t.Error(resp, body, err)
 	}
 }
@@ -339,14 +340,14 @@
 		_ = lis.Close()
 		w.Header().Set("Connection", "close")
 		w.Header().Set(headerKind, string(errkind.Stopping))
-		w.Header().Set(HeaderNotRun, "true")
+		w.Header().Set(dialect.HeaderNotRun, "true")
 	})}
 	defer srv.Close()
 	go func() { _ = srv.Serve(lis) }()
 	w := newWorld(t, false)
 	w.ledger.elsewhere = true
 	w.groups.moveTo(lis.Addr().String())
-	w.expect(w.request("GET", "/claim", "", HeaderKey, "k", HeaderDeadline, "150"), errkind.TargetUnreachable, errkind.Unknown)
+	w.expect(w.request("GET", "/claim", "", dialect.HeaderKey, "k", dialect.HeaderDeadline, "150"), errkind.TargetUnreachable, errkind.Unknown)
 }
 
 // Guards against a request from another data centre that avoids the ramp, and
@@ -369,7 +370,7 @@
 	w := newWorld(t, true)
 	w.groups.moveTo(target(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(headerKind, string(errkind.QueueFull))
-		w.Header().Set("Retry-After", "4")
+		w.Header().Set(headerRetryAfter, "4000")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	resp, _, err := w.do(w.request("GET", "/", "", headerHops, "1", headerRemote, "1"))
--- a/internal/request/proxy/services.go
+++ b/internal/request/proxy/services.go
@@ -12,7 +12,10 @@
 // Services keeps what outlives a request for each service: the retry budget
 // and the ramp of requests from other data centres. The handlers of an entry
 // share it. It is safe for concurrent use.
-type Services struct{ byName sync.Map }
+type Services struct {
+	byName sync.Map
+	split  splitter
+}
 
 type serviceState struct {
 	retries *retry.Budget
--- a/internal/request/retry/rules.go
+++ b/internal/request/retry/rules.go
@@ -16,6 +16,7 @@
 type Attempt struct {
 	Kind        errkind.Kind  // of the last try
 	Once        bool          // must run at most once
+	Safe        bool          // may run more than once
 	Tries       int           // made so far, at least 1
 	MaxAttempts int           // allowed in total
 	Remaining   time.Duration // until the deadline
@@ -46,6 +47,12 @@
 	return a.DidRun == errkind.No && a.Retry && !pointless[kind]
 }
 
+// failedAtTarget reports whether kind means that a target may have run the
+// request but gave no usable answer.
+func failedAtTarget(kind errkind.Kind) bool {
+	return kind == errkind.TargetFailed || kind == errkind.AnswerBroken || kind == errkind.AnswerMismatch
+}
+
 // sentToTarget reports whether kind means that the target got the request.
 func sentToTarget(kind errkind.Kind) bool { return kind == errkind.TargetShed }
 
@@ -54,7 +61,7 @@
 func Decide(a Attempt, b *Budget, now time.Time, random float64) Decision {
 	wait := Wait(a.Tries, random)
 	switch {
-	case !NotRun(a.Kind):
+	case !NotRun(a.Kind) && !(a.Safe && failedAtTarget(a.Kind)):
 		return Decision{Reason: "not proved as not run"}
 	case a.Once && sentToTarget(a.Kind):
 		return Decision{Reason: "an at-most-once request is not sent twice"}
@@ -67,6 +74,9 @@
 	case !b.Take(now):
 		return Decision{Reason: "retry budget used up"}
 	}
+	if !NotRun(a.Kind) {
+		return Decision{Retry: true, Wait: wait, Reason: "may run again, within the budget"}
+	}
 	return Decision{Retry: true, Wait: wait, Reason: "not run, within the budget"}
 }
 
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -21,13 +21,20 @@
 
 // Section is one team's part of the document.
 type Section struct {
-	Team     string    `yaml:"team"`
+	Team string `yaml:"team"`
+	// Serial is the operator's own number of this version of the section. If
+	// it is set, each change must raise it.
+	Serial   uint64    `yaml:"serial,omitempty"`
 	Regions  []Region  `yaml:"regions,omitempty"`
 	Links    []Link    `yaml:"links,omitempty"`
 	Limits   *Limits   `yaml:"limits,omitempty"`
 	Services []Service `yaml:"services,omitempty"`
 	Shifts   []Shift   `yaml:"shifts,omitempty"`
 	Drains   []Drain   `yaml:"drains,omitempty"`
+	// HostRoutes give the rules for requests by host and path, whatever
+	// service they go to.
+	HostRoutes []HostRoute   `yaml:"host_routes,omitempty"`
+	Callers    *CallerLimits `yaml:"callers,omitempty"`
 }
 
 // Region is a group of data centres that are close to each other.
@@ -66,6 +73,55 @@
 	Routes          []Route      `yaml:"routes"`
 	Hedge           *HedgePolicy `yaml:"hedge,omitempty"`
 	Retry           *RetryPolicy `yaml:"retry,omitempty"`
+	// GuardedSlots says that the platform lists the targets with their slots,
+	// and that a target refuses what exceeds them, with proof. Such a service
+	// runs wherever it has targets: data_centres, slots_per_target and routes
+	// are left out.
+	GuardedSlots   bool        `yaml:"guarded_slots,omitempty"`
+	HealthPath     string      `yaml:"health_path,omitempty"`
+	MaxConnections int         `yaml:"max_connections,omitempty"` // per target, of all instances
+	Protocol       string      `yaml:"protocol,omitempty"`        // of the targets; "h1" if empty
+	Cold           *ColdPolicy `yaml:"cold,omitempty"`
+}
+
+// ColdPolicy bounds the requests to a target that has just started.
+type ColdPolicy struct {
+	For       Duration `yaml:"for"`
+	PerSecond float64  `yaml:"per_second"` // of all instances together
+}
+
+// ProtocolHTTP1 is the only protocol of targets that is supported.
+const ProtocolHTTP1 = "h1"
+
+// HostRoute gives the rules for the requests to Host whose path starts with
+// Prefix. The longest matching prefix wins. A request that is not safe is
+// sent again only if it provably did not run.
+type HostRoute struct {
+	Name        string        `yaml:"name"`
+	Host        string        `yaml:"host"`
+	Prefix      string        `yaml:"prefix"` // starts and ends with a slash
+	Safe        bool          `yaml:"safe,omitempty"`
+	Timeout     Duration      `yaml:"timeout"`
+	Objective   Duration      `yaml:"latency_objective,omitempty"`
+	Priority    int           `yaml:"priority,omitempty"` // 0 is the most urgent
+	MaxAttempts int           `yaml:"max_attempts,omitempty"`
+	Affinity    bool          `yaml:"affinity,omitempty"`
+	HomeRegions []string      `yaml:"home_regions,omitempty,flow"` // empty: all
+	Services    []ServicePart `yaml:"services,flow"`
+}
+
+// ServicePart is a service with its share of a route's requests.
+type ServicePart struct {
+	Service string `yaml:"service"`
+	Weight  int    `yaml:"weight"`
+}
+
+// CallerLimits bound what a caller may send and how long it may stay idle.
+type CallerLimits struct {
+	MaxHeaderBytes int      `yaml:"max_header_bytes,omitempty"`
+	MaxBodyBytes   int64    `yaml:"max_body_bytes,omitempty"`
+	HeaderTimeout  Duration `yaml:"header_timeout,omitempty"`
+	IdleTimeout    Duration `yaml:"idle_timeout,omitempty"`
 }
 
 // Route gives the rules for the requests whose path starts with Path. The
@@ -131,6 +187,9 @@
 	DefaultRetryBudget     = 10 // percent of requests
 	DefaultRetryAttempts   = 3
 	DefaultHedgeMinDelay   = 5 * time.Millisecond
+	DefaultMaxHeaderBytes  = 32 << 10
+	DefaultHeaderTimeout   = 5 * time.Second
+	DefaultIdleTimeout     = 60 * time.Second
 )
 
 // WithDefaults returns a copy of s with the defaults filled in.
@@ -161,6 +220,19 @@
 	return s
 }
 
+// WithDefaults returns a copy of l with the defaults filled in. A nil l gives
+// all defaults.
+func (l *CallerLimits) WithDefaults() CallerLimits {
+	var out CallerLimits
+	if l != nil {
+		out = *l
+	}
+	setDefault(&out.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&out.HeaderTimeout, Duration(DefaultHeaderTimeout))
+	setDefault(&out.IdleTimeout, Duration(DefaultIdleTimeout))
+	return out
+}
+
 // WithDefaults returns a copy of l with the defaults filled in. A nil l gives
 // all defaults.
 func (l *Limits) WithDefaults() Limits {
--- a/internal/version/document/parse.go
+++ b/internal/version/document/parse.go
@@ -21,6 +21,9 @@
 	return nil
 }
 
+// Encode returns the YAML of a section.
+func Encode(s *Section) ([]byte, error) { return yaml.Marshal(s) }
+
 // Source is a parsed section with the positions of its fields.
 type Source struct {
 	File    *yamlpos.File
--- a/internal/version/document/validate.go
+++ b/internal/version/document/validate.go
@@ -22,6 +22,12 @@
 	maxWarmup         = time.Hour
 	maxLinkDelayMs    = 10_000
 	maxRetryAttempts  = 10
+	maxPriority       = 1000
+	maxWeight         = 1_000_000
+	maxConnections    = 1_000_000
+	maxColdPerSecond  = 1e6
+	minHeaderBytes    = 1 << 10
+	maxHeaderBytes    = 1 << 20
 )
 
 var nameRE = regexp.MustCompile(`^[a-z0-9][a-z0-9_.-]{0,62}$`)
@@ -51,6 +57,10 @@
 	regions  map[string]bool
 	services map[string]string // service to team
 	shifts   map[string]string // shift to team
+
+	guardedServices map[string]bool   // services of all sections with guarded_slots
+	hostPlaces      map[string]string // host and prefix to the route's name
+	callersOf       string            // team whose section limits callers
 }
 
 func (v *validator) collect(sources []*Source) {
@@ -58,7 +68,12 @@
 	v.regions = map[string]bool{}
 	v.services = map[string]string{}
 	v.shifts = map[string]string{}
+	v.guardedServices = map[string]bool{}
+	v.hostPlaces = map[string]string{}
 	for _, s := range sources {
+		for _, svc := range s.Section.Services {
+			v.guardedServices[svc.Name] = v.guardedServices[svc.Name] || svc.GuardedSlots
+		}
 		if s.Section.Team != PlatformTeam {
 			continue
 		}
@@ -111,6 +126,14 @@
 	for i, d := range sec.Drains {
 		v.drain(sec.Team, d, i)
 	}
+	v.hostRoutes(sec)
+	if sec.Callers != nil {
+		if v.callersOf != "" {
+			v.add([]any{"callers"}, "the section of team %q sets this already", v.callersOf)
+		}
+		v.callersOf = sec.Team
+		v.callers(sec.Callers.WithDefaults())
+	}
 }
 
 func (v *validator) onlyPlatform(sec *Section) {
@@ -186,9 +209,14 @@
 		v.add(at("name"), "service %q already exists in the section of team %q", svc.Name, owner)
 	}
 	v.services[svc.Name] = team
-	v.places(svc.DataCentres, at("data_centres"))
-	inRange(v, svc.SlotsPerTarget, 1, maxSlotsPerTarget, at("slots_per_target")...)
 	full := svc.WithDefaults()
+	if svc.GuardedSlots {
+		v.guarded(svc, at)
+	} else {
+		v.places(svc.DataCentres, at("data_centres"))
+		inRange(v, svc.SlotsPerTarget, 1, maxSlotsPerTarget, at("slots_per_target")...)
+		v.routes(full.Routes, at("routes"))
+	}
 	inRange(v, full.QueueLimit, 1, maxQueueLimit, at("queue_limit")...)
 	inRange(v, full.DispatchShards, 1, maxDispatchShards, at("dispatch_shards")...)
 	inRange(v, full.LongShare, 1, 100, at("long_share_percent")...)
@@ -202,7 +230,6 @@
 		inRange(v, h.BudgetPercent, 0, 100, at("hedge", "budget_percent")...)
 		v.duration(h.MinDelay, 0, maxDeadline, at("hedge", "min_delay")...)
 	}
-	v.routes(full.Routes, at("routes"))
 }
 
 func (v *validator) places(dcs []string, path []any) {
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -3,6 +3,8 @@
 package snapshot
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -31,45 +33,39 @@
 	members  map[string]*fescuepb.Member
 	entries  map[string][]*fescuepb.Member // data centre to entries, by instance
 	drains   []document.Drain
+	hosts    map[string][]*Route // host to its routes, longest prefix first
+	targets  map[place][]*fescuepb.Target
+	Callers  document.CallerLimits
 }
 
+// place is a service in a data centre.
+type place struct{ service, dc string }
+
 // Service is a service with its defaults filled in.
 type Service struct {
 	document.Service
-	Team string
-	dcs  map[string]bool
+	Team   string
+	dcs    map[string]bool
+	routes []*Route
 }
 
 // In reports whether the service runs in data centre dc.
 func (s *Service) In(dc string) bool { return s.dcs[dc] }
 
 // Route returns the route with the longest path that matches, or nil.
-func (s *Service) Route(method, path string) *document.Route {
-	var best *document.Route
-	for i := range s.Routes {
-		r := &s.Routes[i]
-		if !strings.HasPrefix(path, r.Path) || !allows(r, method) {
+func (s *Service) Route(method, path string) *Route {
+	var best *Route
+	for _, r := range s.routes {
+		if !strings.HasPrefix(path, r.Prefix) || !r.allows(method) {
 			continue
 		}
-		if best == nil || len(r.Path) > len(best.Path) {
+		if best == nil || len(r.Prefix) > len(best.Prefix) {
 			best = r
 		}
 	}
 	return best
 }
 
-func allows(r *document.Route, method string) bool {
-	if len(r.Methods) == 0 {
-		return true
-	}
-	for _, m := range r.Methods {
-		if m == method {
-			return true
-		}
-	}
-	return false
-}
-
 // LongestDeadline returns the longest deadline that requests of the service
 // are admitted with.
 func (s *Snapshot) LongestDeadline(svc *Service) time.Duration {
@@ -83,7 +79,16 @@
 // Build compiles a snapshot. It fails with InvalidDocument if a section does
 // not parse; the document as a whole was validated when it was accepted.
 func Build(version uint64, sections []*fescuepb.Section, members []*fescuepb.Member, blocks *fescuepb.BlockTable) (*Snapshot, error) {
-	return new(Builder).Build(version, sections, members, blocks)
+	return new(Builder).Build(Content{Version: version, Sections: sections, Members: members, Blocks: blocks})
+}
+
+// Content is what a snapshot is compiled from.
+type Content struct {
+	Version  uint64
+	Sections []*fescuepb.Section
+	Members  []*fescuepb.Member
+	Targets  []*fescuepb.Target
+	Blocks   *fescuepb.BlockTable
 }
 
 // Builder compiles successive snapshots. It keeps the parsed sections of the
@@ -98,20 +103,23 @@
 }
 
 // Build compiles a snapshot like the function Build.
-func (b *Builder) Build(version uint64, sections []*fescuepb.Section, members []*fescuepb.Member, blocks *fescuepb.BlockTable) (*Snapshot, error) {
+func (b *Builder) Build(c Content) (*Snapshot, error) {
 	s := &Snapshot{
-		Version:  version,
+		Version:  c.Version,
 		Services: map[string]*Service{},
 		Shifts:   map[string]document.Shift{},
-		Blocks:   blocks,
+		Blocks:   c.Blocks,
 		regionOf: map[string]string{},
 		dcsOf:    map[string][]string{},
 		members:  map[string]*fescuepb.Member{},
 		entries:  map[string][]*fescuepb.Member{},
+		hosts:    map[string][]*Route{},
+		targets:  map[place][]*fescuepb.Target{},
 	}
 	s.Limits = (*document.Limits)(nil).WithDefaults()
+	s.Callers = (*document.CallerLimits)(nil).WithDefaults()
 	parsed := map[string]parsedSection{}
-	for _, pb := range sections {
+	for _, pb := range c.Sections {
 		if pb.Deleted {
 			continue
 		}
@@ -123,12 +131,37 @@
 		s.add(sec)
 	}
 	b.parsed = parsed
-	for _, m := range members {
+	for _, m := range c.Members {
 		s.addMember(proto.Clone(m).(*fescuepb.Member))
 	}
+	for _, t := range c.Targets {
+		at := place{t.Service, t.DataCentre}
+		s.targets[at] = append(s.targets[at], t)
+	}
+	s.placeGuarded()
+	s.sortRoutes()
 	return s, nil
 }
 
+// placeGuarded lets the services whose targets guard their slots run in every
+// data centre of the document and wherever they have a target.
+func (s *Snapshot) placeGuarded() {
+	for _, svc := range s.Services {
+		if !svc.GuardedSlots {
+			continue
+		}
+		for dc := range s.regionOf {
+			svc.dcs[dc] = true
+		}
+		for at := range s.targets {
+			if at.service == svc.Name {
+				svc.dcs[at.dc] = true
+			}
+		}
+		svc.DataCentres = slices.Sorted(maps.Keys(svc.dcs))
+	}
+}
+
 // parse returns the parsed section, from the last snapshot if its revision is
 // the same. Revision 0 is not one that was accepted, so it is parsed always.
 func (b *Builder) parse(pb *fescuepb.Section) (*document.Section, error) {
@@ -158,8 +191,18 @@
 		for _, dc := range svc.DataCentres {
 			c.dcs[dc] = true
 		}
+		for i := range c.Routes {
+			c.routes = append(c.routes, serviceRoute(c, &c.Routes[i]))
+		}
 		s.Services[svc.Name] = c
 	}
+	for i := range sec.HostRoutes {
+		r := hostRoute(&sec.HostRoutes[i])
+		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+	}
+	if sec.Callers != nil {
+		s.Callers = sec.Callers.WithDefaults()
+	}
 	for _, sh := range sec.Shifts {
 		s.Shifts[sh.Name] = sh
 	}
--- a/internal/version/snapshot/snapshot_test.go
+++ b/internal/version/snapshot/snapshot_test.go
@@ -50,7 +50,7 @@
 		{"POST", "/roster", "/"},
 		{"GET", "/history", "/"},
 	} {
-		if got := svc.Route(tc.method, tc.path); got == nil || got.Path != tc.want {
+		if got := svc.Route(tc.method, tc.path); got == nil || got.Prefix != tc.want {
 			t.Errorf("%s %s: route %v, want %s", tc.method, tc.path, got, tc.want)
 		}
 	}
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -105,6 +105,10 @@
 		return m.setBlocks(index, body.BlockTable)
 	case *fescuepb.Command_Claim:
 		return m.claim(body.Claim)
+	case *fescuepb.Command_Session:
+		return m.session(index, body.Session)
+	case *fescuepb.Command_Targets:
+		return m.setTargets(index, body.Targets)
 	}
 	return refuse(errkind.Internal, "the command is not known")
 }
@@ -195,6 +199,7 @@
 		BlocksChanged: m.view.BlocksChanged,
 		DeltaFloor:    m.view.Floor,
 		Departed:      m.left,
+		Targets:       m.view.TargetList(),
 	}
 	for _, team := range sortedKeys(m.view.Sections) {
 		img.Sections = append(img.Sections, m.view.Sections[team])
@@ -207,12 +212,19 @@
 		img.Claims = append(img.Claims, m.claims[group].claim)
 		img.PreviousClaims = append(img.PreviousClaims, m.claims[group].previous)
 	}
-	for _, instance := range sortedKeys(m.view.Removed) {
-		img.Removed = append(img.Removed, &fescuepb.RemovedMember{Instance: instance, Version: m.view.Removed[instance]})
-	}
+	img.Removed = removals(m.view.Removed)
+	img.RemovedTargets = removals(m.view.GoneTargets)
 	return proto.MarshalOptions{Deterministic: true}.Marshal(img)
 }
 
+func removals(versions map[string]uint64) []*fescuepb.RemovedMember {
+	out := make([]*fescuepb.RemovedMember, 0, len(versions))
+	for _, name := range sortedKeys(versions) {
+		out = append(out, &fescuepb.RemovedMember{Instance: name, Version: versions[name]})
+	}
+	return out
+}
+
 // Restore replaces the state by an encoded one.
 func (m *Machine) Restore(data []byte) error {
 	var img fescuepb.StateImage
@@ -259,6 +271,12 @@
 	for _, r := range img.Removed {
 		m.view.Removed[r.Instance] = r.Version
 	}
+	for _, t := range img.Targets {
+		m.view.Targets[t.Id] = t
+	}
+	for _, r := range img.RemovedTargets {
+		m.view.GoneTargets[r.Instance] = r.Version
+	}
 	for _, o := range img.Outcomes {
 		m.remember(o)
 	}
--- a/internal/version/state/members.go
+++ b/internal/version/state/members.go
@@ -40,6 +40,7 @@
 	if cur := m.view.Members[in.Instance]; cur != nil {
 		if cur.Incarnation == in.Incarnation {
 			next.JoinedVersion = cur.JoinedVersion
+			next.Session, next.Via, next.Silent = cur.Session, cur.Via, cur.Silent
 			next.Leaving = next.Leaving || cur.Leaving
 			if sameMember(cur, next) {
 				return &fescuepb.CommandResult{}
--- a/internal/version/view/view.go
+++ b/internal/version/view/view.go
@@ -13,7 +13,7 @@
 // maxRemoved bounds the removed members that a delta can name. With 120
 // replaced instances a day it covers a month; a follower that is further
 // behind gets a full update.
-const maxRemoved = 4096
+const maxRemoved = 4096 // of members and of targets each
 
 // View is the content at one version. Messages in it are shared with
 // updates and never changed in place. A View is not safe for concurrent use.
@@ -24,6 +24,8 @@
 	Blocks        *fescuepb.BlockTable
 	BlocksChanged uint64            // version that last changed Blocks
 	Removed       map[string]uint64 // instance to the version that removed it
+	Targets       map[string]*fescuepb.Target
+	GoneTargets   map[string]uint64 // target ID to the version that removed it
 	Floor         uint64            // oldest version that a delta can start from
 }
 
@@ -33,6 +35,9 @@
 		Sections: map[string]*fescuepb.Section{},
 		Members:  map[string]*fescuepb.Member{},
 		Removed:  map[string]uint64{},
+
+		Targets:     map[string]*fescuepb.Target{},
+		GoneTargets: map[string]uint64{},
 	}
 }
 
@@ -54,7 +59,22 @@
 	delete(v.Members, instance)
 	v.Removed[instance] = version
 	v.raise(version)
-	v.dropOldRemovals()
+	v.dropOld(v.Removed)
+}
+
+// SetTarget puts t into the view; t.ChangedVersion names the version.
+func (v *View) SetTarget(t *fescuepb.Target) {
+	v.Targets[t.Id] = t
+	delete(v.GoneTargets, t.Id)
+	v.raise(t.ChangedVersion)
+}
+
+// RemoveTarget takes a target out of the view at a version.
+func (v *View) RemoveTarget(id string, version uint64) {
+	delete(v.Targets, id)
+	v.GoneTargets[id] = version
+	v.raise(version)
+	v.dropOld(v.GoneTargets)
 }
 
 // SetBlocks puts a block table into the view at a version.
@@ -70,22 +90,22 @@
 	}
 }
 
-// dropOldRemovals forgets the oldest removals beyond maxRemoved. Deltas from
-// before a forgotten removal are not possible any more. Ties on the version
-// are forgotten together, so that the result does not depend on map order.
-func (v *View) dropOldRemovals() {
-	if len(v.Removed) <= maxRemoved {
+// dropOld forgets the oldest removals beyond maxRemoved. Deltas from before a
+// forgotten removal are not possible any more. Ties on the version are
+// forgotten together, so that the result does not depend on map order.
+func (v *View) dropOld(removed map[string]uint64) {
+	if len(removed) <= maxRemoved {
 		return
 	}
-	versions := make([]uint64, 0, len(v.Removed))
-	for _, version := range v.Removed {
+	versions := make([]uint64, 0, len(removed))
+	for _, version := range removed {
 		versions = append(versions, version)
 	}
 	sort.Slice(versions, func(i, j int) bool { return versions[i] < versions[j] })
 	v.Floor = max(v.Floor, versions[len(versions)-maxRemoved/2])
-	for instance, version := range v.Removed {
+	for name, version := range removed {
 		if version <= v.Floor {
-			delete(v.Removed, instance)
+			delete(removed, name)
 		}
 	}
 }
@@ -116,6 +136,16 @@
 			u.RemovedMembers = append(u.RemovedMembers, instance)
 		}
 	}
+	for _, t := range v.Targets {
+		if t.ChangedVersion > base {
+			u.Targets = append(u.Targets, t)
+		}
+	}
+	for id, version := range v.GoneTargets {
+		if base > 0 && version > base {
+			u.RemovedTargets = append(u.RemovedTargets, id)
+		}
+	}
 	if v.Blocks != nil && v.BlocksChanged > base {
 		u.BlockTable = v.Blocks
 	}
@@ -127,6 +157,8 @@
 	sort.Slice(u.Sections, func(i, j int) bool { return u.Sections[i].Team < u.Sections[j].Team })
 	sort.Slice(u.Members, func(i, j int) bool { return u.Members[i].Instance < u.Members[j].Instance })
 	sort.Strings(u.RemovedMembers)
+	sort.Slice(u.Targets, func(i, j int) bool { return u.Targets[i].Id < u.Targets[j].Id })
+	sort.Strings(u.RemovedTargets)
 }
 
 // Outcome says what an update did to a view.
@@ -162,6 +194,12 @@
 	for _, instance := range u.RemovedMembers {
 		v.RemoveMember(instance, u.Version)
 	}
+	for _, t := range u.Targets {
+		v.SetTarget(t)
+	}
+	for _, id := range u.RemovedTargets {
+		v.RemoveTarget(id, u.Version)
+	}
 	if u.BlockTable != nil {
 		v.SetBlocks(u.BlockTable, u.Version)
 	}
@@ -188,6 +226,16 @@
 	return out
 }
 
+// TargetList returns the targets by ID.
+func (v *View) TargetList() []*fescuepb.Target {
+	out := make([]*fescuepb.Target, 0, len(v.Targets))
+	for _, t := range v.Targets {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
+	return out
+}
+
 // MemberList returns the members by instance.
 func (v *View) MemberList() []*fescuepb.Member {
 	out := make([]*fescuepb.Member, 0, len(v.Members))
