--- a/internal/process/control/initial.go
+++ b/internal/process/control/initial.go
@@ -42,4 +42,27 @@
 	return nil
 }
 
+// CreateSection creates a section unless it exists or existed. An invalid
+// section fails with InvalidDocument.
+func (s *Server) CreateSection(ctx context.Context, team string, yaml []byte) error {
+	if err := s.confirm(ctx); err != nil {
+		return err
+	}
+	if revision, _ := s.cfg.Machine.Parsed(team); revision > 0 {
+		return nil
+	}
+	reply, err := s.changeConfirmed(ctx, &fescuepb.ApplyRequest{Team: team, Yaml: yaml, ChangeId: initialChangeID}, team)
+	if errkind.Of(err) == errkind.KeyReused {
+		return nil // created at the same time from other settings
+	}
+	if err != nil {
+		return err
+	}
+	if len(reply.Problems) > 0 {
+		p := reply.Problems[0]
+		return errkind.New(errkind.InvalidDocument, "section of team %q, line %d: %s: %s", team, p.Line, p.Field, p.Message)
+	}
+	return nil
+}
+
 const initialChangeID = "initial-document"
--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -63,6 +63,26 @@
 	return err
 }
 
+// Session commits that a member's watch was opened or lost.
+func (m *members) Session(ctx context.Context, c *fescuepb.SessionChange) (*fescuepb.SessionReply, error) {
+	if err := m.s.RecordSession(ctx, c); err != nil {
+		return nil, rpcError(err)
+	}
+	return &fescuepb.SessionReply{Version: m.s.cfg.Machine.Version()}, nil
+}
+
+// RecordSession commits that a member's watch was opened or lost.
+func (s *Server) RecordSession(ctx context.Context, c *fescuepb.SessionChange) error {
+	_, err := s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Session{Session: c}})
+	return err
+}
+
+// RecordTargets commits a change of the listed targets.
+func (s *Server) RecordTargets(ctx context.Context, c *fescuepb.TargetsChange) error {
+	_, err := s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Targets{Targets: c}})
+	return err
+}
+
 // ClaimGroup commits who dispatches a group.
 func (m *members) ClaimGroup(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
 	if err := state.CheckClaim(c); err != nil {
--- a/internal/process/control/operator.go
+++ b/internal/process/control/operator.go
@@ -37,6 +37,11 @@
 	if err := s.confirm(ctx); err != nil {
 		return nil, err
 	}
+	return s.changeConfirmed(ctx, r, author)
+}
+
+// changeConfirmed is change for a caller that has just confirmed the state.
+func (s *Server) changeConfirmed(ctx context.Context, r *fescuepb.ApplyRequest, author string) (*fescuepb.ApplyReply, error) {
 	if reply, err := s.cfg.Machine.Check(r); reply != nil || err != nil {
 		return reply, err
 	}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -48,9 +48,10 @@
 
 // Server serves Operator, Members, Follow and ControlPeers.
 type Server struct {
-	cfg   Config
-	hub   *feed.Hub
-	peers *peerConns
+	cfg      Config
+	hub      *feed.Hub
+	sessions *feed.Sessions
+	peers    *peerConns
 
 	mu       sync.Mutex
 	counter  uint64    // last one seen by Run
@@ -61,9 +62,13 @@
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg}
 	s.peers = newPeerConns(cfg.Dial)
+	s.sessions = &feed.Sessions{
+		Via: cfg.Instance, Members: cfg.Machine.Members, Report: s.RecordSession, Now: time.Now, Log: cfg.Logger,
+	}
 	s.hub = feed.NewHub(feed.Config{
 		Instance: cfg.Instance,
 		Source:   source{cfg.Machine, cfg.Log},
+		Sessions: s.sessions,
 	})
 	return s
 }
@@ -92,6 +97,7 @@
 	if s.cfg.Chunks != nil {
 		go s.keepChunks(ctx)
 	}
+	go s.sessions.Run(ctx)
 	tick := time.NewTicker(feed.PushInterval)
 	defer tick.Stop()
 	pushed := uint64(0)
--- /dev/null
+++ b/internal/process/controlmain/extension.go
@@ -0,0 +1,55 @@
+package controlmain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/control"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/sirupsen/logrus"
+)
+
+// Extension adds interfaces of another platform to a control replica. A nil
+// part is not served.
+type Extension struct {
+	// Operator serves Settings.OperatorAddr.
+	Operator func(st control.Steering, log *logrus.Entry) http.Handler
+	// Directory serves Settings.DirectoryAddr. snap returns the newest
+	// committed version, or nil before the first one.
+	Directory func(snap func() *snapshot.Snapshot, log *logrus.Entry) http.Handler
+	// Targets reads the platform's list of targets.
+	Targets func(s *Settings, log *logrus.Entry) TargetSource
+}
+
+// Limits of the added HTTP listeners.
+const (
+	extensionReadTimeout = 10 * time.Second
+	extensionIdleTimeout = 60 * time.Second
+	// extensionStop lets requests in flight finish at the end of the process.
+	extensionStop = 2 * time.Second
+)
+
+// serveHTTP serves an added interface until ctx ends. Without an address or a
+// handler it does nothing.
+func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+	if addr == "" || h == nil {
+		return nil
+	}
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", addr)
+	}
+	srv := &http.Server{Handler: h, ReadTimeout: extensionReadTimeout, IdleTimeout: extensionIdleTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		stopping, cancel := context.WithTimeout(context.Background(), extensionStop)
+		defer cancel()
+		if srv.Shutdown(stopping) != nil {
+			_ = srv.Close()
+		}
+	})
+	defer stop()
+	return ignoreCancel(ctx, srv.Serve(lis))
+}
--- a/internal/process/controlmain/initial.go
+++ b/internal/process/controlmain/initial.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"os"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,6 +41,47 @@
 	}
 }
 
+// loadRegions creates the section of the platform team with the regions of
+// the settings, unless it exists.
+func (p *process) loadRegions(ctx context.Context) error {
+	if len(p.settings.DataCentres) == 0 {
+		return nil
+	}
+	yaml, err := document.Encode(&document.Section{Team: document.PlatformTeam, Regions: regionsOf(p.settings.DataCentres)})
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "data_centres")
+	}
+	for {
+		err := p.server.CreateSection(ctx, document.PlatformTeam, yaml)
+		if err == nil || ctx.Err() != nil {
+			return nil
+		}
+		if errkind.Of(err) == errkind.InvalidDocument {
+			return err
+		}
+		p.log.WithError(err).Info("regions not recorded yet")
+		select {
+		case <-time.After(initialRetry):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// regionsOf groups data centres by region, in order of their names.
+func regionsOf(dcs map[string]string) []document.Region {
+	var out []document.Region
+	for _, dc := range slices.Sorted(maps.Keys(dcs)) {
+		region := dcs[dc]
+		i := slices.IndexFunc(out, func(r document.Region) bool { return r.Name == region })
+		if i < 0 {
+			i, out = len(out), append(out, document.Region{Name: region})
+		}
+		out[i].DataCentres = append(out[i].DataCentres, dc)
+	}
+	return out
+}
+
 // readSections parses the section files. The platform section comes first,
 // because the others refer to it.
 func readSections(files []string) ([]control.InitialSection, error) {
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -42,7 +42,7 @@
 
 // Run runs a control replica until ctx ends, then finishes the calls in
 // flight.
-func Run(ctx context.Context, s *Settings, log *logrus.Entry) error {
+func Run(ctx context.Context, s *Settings, ext Extension, log *logrus.Entry) error {
 	links, err := peer.NewLinks(s.TLS, log)
 	if err != nil {
 		return err
@@ -69,6 +69,9 @@
 	group.Go(func() error { p.lead.run(ctx, p.budgets); return nil })
 	group.Go(func() error { p.joinSelf(ctx); return nil })
 	group.Go(func() error { newRemover(p).run(ctx); return nil })
+	group.Go(func() error { (&voucher{p: p}).run(ctx); return nil })
+	group.Go(func() error { return p.loadRegions(ctx) })
+	p.extend(ctx, group, ext)
 	group.Go(func() error { return p.stopAfter(ctx) })
 	log.WithField("grpc_addr", lis.Addr().String()).Info("control replica started")
 	err = group.Wait()
@@ -76,6 +79,22 @@
 	return err
 }
 
+// extend starts the added interfaces.
+func (p *process) extend(ctx context.Context, group *errgroup.Group, ext Extension) {
+	if ext.Operator != nil {
+		h := ext.Operator(p.server.Steering(), p.log)
+		group.Go(func() error { return serveHTTP(ctx, p.settings.OperatorAddr, h) })
+	}
+	if ext.Directory != nil {
+		h := ext.Directory(p.lead.Snapshot, p.log)
+		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h) })
+	}
+	if ext.Targets != nil {
+		r := &targetReader{p: p, source: ext.Targets(p.settings, p.log)}
+		group.Go(func() error { r.run(ctx); return nil })
+	}
+}
+
 // assemble starts the replica and builds the server on top of it.
 func assemble(s *Settings, links *peer.Links, log *logrus.Entry, scope tally.Scope) (*process, error) {
 	p := &process{settings: s, log: log, machine: state.New(), calls: newDrain()}
--- a/internal/process/controlmain/settings.go
+++ b/internal/process/controlmain/settings.go
@@ -10,12 +10,17 @@
 
 // Settings are the static settings of fescue-control.
 type Settings struct {
-	Instance   string `yaml:"instance"`
-	Region     string `yaml:"region"`
-	DataCentre string `yaml:"data_centre"`
-	GRPCAddr   string `yaml:"grpc_addr"`
-	AdminAddr  string `yaml:"admin_addr"`
-	DataDir    string `yaml:"data_dir"`
+	Instance       string `yaml:"instance"`
+	Region         string `yaml:"region"`
+	DataCentre     string `yaml:"data_centre"`
+	settings.Ports `yaml:",inline"`
+	GRPCAddr       string `yaml:"grpc_addr,omitempty"`
+	AdminAddr      string `yaml:"admin_addr,omitempty"`
+	DataDir        string `yaml:"data_dir"`
+	// Seeds are addresses of some control replicas, whatever their port, and
+	// replace replicas and join. The first start with bootstrap makes them the
+	// initial voters; every other replica joins through them.
+	Seeds []string `yaml:"seeds,omitempty"`
 	// Replicas are the gRPC addresses of the initial replicas, this one
 	// included. Empty means this one alone.
 	Replicas []string `yaml:"replicas,omitempty"`
@@ -25,6 +30,19 @@
 	Bootstrap bool `yaml:"bootstrap,omitempty"`
 	// Join lists addresses of running replicas to ask for membership.
 	Join []string `yaml:"join,omitempty"`
+	// DataCentres gives the region of each data centre. They become the section
+	// of the platform team if it does not exist yet.
+	DataCentres map[string]string `yaml:"data_centres,omitempty"`
+	// OperatorAddr and DirectoryAddr are HTTP listeners for the interfaces that
+	// a program adds to the replica; see Extension.
+	OperatorAddr  string `yaml:"operator_addr,omitempty"`
+	DirectoryAddr string `yaml:"directory_addr,omitempty"`
+	// TargetsAddr is the address of the platform's list of targets, for a
+	// program that adds a reader of it.
+	TargetsAddr string `yaml:"targets_addr,omitempty"`
+	// TargetsCallsPerSecond is the platform's limit of calls for its list, for
+	// all instances together.
+	TargetsCallsPerSecond float64 `yaml:"targets_calls_per_second,omitempty"`
 	// InitialDocument lists section files that are loaded into an empty state.
 	InitialDocument []string `yaml:"initial_document,omitempty"`
 	// PlatformURL is the platform's list of instances. Without it, entries
@@ -41,18 +59,30 @@
 	c.Require(s.Region, "region")
 	c.Require(s.DataCentre, "data_centre")
 	c.Require(s.DataDir, "data_dir")
+	s.Ports.Check(c)
+	settings.Default(&s.GRPCAddr, s.Ports.GRPC())
+	settings.Default(&s.AdminAddr, s.Ports.Admin())
+	for field, addr := range map[string]string{"operator_addr": s.OperatorAddr, "directory_addr": s.DirectoryAddr, "targets_addr": s.TargetsAddr} {
+		if addr != "" {
+			c.Addr(addr, false, field)
+		}
+	}
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	c.Addr(s.AdminAddr, false, "admin_addr")
 	s.checkReplicas(c)
 	checkURL(c, s.PlatformURL, "platform_url")
-	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback {
-		c.Add([]any{"operator_keys"}, "a value is required unless tls.plaintext_loopback is set")
+	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback && s.OperatorAddr == "" {
+		c.Add([]any{"operator_keys"}, "a value is required unless tls.plaintext_loopback or operator_addr is set")
 	}
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
 
 func (s *Settings) checkReplicas(c *settings.Check) {
+	if len(s.Seeds) > 0 {
+		s.checkSeeds(c)
+		return
+	}
 	for i, addr := range s.Replicas {
 		c.Addr(addr, s.TLS.PlaintextLoopback, "replicas", i)
 	}
@@ -70,6 +100,30 @@
 	}
 }
 
+// checkSeeds checks the seeds and turns them into the initial replicas or into
+// the replicas to join through.
+func (s *Settings) checkSeeds(c *settings.Check) {
+	if len(s.Replicas) > 0 || len(s.Join) > 0 {
+		c.Add([]any{"seeds"}, "seeds replace replicas and join")
+		return
+	}
+	var addrs []string
+	for i, seed := range s.Seeds {
+		addr := s.Ports.GRPCOf(seed)
+		if addr == "" {
+			c.Add([]any{"seeds"}, "seeds need host and ports")
+			return
+		}
+		c.Addr(addr, s.TLS.PlaintextLoopback, "seeds", i)
+		addrs = append(addrs, addr)
+	}
+	if s.Bootstrap && slices.Contains(addrs, s.GRPCAddr) {
+		s.Replicas = addrs
+		return
+	}
+	s.Bootstrap, s.Join = false, addrs
+}
+
 // checkURL records a problem unless text is empty or an HTTP URL.
 func checkURL(c *settings.Check, text string, path ...any) {
 	u, err := url.Parse(text)
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -22,7 +22,6 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
-	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
@@ -62,6 +61,7 @@
 // process holds the parts of a running entry.
 type process struct {
 	set      *Settings
+	ext      Extension
 	log      *logrus.Entry
 	scope    tally.Scope
 	store    *snapshot.Store
@@ -78,7 +78,7 @@
 }
 
 // Run runs an entry until ctx ends, then stops it gracefully.
-func Run(ctx context.Context, s *Settings, log *logrus.Entry) error {
+func Run(ctx context.Context, s *Settings, ext Extension, log *logrus.Entry) error {
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
 	}
@@ -89,7 +89,7 @@
 	defer links.Close()
 	scope, metricsHandler, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }()
-	p := &process{life: lifecycle.New(log), set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	p := &process{ext: ext.withDefaults(), life: lifecycle.New(log), set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
 	if err := p.loadBlocks(); err != nil {
 		return err
 	}
@@ -180,6 +180,14 @@
 	return id[len(id)-tokenLength:]
 }
 
+// ready reports whether requests can be decided on.
+func (p *process) ready() bool {
+	if !p.follower.Ready() {
+		return false
+	}
+	return !p.set.NeedHostRoutes || p.store.Load().HasHosts()
+}
+
 // stopping reports whether a planned stop has begun.
 func (p *process) stopping() bool {
 	return p.life.Is(lifecycle.Draining) || p.life.Is(lifecycle.Stopped)
@@ -223,8 +231,8 @@
 
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
-		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: dialect.Own{},
-		Ready: p.follower.Ready, Groups: p.groups,
+		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
+		Ready: p.ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
 		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
 		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
@@ -250,6 +258,9 @@
 	servers := []*http.Server{
 		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
 	}
+	if p.set.HealthAddr != "" {
+		servers = append(servers, p.httpServer(p.set.HealthAddr, p.health()))
+	}
 	for _, srv := range servers {
 		if err := p.listen(group, srv); err != nil {
 			return err
@@ -262,7 +273,9 @@
 	group.Go(func() error { return g.Serve(lis) })
 	group.Go(func() error { return p.follower.Run(run) })
 	group.Go(func() error { return p.followVersions(run) })
-	group.Go(func() error { p.targets.Run(run); return nil })
+	if p.set.PlatformURL != "" {
+		group.Go(func() error { p.targets.Run(run); return nil })
+	}
 	group.Go(func() error { p.groups.Run(run); return nil })
 	group.Go(func() error { p.ledger.Run(run); return nil })
 	client := &budget.Client{Holder: p.shared, Addrs: p.leaseAddrs, Dial: p.peers.Dial, Log: p.log}
@@ -351,14 +364,21 @@
 	return s.groups.Ping(ctx, r)
 }
 
-func (p *process) admin(metricsHandler http.Handler) http.Handler {
+// health answers whether the entry takes requests.
+func (p *process) health() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", metricsHandler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.life.Is(lifecycle.Serving) {
+		if !p.life.Is(lifecycle.Serving) || !p.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	return mux
+}
+
+func (p *process) admin(metricsHandler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metricsHandler)
+	mux.Handle("GET /healthz", p.health())
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(p.status())
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -7,20 +7,31 @@
 
 // Settings are the static settings of fescue-entry.
 type Settings struct {
-	Instance    string       `yaml:"instance"`
-	Region      string       `yaml:"region"`
-	DataCentre  string       `yaml:"data_centre"`
-	CallerAddr  string       `yaml:"caller_addr"` // HTTP for callers
-	PeerAddr    string       `yaml:"peer_addr"`   // HTTP for other entries
-	GRPCAddr    string       `yaml:"grpc_addr"`
-	AdminAddr   string       `yaml:"admin_addr"`
-	Control     []string     `yaml:"control"`          // gRPC addresses of the control replicas
-	Peers       []string     `yaml:"peers,omitempty"`  // gRPC addresses of entries in the data centre
-	PlatformURL string       `yaml:"platform_url"`     // the platform's list of instances
-	BlocksFile  string       `yaml:"blocks,omitempty"` // client blocks as text, until control provides them
-	MemoryLimit int          `yaml:"memory_limit_mib,omitempty"`
-	TLS         settings.TLS `yaml:"tls"`
-	Log         settings.Log `yaml:"log,omitempty"`
+	Instance       string `yaml:"instance"`
+	Region         string `yaml:"region"`
+	DataCentre     string `yaml:"data_centre"`
+	settings.Ports `yaml:",inline"`
+	CallerAddr     string   `yaml:"caller_addr"`           // HTTP for callers
+	HealthAddr     string   `yaml:"health_addr,omitempty"` // HTTP that answers GET /healthz only
+	PeerAddr       string   `yaml:"peer_addr,omitempty"`   // HTTP for other entries
+	GRPCAddr       string   `yaml:"grpc_addr,omitempty"`
+	AdminAddr      string   `yaml:"admin_addr,omitempty"`
+	Control        []string `yaml:"control,omitempty"` // gRPC addresses of the control replicas
+	// Seeds are addresses of some control replicas, whatever their port, and
+	// replace control.
+	Seeds []string `yaml:"seeds,omitempty"`
+	Peers []string `yaml:"peers,omitempty"` // gRPC addresses of entries in the data centre
+	// PlatformURL is the platform's list of instances. Without it, only
+	// services with guarded slots have targets.
+	PlatformURL string `yaml:"platform_url,omitempty"`
+	// NeedHostRoutes keeps the entry from serving until the document routes by
+	// host: before that, it could not tell an unknown host from a missing
+	// document.
+	NeedHostRoutes bool         `yaml:"need_host_routes,omitempty"`
+	BlocksFile     string       `yaml:"blocks,omitempty"` // client blocks as text, until control provides them
+	MemoryLimit    int          `yaml:"memory_limit_mib,omitempty"`
+	TLS            settings.TLS `yaml:"tls"`
+	Log            settings.Log `yaml:"log,omitempty"`
 }
 
 // Bounds of the settings.
@@ -33,8 +44,18 @@
 	c.Require(s.Instance, "instance")
 	c.Require(s.Region, "region")
 	c.Require(s.DataCentre, "data_centre")
-	c.Require(s.PlatformURL, "platform_url")
+	s.Ports.Check(c)
+	settings.Default(&s.GRPCAddr, s.Ports.GRPC())
+	settings.Default(&s.AdminAddr, s.Ports.Admin())
+	settings.Default(&s.PeerAddr, s.Ports.Peer())
+	s.useSeeds(c)
+	if s.PlatformURL == "" && !s.NeedHostRoutes {
+		c.Add([]any{"platform_url"}, "a value is required unless need_host_routes is set")
+	}
 	c.Addr(s.CallerAddr, false, "caller_addr")
+	if s.HealthAddr != "" {
+		c.Addr(s.HealthAddr, false, "health_addr")
+	}
 	c.Addr(s.PeerAddr, s.TLS.PlaintextLoopback, "peer_addr")
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	c.Addr(s.AdminAddr, false, "admin_addr")
@@ -51,3 +72,21 @@
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
+
+// useSeeds derives the addresses of control replicas from the seeds.
+func (s *Settings) useSeeds(c *settings.Check) {
+	if len(s.Seeds) == 0 {
+		return
+	}
+	if len(s.Control) > 0 {
+		c.Add([]any{"seeds"}, "seeds replace control")
+	}
+	for _, seed := range s.Seeds {
+		addr := s.Ports.GRPCOf(seed)
+		if addr == "" {
+			c.Add([]any{"seeds"}, "seeds need host and ports")
+			return
+		}
+		s.Control = append(s.Control, addr)
+	}
+}
--- a/internal/process/feed/hub.go
+++ b/internal/process/feed/hub.go
@@ -40,6 +40,8 @@
 	Uninterrupted func() bool
 	// Acknowledged is called after acknowledgements arrived; it may be nil.
 	Acknowledged func()
+	// Sessions records who follows; it may be nil.
+	Sessions *Sessions
 }
 
 // Hub serves watches. A slow follower skips intermediate versions: each send
@@ -122,6 +124,9 @@
 		done := h.Acks.Connect(first.Instance)
 		defer done()
 	}
+	if s := h.cfg.Sessions; s != nil {
+		defer s.closed(first)
+	}
 	go func() {
 		for {
 			req, err := stream.Recv()
@@ -136,6 +141,9 @@
 }
 
 func (h *Hub) acknowledge(req *fescuepb.WatchRequest) {
+	if s := h.cfg.Sessions; s != nil {
+		s.heard(req)
+	}
 	if h.Acks.Record(req) && h.cfg.Acknowledged != nil {
 		h.cfg.Acknowledged()
 	}
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -33,9 +33,10 @@
 
 // Follower keeps a snapshot store up to date.
 type Follower struct {
-	cfg Config
-	hub *feed.Hub
-	ack chan struct{} // the versions to acknowledge changed; holds one
+	cfg      Config
+	hub      *feed.Hub
+	sessions *feed.Sessions
+	ack      chan struct{} // the versions to acknowledge changed; holds one
 
 	chunks        chunks
 	blocksChanged chan struct{} // the snapshot names another table; holds one
@@ -48,6 +49,7 @@
 	confirmed bool // a version was confirmed by the counter since the start
 	inForce   uint64
 	leaving   bool
+	session   uint64   // number of the last watch taken into use
 	planned   uint64   // version of the view that plan was made from
 	plan      []source // sources, best first
 }
@@ -57,11 +59,15 @@
 	f := &Follower{cfg: cfg, view: view.New(), ack: make(chan struct{}, 1), blocksChanged: make(chan struct{}, 1)}
 	f.chunks.data = map[blocks.Hash][]byte{}
 	f.plan = planSources(cfg.Self, nil, cfg.Sources, cfg.Peers)
+	f.sessions = &feed.Sessions{
+		Via: cfg.Self.Instance, Members: f.members, Report: f.reportSession, Now: time.Now, Log: cfg.Log,
+	}
 	f.hub = feed.NewHub(feed.Config{
 		Instance:      cfg.Self.Instance,
 		Source:        relaySource{f},
 		Uninterrupted: f.uninterrupted,
 		Acknowledged:  f.acknowledge,
+		Sessions:      f.sessions,
 	})
 	return f
 }
@@ -80,6 +86,7 @@
 		}
 	})
 	wg.Go(func() { f.askPeers(ctx) })
+	wg.Go(func() { f.sessions.Run(ctx) })
 	if f.cfg.Blocks != nil {
 		wg.Go(func() { f.keepBlocks(ctx) })
 	}
@@ -170,6 +177,21 @@
 	f.acknowledge()
 }
 
+// members returns the members of the view.
+func (f *Follower) members() []*fescuepb.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.MemberList()
+}
+
+// nextSession numbers the watches that are taken into use.
+func (f *Follower) nextSession() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.session++
+	return f.session
+}
+
 // sources returns the sources, best first, as the newest view has them.
 func (f *Follower) sources() []source {
 	f.mu.Lock()
@@ -181,8 +203,9 @@
 	return f.plan
 }
 
-// request returns the first request of a watch or an acknowledgement.
-func (f *Follower) request() *fescuepb.WatchRequest {
+// request returns the first request of a watch or an acknowledgement. session
+// is 0 for a watch that is not in use.
+func (f *Follower) request(session uint64) *fescuepb.WatchRequest {
 	behind := f.hub.Acks.Behind()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -191,5 +214,8 @@
 		Version:  f.view.Version,
 		InForce:  f.inForce,
 		Behind:   behind,
+
+		Incarnation: f.cfg.Self.Incarnation,
+		Session:     session,
 	}
 }
--- a/internal/process/follow/join.go
+++ b/internal/process/follow/join.go
@@ -104,6 +104,14 @@
 	return out
 }
 
+// reportSession records a session that this instance serves as a relay.
+func (f *Follower) reportSession(ctx context.Context, c *fescuepb.SessionChange) error {
+	return f.callMembers(ctx, []sourceKind{fromControl}, func(ctx context.Context, m fescuepb.MembersClient) error {
+		_, err := m.Session(ctx, c)
+		return err
+	})
+}
+
 func (f *Follower) callOne(ctx context.Context, addr string, call func(context.Context, fescuepb.MembersClient) error) error {
 	conn, err := f.cfg.Dial(addr)
 	if err != nil {
--- a/internal/process/follow/loop.go
+++ b/internal/process/follow/loop.go
@@ -120,16 +120,16 @@
 	l.candidate = l.f.openWatch(ctx, pick, l.events)
 }
 
-// tryBetter opens a candidate of the best kind if the current source is of
-// another kind, for example after the relays of the data centre changed.
+// tryBetter opens a candidate of the best rank if the current source has
+// another one, for example after the relays of the data centre changed.
 func (l *loop) tryBetter(ctx context.Context, now time.Time) {
 	l.upgradeAt = now.Add(randomBetween(minUpgrade, maxUpgrade))
 	plan := l.f.sources()
-	if len(plan) == 0 || plan[0].kind == l.current.kind {
+	if len(plan) == 0 || plan[0].rank() == rankIn(plan, l.current.addr) {
 		return
 	}
 	best := 1
-	for best < len(plan) && plan[best].kind == plan[0].kind {
+	for best < len(plan) && plan[best].rank() == plan[0].rank() {
 		best++
 	}
 	l.candidate = l.f.openWatch(ctx, plan[rand.IntN(best)], l.events)
@@ -170,6 +170,8 @@
 func (l *loop) promote(now time.Time) {
 	l.close(&l.current)
 	l.current, l.candidate = l.candidate, nil
+	l.current.session.Store(l.f.nextSession())
+	l.current.acknowledge()
 	l.next, l.failures = 0, 0
 	l.upgradeAt = now.Add(randomBetween(minUpgrade, maxUpgrade))
 	l.f.cfg.Metrics.Counter("follow_source_changes").Inc(1)
--- a/internal/process/follow/pure_test.go
+++ b/internal/process/follow/pure_test.go
@@ -95,7 +95,7 @@
 			data, _ := proto.Marshal(cmd)
 			m.Apply(index, data)
 			members[m.Version()] = len(m.Members())
-			u := m.Since(f.request().Version)
+			u := m.Since(f.request(0).Version)
 			u.Counter = index
 			sent = append(sent, u)
 			for range rapid.IntRange(0, 3).Draw(t, "deliveries") {
--- a/internal/process/follow/sources.go
+++ b/internal/process/follow/sources.go
@@ -21,8 +21,39 @@
 
 // source is an instance that a follower can watch.
 type source struct {
-	kind sourceKind
-	addr string
+	kind     sourceKind
+	addr     string
+	distance distance
+}
+
+// distance orders sources of a kind: traffic between regions is slow and has
+// a price.
+type distance int
+
+const (
+	sameDataCentre distance = iota
+	sameRegion
+	otherRegion
+	unknownPlace
+)
+
+// rank is what a follower prefers sources by.
+type rank struct {
+	kind     sourceKind
+	distance distance
+}
+
+func (s source) rank() rank { return rank{s.kind, s.distance} }
+
+// rankIn returns the rank of an address in the plan; one that is no longer
+// planned has the lowest.
+func rankIn(plan []source, addr string) rank {
+	for _, s := range plan {
+		if s.addr == addr {
+			return s.rank()
+		}
+	}
+	return rank{distance: unknownPlace}
 }
 
 // planSources returns the sources for self, best first. A relay prefers
@@ -32,7 +63,10 @@
 	entries := liveEntries(self, members)
 	cut := min(relaysPerDataCentre, len(entries))
 	relay := isRelay(self, entries[:cut])
-	p := &planner{self: self, seen: map[string]bool{self.GrpcAddr: true, "": true}}
+	p := &planner{self: self, seen: map[string]bool{self.GrpcAddr: true, "": true}, places: map[string]distance{}}
+	for _, m := range members {
+		p.places[m.GrpcAddr] = distanceTo(self, m)
+	}
 	relays, others := addresses(entries[:cut]), append(addresses(entries[cut:]), peers...)
 	control = append(append([]string{}, control...), controlAddresses(members)...)
 	if relay || len(entries) == 0 {
@@ -88,12 +122,24 @@
 	return out
 }
 
-// planner collects each address once. Within a kind each follower has its
-// own order, which spreads the followers over the sources.
+func distanceTo(self, m *fescuepb.Member) distance {
+	switch {
+	case m.DataCentre == self.DataCentre:
+		return sameDataCentre
+	case m.Region == self.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// planner collects each address once. Within a kind, near sources come first,
+// and among those each follower has its own order, which spreads the followers
+// over the sources.
 type planner struct {
-	self *fescuepb.Member
-	seen map[string]bool
-	out  []source
+	self   *fescuepb.Member
+	seen   map[string]bool
+	places map[string]distance // by address
+	out    []source
 }
 
 func (p *planner) add(kind sourceKind, addrs []string) {
@@ -101,13 +147,23 @@
 	for _, a := range addrs {
 		if !p.seen[a] {
 			p.seen[a] = true
-			p.out = append(p.out, source{kind, a})
+			p.out = append(p.out, source{kind, a, p.distance(a)})
 		}
 	}
 	added := p.out[first:]
 	sort.Slice(added, func(i, j int) bool {
+		if added[i].distance != added[j].distance {
+			return added[i].distance < added[j].distance
+		}
 		return score(p.self.Instance, added[i].addr) > score(p.self.Instance, added[j].addr)
 	})
 }
 
+func (p *planner) distance(addr string) distance {
+	if d, known := p.places[addr]; known {
+		return d
+	}
+	return unknownPlace
+}
+
 func score(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
--- a/internal/process/follow/watch.go
+++ b/internal/process/follow/watch.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/feed"
 	"github.com/fescuejunction/fescuejunction/internal/process/ring"
 	"google.golang.org/grpc"
 )
 
 const (
-	// ackInterval is how often versions in force are acknowledged when
-	// nothing changes.
-	ackInterval = 2 * time.Second
 	// ackDelay joins the acknowledgements of several instances into one.
 	ackDelay = 20 * time.Millisecond
 	// maxUpdateBytes bounds a full update.
@@ -25,6 +24,7 @@
 	counters watchCounters
 	cancel   context.CancelFunc
 	acks     chan struct{}
+	session  atomic.Uint64 // 0 until the watch is taken into use
 }
 
 // event is an update received on a watch, or the error that ended it.
@@ -47,7 +47,7 @@
 }
 
 func (f *Follower) receive(ctx context.Context, w *watch, events *ring.Ring[event]) error {
-	stream, done, err := f.open(ctx, w.addr, f.request())
+	stream, done, err := f.open(ctx, w.addr, f.request(0))
 	if err != nil {
 		return err
 	}
@@ -86,7 +86,7 @@
 // sendAcks acknowledges changes soon after they happen, and everything at
 // least every ackInterval.
 func (f *Follower) sendAcks(ctx context.Context, w *watch, stream grpc.BidiStreamingClient[fescuepb.WatchRequest, fescuepb.Update]) {
-	tick := time.NewTicker(ackInterval)
+	tick := time.NewTicker(feed.AckInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -96,7 +96,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if stream.Send(f.request()) != nil {
+		if stream.Send(f.request(w.session.Load())) != nil {
 			return
 		}
 	}
--- a/internal/process/group/core.go
+++ b/internal/process/group/core.go
@@ -137,8 +137,10 @@
 			delete(c.peers, name)
 		}
 	}
-	for name := range s.Services {
-		c.group(name)
+	for name, svc := range s.Services {
+		if !svc.GuardedSlots {
+			c.group(name)
+		}
 	}
 }
 
--- a/internal/process/group/dispatchers.go
+++ b/internal/process/group/dispatchers.go
@@ -18,12 +18,17 @@
 		if !svc.In(m.cfg.DataCentre) {
 			continue
 		}
+		if svc.GuardedSlots {
+			m.refreshGuarded(name, svc, now)
+			continue
+		}
 		if home := m.core.Home(name); home != m.homes[name] {
 			m.homes[name] = home
 			moved = append(moved, name)
 		}
 		m.refreshService(name, svc, now)
 	}
+	m.retireRemoved()
 	m.pruneRetired()
 	return moved
 }
--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -98,7 +98,10 @@
 }
 
 func (m *Manager) registerInUse() {
-	for name := range m.snap.Services {
+	for name, svc := range m.snap.Services {
+		if svc.GuardedSlots {
+			continue
+		}
 		m.core.SetInUse(name, func() map[string]uint32 { return m.inUse(name) })
 	}
 }
@@ -169,6 +172,9 @@
 	if m.snap == nil {
 		return nil
 	}
+	if svc := m.snap.Services[service]; svc != nil && svc.GuardedSlots {
+		return m.snap.Member(m.cfg.Instance)
+	}
 	return m.snap.Member(m.core.Home(service))
 }
 
--- a/internal/process/raft/leader.go
+++ b/internal/process/raft/leader.go
@@ -73,6 +73,10 @@
 	return id == r.id || p != nil && r.active(p)
 }
 
+// Active reports whether a peer was heard within the shortest election
+// timeout; it is always false if this replica is not the leader.
+func (r *Raft) Active(id string) bool { return r.role == Leader && r.activeID(id) }
+
 // Propose appends data to the log of the leader and returns its position.
 func (r *Raft) Propose(data []byte) (index, term uint64, err error) {
 	if r.role != Leader {
--- a/internal/process/replica/status.go
+++ b/internal/process/replica/status.go
@@ -28,6 +28,9 @@
 	Addr  string
 	Voter bool
 	Match uint64 // last index known to be saved there; known to the leader only
+	// Active says that the peer was heard within an election timeout; known to
+	// the leader only.
+	Active bool
 }
 
 // Status returns the current status.
@@ -67,7 +70,7 @@
 		LastIndex: r.raft.LastIndex(), Commit: r.raft.Commit(),
 	}
 	for _, p := range r.raft.Peers() {
-		s.Peers = append(s.Peers, PeerStatus{ID: p.Id, Addr: p.Addr, Voter: p.Voter, Match: r.raft.Match(p.Id)})
+		s.Peers = append(s.Peers, PeerStatus{ID: p.Id, Addr: p.Addr, Voter: p.Voter, Match: r.raft.Match(p.Id), Active: r.raft.Active(p.Id)})
 	}
 	r.view.Store(s)
 	if old == nil {
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -152,7 +152,7 @@
 	all := h.Places.Choose(h.Now(), c.snap, c.service.Name, h.DataCentre, c.deadline, load)
 	out := all[:0]
 	for _, p := range all {
-		if p.DataCentre != h.DataCentre {
+		if p.DataCentre != h.DataCentre && c.allowedIn(p.DataCentre) {
 			out = append(out, p)
 		}
 	}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -241,8 +241,12 @@
 	return h.spill(ctx, c, refusal)
 }
 
+// allowedIn reports whether the route lets the request be served in a data
+// centre.
+func (c *call) allowedIn(dc string) bool { return c.route.AllowedIn(c.snap.Region(dc)) }
+
 func (h *Handler) servedHere(c *call) bool {
-	return c.service.In(h.DataCentre) && !c.snap.PlaceDrained(c.service.Name, h.DataCentre)
+	return c.service.In(h.DataCentre) && !c.snap.PlaceDrained(c.service.Name, h.DataCentre) && c.allowedIn(h.DataCentre)
 }
 
 // maySpill reports whether another place may be tried after err: only if
--- a/internal/version/state/change.go
+++ b/internal/version/state/change.go
@@ -110,12 +110,26 @@
 		return nil, refuse(errkind.NotFound, fmt.Sprintf("team %q has no section", r.Team))
 	}
 	src, problems := m.validate(r)
+	if p := m.checkSerial(r.Team, src); p != nil {
+		problems = append(problems, p)
+	}
 	if len(problems) > 0 {
 		return nil, m.answer(r, nil, problems)
 	}
 	return src, nil
 }
 
+// checkSerial returns a problem unless the serial of a section rises. A
+// section without a serial, before or after the change, has no order.
+func (m *Machine) checkSerial(team string, src *document.Source) *fescuepb.FieldProblem {
+	cur := m.sources[team]
+	if src == nil || cur == nil || cur.Section.Serial == 0 || src.Section.Serial > cur.Section.Serial {
+		return nil
+	}
+	p := src.File.Problem([]any{"serial"}, "%d must be above %d, the serial in force", src.Section.Serial, cur.Section.Serial)
+	return pbProblems([]document.Problem{p})[0]
+}
+
 func (m *Machine) answer(r *fescuepb.ApplyRequest, c *fescuepb.Conflict, problems []*fescuepb.FieldProblem) *fescuepb.CommandResult {
 	return &fescuepb.CommandResult{Apply: &fescuepb.ApplyReply{
 		Revision: m.view.Sections[r.Team].GetRevision(),
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -164,6 +164,30 @@
 	return m.view.Version, []*fescuepb.Section{s}
 }
 
+// Parsed returns the revision of a team's section and its content, which is
+// nil if there is none and must not be changed.
+func (m *Machine) Parsed(team string) (revision uint64, sec *document.Section) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if src := m.sources[team]; src != nil {
+		sec = src.Section
+	}
+	return m.view.Sections[team].GetRevision(), sec
+}
+
+// Accepted reports whether a kept revision of a section was made by a change
+// whose identifier matches.
+func (m *Machine) Accepted(team string, match func(changeID string) bool) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, s := range m.history[team] {
+		if match(s.ChangeId) {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns the members by instance.
 func (m *Machine) Members() []*fescuepb.Member {
 	m.mu.RLock()
