settings: reload on SIGHUP and on a changed file

Control addresses, join addresses and the log level take effect at once. Changes by serial wait for the section of the platform team: the first configuration could come before it and was refused for unknown regions.

--- a/cmd/fescue-control/main.go
+++ b/cmd/fescue-control/main.go
@@ -37,5 +37,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return controlmain.Run(ctx, &s, controlmain.Extension{}, logging.New(os.Stderr, s.Log.Level, "fescue-control", s.Instance))
+	log := logging.New(os.Stderr, s.Log.Level, "fescue-control", s.Instance)
+	return controlmain.Run(ctx, &s, settings.Follow[controlmain.Settings](ctx, config, log), controlmain.Extension{}, log)
 }
--- a/internal/process/budget/relay.go
+++ b/internal/process/budget/relay.go
@@ -20,7 +20,7 @@
 // relay asks control replicas only, so requests do not circle.
 type Relay struct {
 	fescuepb.UnimplementedBudgetServer
-	Control []string // gRPC addresses of the control replicas
+	Control func() []string // gRPC addresses of the control replicas
 	Dial    func(addr string) (*grpc.ClientConn, error)
 
 	next atomic.Uint32 // position of the replica that is asked next
@@ -29,9 +29,10 @@
 // Lease asks the replicas in turn until one answers as the leader.
 func (r *Relay) Lease(ctx context.Context, req *fescuepb.LeaseRequest) (*fescuepb.LeaseReply, error) {
 	var last error
-	for range r.Control {
+	control := r.Control()
+	for range control {
 		at := r.next.Load()
-		reply, err := r.ask(ctx, r.Control[int(at)%len(r.Control)], req)
+		reply, err := r.ask(ctx, control[int(at)%len(control)], req)
 		if err == nil {
 			return reply, nil
 		}
--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -59,7 +59,7 @@
 			addrs = append(addrs, serve(t, srv))
 		}
 		if relayed {
-			addrs = []string{"127.0.0.1:1", serve(t, &Relay{Control: addrs, Dial: dial})}
+			addrs = []string{"127.0.0.1:1", serve(t, &Relay{Control: sameAddrs(addrs), Dial: dial})}
 		}
 		shared := NewShared(NewHolder("e1", 7))
 		shared.Use(snap)
@@ -126,3 +126,5 @@
 		t.Errorf("delay %v %v, want the time for 1000 bytes at 500 bytes/s", d, ok)
 	}
 }
+
+func sameAddrs(addrs []string) func() []string { return func() []string { return addrs } }
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -41,9 +41,12 @@
 	// Describe returns what the replica knows of the term, its replicas and, if
 	// it leads, the pending caps; it may be nil.
 	Describe func() (st *fescuepb.LeaderStatus, leads bool)
-	Dial     func(addr string) (*grpc.ClientConn, error)
-	Logger   *logrus.Entry
-	Metrics  tally.Scope
+	// NeedPlatform makes Steering refuse changes until the section of the platform
+	// team exists, which others refer to.
+	NeedPlatform bool
+	Dial         func(addr string) (*grpc.ClientConn, error)
+	Logger       *logrus.Entry
+	Metrics      tally.Scope
 }
 
 // Server serves Operator, Members, Follow and ControlPeers.
--- a/internal/process/control/steering.go
+++ b/internal/process/control/steering.go
@@ -70,6 +70,9 @@
 	if err := st.s.confirm(ctx); err != nil {
 		return false, err
 	}
+	if revision, _ := st.s.cfg.Machine.Parsed(document.PlatformTeam); revision == 0 && st.s.cfg.NeedPlatform {
+		return false, errkind.New(errkind.NotReady, "the section of team %q does not exist yet", document.PlatformTeam)
+	}
 	if st.s.cfg.Machine.Accepted(c.Team, func(changeID string) bool { return orderOf(changeID) == c.Order }) {
 		st.log(c, "accepted before", 0)
 		return true, nil
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -41,8 +42,9 @@
 }
 
 // Run runs a control replica until ctx ends, then finishes the calls in
-// flight.
-func Run(ctx context.Context, s *Settings, ext Extension, log *logrus.Entry) error {
+// flight. Settings that are reloaded meanwhile come from reloaded, which may be
+// nil.
+func Run(ctx context.Context, s *Settings, reloaded <-chan *Settings, ext Extension, log *logrus.Entry) error {
 	links, err := peer.NewLinks(s.TLS, log)
 	if err != nil {
 		return err
@@ -71,6 +73,7 @@
 	group.Go(func() error { newRemover(p).run(ctx); return nil })
 	group.Go(func() error { (&voucher{p: p}).run(ctx); return nil })
 	group.Go(func() error { return p.loadRegions(ctx) })
+	group.Go(func() error { p.reload(ctx, reloaded); return nil })
 	p.extend(ctx, group, ext)
 	group.Go(func() error { return p.stopAfter(ctx) })
 	log.WithField("grpc_addr", lis.Addr().String()).Info("control replica started")
@@ -79,6 +82,21 @@
 	return err
 }
 
+// reload puts reloaded settings in force: through which replicas to join, and
+// the log level. All others hold until the next start.
+func (p *process) reload(ctx context.Context, reloaded <-chan *Settings) {
+	for {
+		select {
+		case s := <-reloaded:
+			p.replica.SetJoin(slices.Concat(s.Join, s.Replicas))
+			s.Log.SetLevel(p.log)
+			p.log.WithField("join", s.Join).Info("reloaded settings in force")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // extend starts the added interfaces.
 func (p *process) extend(ctx context.Context, group *errgroup.Group, ext Extension) {
 	if ext.Operator != nil {
@@ -125,9 +143,11 @@
 		OtherVoters: p.otherVoters,
 		Chunks:      chunks,
 		Describe:    p.describe,
-		Dial:        links.Open,
-		Logger:      log,
-		Metrics:     scope,
+
+		NeedPlatform: len(s.DataCentres) > 0,
+		Dial:         links.Open,
+		Logger:       log,
+		Metrics:      scope,
 	})
 	p.budgets.Heard = p.server.Heard
 	p.register(links)
--- a/internal/process/controlmain/run_test.go
+++ b/internal/process/controlmain/run_test.go
@@ -62,7 +62,7 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- Run(ctx, s, Extension{}, logging.Discard()) }()
+		go func() { done <- Run(ctx, s, nil, Extension{}, logging.Discard()) }()
 		c.stop = append(c.stop, func() error {
 			cancel()
 			err := <-done
@@ -219,7 +219,7 @@
 	defer conn.Close()
 	done := make(chan error, 1)
 	runCtx, cancel := context.WithCancel(t.Context())
-	go func() { done <- Run(runCtx, s, Extension{}, logging.Discard()) }()
+	go func() { done <- Run(runCtx, s, nil, Extension{}, logging.Discard()) }()
 	ctx := metadata.AppendToOutgoingContext(t.Context(), "fescue-team", "a")
 	operator := fescuepb.NewOperatorClient(conn)
 	eventually(t, 5*time.Second, "a member", func() bool { // as soon as there is a leader
--- a/internal/process/entry/adapters.go
+++ b/internal/process/entry/adapters.go
@@ -72,7 +72,7 @@
 // leaseAddrs returns the addresses to ask for units of caps: the control
 // replicas, and the other entries of the data centre as relays to them.
 func (p *process) leaseAddrs() []string {
-	out := slices.Concat(p.set.Control, p.set.Peers)
+	out := slices.Concat(*p.control.Load(), p.set.Peers)
 	if s := p.store.Load(); s != nil {
 		for _, m := range s.Entries(p.set.DataCentre) {
 			out = append(out, m.GrpcAddr)
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -61,6 +61,7 @@
 // process holds the parts of a running entry.
 type process struct {
 	set      *Settings
+	control  atomic.Pointer[[]string] // gRPC addresses of control replicas in the settings
 	ext      Extension
 	log      *logrus.Entry
 	scope    tally.Scope
@@ -77,8 +78,9 @@
 	peers    *peer.Links
 }
 
-// Run runs an entry until ctx ends, then stops it gracefully.
-func Run(ctx context.Context, s *Settings, ext Extension, log *logrus.Entry) error {
+// Run runs an entry until ctx ends, then stops it gracefully. Settings that are
+// reloaded meanwhile come from reloaded, which may be nil.
+func Run(ctx context.Context, s *Settings, reloaded <-chan *Settings, ext Extension, log *logrus.Entry) error {
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimit) << 20)
 	}
@@ -90,13 +92,31 @@
 	scope, metricsHandler, closer := metrics.New("entry")
 	defer func() { _ = closer.Close() }()
 	p := &process{ext: ext.withDefaults(), life: lifecycle.New(log), set: s, log: log, scope: scope, store: &snapshot.Store{}, peers: links, links: &linkBudget{shares: budget.NewLinkShares(s.Instance)}}
+	p.control.Store(&s.Control)
 	if err := p.loadBlocks(); err != nil {
 		return err
 	}
 	p.assemble()
+	go p.reload(ctx, reloaded)
 	return p.serve(ctx, metricsHandler)
 }
 
+// reload puts reloaded settings in force: where control is, and the log level.
+// All others hold until the next start.
+func (p *process) reload(ctx context.Context, reloaded <-chan *Settings) {
+	for {
+		select {
+		case s := <-reloaded:
+			p.control.Store(&s.Control)
+			p.follower.SetSources(s.Control)
+			s.Log.SetLevel(p.log)
+			p.log.WithField("control", s.Control).Info("reloaded settings in force")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (p *process) loadBlocks() error {
 	if p.set.BlocksFile == "" {
 		return nil
@@ -158,7 +178,7 @@
 // claim records a dispatcher at the first control replica that answers.
 func (p *process) claim(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
 	var last error
-	for _, addr := range p.set.Control {
+	for _, addr := range *p.control.Load() {
 		conn, err := p.peers.Dial(addr)
 		if err != nil {
 			return nil, err
@@ -297,7 +317,7 @@
 func (p *process) grpcServer() *grpc.Server {
 	g := grpc.NewServer(p.peers.ServerOptions()...)
 	p.follower.Register(g)
-	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: p.set.Control, Dial: p.peers.Dial})
+	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: func() []string { return *p.control.Load() }, Dial: p.peers.Dial})
 	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	return g
 }
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -184,6 +184,14 @@
 	return f.view.MemberList()
 }
 
+// SetSources replaces the configured addresses of the control replicas.
+func (f *Follower) SetSources(control []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Sources = control
+	f.plan = planSources(f.cfg.Self, f.view.MemberList(), f.cfg.Sources, f.cfg.Peers)
+}
+
 // nextSession numbers the watches that are taken into use.
 func (f *Follower) nextSession() uint64 {
 	f.mu.Lock()
--- a/internal/process/replica/join.go
+++ b/internal/process/replica/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -36,6 +35,9 @@
 	}
 }
 
+// SetJoin replaces the addresses to ask for membership.
+func (r *Replica) SetJoin(addrs []string) { r.joinAddrs.Store(&addrs) }
+
 // askToJoin tries the known addresses until one accepts, unless this replica
 // is a voter. It returns the last error.
 func (r *Replica) askToJoin() error {
@@ -43,7 +45,7 @@
 		return nil
 	}
 	var last error
-	for _, addr := range slices.Concat(r.cfg.Join, r.cfg.InitialPeers) {
+	for _, addr := range *r.joinAddrs.Load() {
 		if addr == r.cfg.Addr {
 			continue
 		}
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,7 @@
 	applied  chan appliedBatch
 	applying bool // a batch is with the applier; owned by the loop
 
+	joinAddrs atomic.Pointer[[]string]
 	waiters   waiterTable
 	transport *transport
 	view      atomic.Pointer[Status]
@@ -113,6 +115,7 @@
 		batches:  make(chan *raft.Batch, 1),
 		applied:  make(chan appliedBatch, 1),
 	}
+	r.SetJoin(slices.Concat(cfg.Join, cfg.InitialPeers))
 	r.raft = raft.New(raftConfig(cfg, id), st)
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	r.transport = newTransport(r.ctx, &r.wg, cfg.Dial, r.log)
