--- /dev/null
+++ b/internal/connection/caller/conn.go
@@ -0,0 +1,316 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPipelined bounds the requests of one connection that are worked on.
+	maxPipelined = 16
+	readBuffer   = 4 << 10
+	writeBuffer  = 4 << 10
+	// maxUnreadBody of a request that was answered without reading its body is
+	// read so that the connection can be used again.
+	maxUnreadBody = 256 << 10
+	unreadTimeout = time.Second
+	errorTimeout  = time.Second // of writing an answer to a request that cannot be read
+	// lingerTimeout lets a caller read its last answer before bytes that it has
+	// sent meanwhile reset the connection.
+	lingerTimeout = 200 * time.Millisecond
+)
+
+// phase is what the reader of a connection is doing.
+type phase int
+
+const (
+	waiting phase = iota // for the first byte of a request
+	reading              // head or body of a request
+)
+
+// conn is one connection of a caller. Its reader takes requests; each runs in
+// a goroutine of its own, and the answers are written in order.
+type conn struct {
+	s      *Server
+	raw    net.Conn
+	in     *limitedReader
+	r      *bufio.Reader
+	w      *bufio.Writer
+	ctx    context.Context // ends with the connection
+	cancel context.CancelFunc
+	slots  chan struct{} // one for each request in progress
+
+	mu      sync.Mutex
+	phase   phase
+	running int           // requests in progress
+	turn    chan struct{} // closed when every answer so far is written
+	noMore  bool          // the answer being written is the last one
+	closing bool          // nothing further is read or written
+}
+
+func newConn(s *Server, raw net.Conn) *conn {
+	c := &conn{s: s, raw: raw, in: &limitedReader{r: raw}, slots: make(chan struct{}, maxPipelined)}
+	c.r = bufio.NewReaderSize(c.in, readBuffer)
+	c.w = bufio.NewWriterSize(raw, writeBuffer)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	first := make(chan struct{})
+	close(first)
+	c.turn = first
+	return c
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.s.remove(c)
+	defer c.abort()
+	for {
+		req, err := c.next()
+		if errors.Is(err, errNoMore) {
+			<-c.ctx.Done() // whoever writes the last answer ends the connection
+			return
+		}
+		if err != nil {
+			c.refuse(err)
+			return
+		}
+		select {
+		case c.slots <- struct{}{}:
+		case <-c.ctx.Done():
+			return
+		}
+		x := c.begin(req)
+		go x.run()
+		if !x.awaitBody() {
+			return
+		}
+		if x.last { // nothing follows on this connection
+			<-x.done
+			return
+		}
+	}
+}
+
+// next reads the head of the next request.
+func (c *conn) next() (*http.Request, error) {
+	limits := c.s.Limits()
+	c.in.allow(int64(limits.HeaderBytes) + readBuffer)
+	if err := c.await(limits.IdleTimeout); err != nil {
+		return nil, err
+	}
+	if err := c.enter(limits.HeaderTimeout); err != nil {
+		return nil, err
+	}
+	req, err := http.ReadRequest(c.r)
+	if err != nil {
+		return nil, c.headError(err)
+	}
+	_ = c.raw.SetReadDeadline(time.Time{}) // fails only if the connection is closed, which reading shows
+	c.in.allow(unlimited)
+	req.RemoteAddr = c.raw.RemoteAddr().String()
+	return req, nil
+}
+
+// await waits for the first byte of a request. While requests are in
+// progress the caller is not idle.
+func (c *conn) await(idle time.Duration) error {
+	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return errClosing
+	}
+	c.phase = waiting
+	if c.running == 0 {
+		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
+	} else {
+		_ = c.raw.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
+	if _, err := c.r.Peek(1); err != nil {
+		return errClosing // the caller went away or was idle for too long
+	}
+	return nil
+}
+
+// enter notes that a request has begun to arrive. After the last answer no
+// request is taken.
+func (c *conn) enter(timeout time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.noMore {
+		return errNoMore
+	}
+	c.phase = reading
+	_ = c.raw.SetReadDeadline(time.Now().Add(timeout))
+	return nil
+}
+
+// errClosing ends a connection without an answer; errNoMore ends it after the
+// one that is being written.
+var (
+	errClosing = errors.New("the connection ends")
+	errNoMore  = errors.New("the connection takes no further request")
+)
+
+// headErr is a head that cannot be read, with the status that says why.
+type headErr struct {
+	status int
+	err    error
+}
+
+func (e *headErr) Error() string { return e.err.Error() }
+func (e *headErr) Unwrap() error { return e.err }
+
+func (c *conn) headError(err error) error {
+	switch {
+	case errors.Is(err, errTooLarge):
+		return &headErr{http.StatusRequestHeaderFieldsTooLarge, err}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &headErr{http.StatusRequestTimeout, err}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return errClosing
+	}
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return errClosing
+	}
+	return &headErr{http.StatusBadRequest, err}
+}
+
+// refuse answers a head that cannot be read, after the answers before it.
+func (c *conn) refuse(err error) {
+	var he *headErr
+	if !errors.As(err, &he) {
+		return
+	}
+	c.s.Log.WithError(err).WithField("status", he.status).Info("request head refused")
+	c.mu.Lock()
+	turn := c.turn
+	c.mu.Unlock()
+	select {
+	case <-turn:
+	case <-c.ctx.Done():
+		return
+	}
+	_ = c.raw.SetWriteDeadline(time.Now().Add(errorTimeout))
+	head := http.Response{StatusCode: he.status, ProtoMajor: 1, ProtoMinor: 1, Close: true, ContentLength: 0}
+	if head.Write(c.w) == nil && c.w.Flush() == nil {
+		c.linger()
+	}
+}
+
+// linger closes the sending side and takes what the caller still sends: closing
+// with unread bytes would reset the connection, and the caller could lose the
+// answer.
+func (c *conn) linger() {
+	if half, ok := c.raw.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.raw, maxUnreadBody)) // whatever ends it, the connection ends
+}
+
+// begin makes the exchange of a request.
+func (c *conn) begin(req *http.Request) *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := &exchange{c: c, turn: c.turn, next: make(chan struct{}), done: make(chan struct{}), header: http.Header{}}
+	x.ctx, x.cancel = context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, x))
+	x.req = req.WithContext(x.ctx)
+	x.body = newBody(x, req)
+	x.req.Body = x.body
+	x.last = req.Close || !req.ProtoAtLeast(1, 1)
+	c.turn = x.next
+	c.running++
+	return x
+}
+
+// finished notes that the answer of a request was written, or that its
+// connection ends.
+func (c *conn) finished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running--
+	<-c.slots
+	if c.running == 0 && c.phase == waiting && !c.closing {
+		_ = c.raw.SetReadDeadline(time.Now().Add(c.s.Limits().IdleTimeout))
+	}
+}
+
+// makeLast makes the present answer the last one, unless a request that was
+// read follows it.
+func (c *conn) makeLast(next chan struct{}) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.turn != next || c.phase != waiting {
+		return false
+	}
+	c.noMore = true
+	return true
+}
+
+// closeIfIdle closes the connection if no request is in progress.
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running > 0 || c.phase != waiting {
+		return false
+	}
+	c.endLocked()
+	return true
+}
+
+// abort closes the connection at once.
+func (c *conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endLocked()
+}
+
+func (c *conn) endLocked() {
+	if c.closing {
+		return
+	}
+	c.closing = true
+	c.cancel()
+	_ = c.raw.Close()
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// unlimited allows any number of bytes.
+const unlimited = int64(1) << 62
+
+// limitedReader bounds the bytes that a request head may take. It is used by
+// the reader of a connection, and by the reader of a body while that one waits.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+var errTooLarge = errors.New("the head of the request is too large")
+
+func (l *limitedReader) allow(n int64) { l.left = n }
+
+// Read reads within the bound.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLarge
+	}
+	if int64(len(p)) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.r.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
--- a/internal/connection/peer/links.go
+++ b/internal/connection/peer/links.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -34,9 +33,6 @@
 	handshakeTimeout = 3 * time.Second
 	// maxMessage holds a full update at the design scale, in bytes.
 	maxMessage = 64 << 20
-	// idleConns bounds the idle HTTP connections to one peer.
-	idleConns   = 256
-	idleTimeout = 90 * time.Second
 )
 
 // Links makes and accepts the connections of a process. It is safe for
@@ -177,63 +173,28 @@
 	return newListener(lis, l.src, l.log), nil
 }
 
-// HTTPTransport returns a transport for HTTP requests to other instances.
-// Use URLs with scheme http in plaintext mode and https otherwise; Scheme
-// returns it.
-func (l *Links) HTTPTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
-		DialContext:           l.dialPlain(dialer),
-		DialTLSContext:        l.dialTLS(dialer),
-		MaxIdleConnsPerHost:   idleConns,
-		IdleConnTimeout:       idleTimeout,
-		ExpectContinueTimeout: time.Second,
-	}
-}
-
-// Scheme returns the URL scheme of links between instances.
-func (l *Links) Scheme() string {
-	if l.src == nil {
-		return "http"
+// DialHTTP opens a connection for HTTP requests to another instance, with TLS
+// unless the links are in plaintext.
+func (l *Links) DialHTTP(ctx context.Context, network, addr string) (net.Conn, error) {
+	if l.loopbackOnly && !isLoopback(addr) {
+		return nil, errPlaintext(addr)
 	}
-	return "https"
-}
-
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-func (l *Links) dialPlain(d *net.Dialer) dialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		if l.src != nil {
-			return nil, errkind.New(errkind.Forbidden, "plaintext link to %s while TLS is set", addr)
-		}
-		if l.loopbackOnly && !isLoopback(addr) {
-			return nil, errPlaintext(addr)
-		}
-		return d.DialContext(ctx, network, addr)
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "address %q", addr)
 	}
-}
-
-func (l *Links) dialTLS(d *net.Dialer) dialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		if l.src == nil {
-			return nil, errkind.New(errkind.InvalidSettings, "no certificate is set for a TLS link to %s", addr)
-		}
-		host, _, err := net.SplitHostPort(addr)
-		if err != nil {
-			return nil, errkind.Wrap(errkind.BadRequest, err, "address %q", addr)
-		}
-		raw, err := d.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		conn := tls.Client(raw, l.src.Client(host))
-		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-		defer cancel()
-		if err := conn.HandshakeContext(ctx); err != nil {
-			raw.Close()
-			logRefused(l.log, raw.RemoteAddr(), err)
-			return nil, err
-		}
-		return conn, nil
+	d := net.Dialer{Timeout: connectTimeout}
+	raw, err := d.DialContext(ctx, network, addr)
+	if err != nil || l.src == nil {
+		return raw, err
+	}
+	conn := tls.Client(raw, l.src.Client(host))
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		logRefused(l.log, raw.RemoteAddr(), err)
+		return nil, err
 	}
+	return conn, nil
 }
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -173,8 +173,7 @@
 		if _, err := l.Dial(addr); err == nil {
 			t.Errorf("plaintext link to %s", addr)
 		}
-		client := &http.Client{Transport: l.HTTPTransport()}
-		if _, err := client.Get("http://" + addr); err == nil || !strings.Contains(err.Error(), "loopback") {
+		if _, err := l.DialHTTP(t.Context(), "tcp", addr); err == nil || !strings.Contains(err.Error(), "loopback") {
 			t.Errorf("HTTP to %s: %v", addr, err)
 		}
 	}
@@ -204,8 +203,8 @@
 	t.Cleanup(func() { srv.Close() })
 	get := func(set settings.TLS) error {
 		l := links(t, set)
-		client := &http.Client{Transport: l.HTTPTransport(), Timeout: 2 * time.Second}
-		resp, err := client.Get(l.Scheme() + "://" + lis.Addr().String())
+		client := &http.Client{Transport: &http.Transport{DialContext: l.DialHTTP}, Timeout: 2 * time.Second}
+		resp, err := client.Get("http://" + lis.Addr().String())
 		if err == nil {
 			resp.Body.Close()
 		}
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a connection to a target that reports each write after it has been
@@ -30,14 +34,33 @@
 
 const (
 	dialTimeout = time.Second
-	keepAlive   = 15 * time.Second
+	// A connection whose other end is gone without a sign ends after
+	// keepAliveIdle and keepAliveProbes intervals, or when what was sent is not
+	// acknowledged for unackedTimeout. Only that tells it from a slow target.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveProbes   = 3
+	unackedTimeout    = 1500 * time.Millisecond
 )
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+// Dial opens a connection to a target.
+func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout, Control: setUnackedTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+	}
 	c, err := d.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
 	return &Conn{Conn: c}, nil
 }
+
+// setUnackedTimeout sets TCP_USER_TIMEOUT on a socket.
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -4,7 +4,6 @@
 package target
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/process/membership"
@@ -56,19 +55,3 @@
 
 // unknownLoad is the ReportedLoad without a usable report.
 const unknownLoad = -1
-
-const maxIdlePerTarget = 330
-
-// NewTransport returns the HTTP transport to targets. Connections per target
-// are bounded by the slots, so the pool keeps them all.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:           dial,
-		MaxIdleConnsPerHost:   maxIdlePerTarget,
-		IdleConnTimeout:       30 * time.Second,
-		DisableCompression:    true,
-		WriteBufferSize:       16 << 10,
-		ReadBufferSize:        16 << 10,
-		ResponseHeaderTimeout: 0, // the request's own deadline holds
-	}
-}
--- /dev/null
+++ b/internal/connection/target/transport.go
@@ -0,0 +1,375 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// maxStale bounds the answers to other requests that are skipped before the
+	// answer to this one.
+	maxStale = 4
+	// maxStaleBytes bounds the body of such an answer.
+	maxStaleBytes = 1 << 20
+	// inlineBytes of a request are written before its answer is read. A longer
+	// body is written beside it: a target may answer before it has read the
+	// body, and reads on later.
+	inlineBytes = 16 << 10
+	// idleLifetime is how long an idle connection is kept if the target does not
+	// say how long it keeps it.
+	idleLifetime = 30 * time.Second
+	// idleMargin before the end that a target states, a connection is no longer
+	// used: a request that meets the close may have run.
+	idleMargin    = 1500 * time.Millisecond
+	sweepInterval = time.Second
+	connBuffer    = 4 << 10
+)
+
+// Transport sends requests over HTTP/1.1 on connections of its own. It sends a
+// request once: it is the caller's part to repeat it. It calls the hooks of
+// httptrace: GotConn, and WroteHeaders as soon as a byte was written. It is safe
+// for concurrent use.
+type Transport struct {
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Belongs reports whether an answer belongs to a request. Others, which came
+	// late, are skipped. Nil accepts every answer.
+	Belongs func(req *http.Request, resp *http.Response) bool
+
+	mu    sync.Mutex
+	idle  map[string][]*conn // by address, used last at the end
+	swept time.Time
+}
+
+// conn is one connection. It serves one request at a time.
+type conn struct {
+	raw     net.Conn
+	addr    string
+	r       *bufio.Reader
+	expires time.Time // when the target may close it
+}
+
+// RoundTrip sends a request and returns the head of its answer. The connection
+// is used again once the body was read to its end.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := req.Context()
+	c, err := t.conn(ctx, req.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{t: t, c: c, req: req}
+	x.unwatch = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	resp, err := x.run()
+	if err != nil {
+		x.end(false)
+		return nil, err
+	}
+	return resp, nil
+}
+
+// conn returns an idle connection that is sound, or a new one.
+func (t *Transport) conn(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := t.takeIdle(addr)
+		if c == nil {
+			break
+		}
+		if quiet(c.raw) {
+			gotConn(ctx, c, true)
+			return c, nil
+		}
+		_ = c.raw.Close()
+	}
+	raw, err := t.Dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{raw: raw, addr: addr, r: bufio.NewReaderSize(raw, connBuffer)}
+	gotConn(ctx, c, false)
+	return c, nil
+}
+
+func gotConn(ctx context.Context, c *conn, reused bool) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: c.raw, Reused: reused})
+	}
+}
+
+func (t *Transport) takeIdle(addr string) *conn {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	list := t.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	t.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// sweep closes the idle connections that have expired.
+func (t *Transport) sweep(now time.Time) {
+	if now.Sub(t.swept) < sweepInterval {
+		return
+	}
+	t.swept = now
+	for addr, list := range t.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.raw.Close()
+		}
+		clear(list[len(kept):])
+		if len(kept) == 0 {
+			delete(t.idle, addr)
+			continue
+		}
+		t.idle[addr] = kept
+	}
+}
+
+func (t *Transport) putIdle(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.idle == nil {
+		t.idle = map[string][]*conn{}
+	}
+	t.idle[c.addr] = append(t.idle[c.addr], c)
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, list := range t.idle {
+		for _, c := range list {
+			_ = c.raw.Close()
+		}
+	}
+	t.idle = nil
+}
+
+// exchange is one request on a connection.
+type exchange struct {
+	t       *Transport
+	c       *conn
+	req     *http.Request
+	unwatch func() bool // stops watching the context
+	once    sync.Once
+
+	written  chan error // result of a body written beside the answer; nil if it was written before
+	wrote    bool       // a byte was written
+	reusable bool
+}
+
+// run writes the request and reads the head of its answer.
+func (x *exchange) run() (*http.Response, error) {
+	if err := x.write(); err != nil {
+		// A target may have refused the request before it was written whole.
+		resp, readErr := x.readHead()
+		if readErr != nil {
+			return nil, err
+		}
+		x.reusable = false
+		return x.answer(resp), nil
+	}
+	resp, err := x.readHead()
+	if err != nil {
+		return nil, err
+	}
+	return x.answer(resp), nil
+}
+
+func (x *exchange) write() error {
+	head := x.head()
+	body := x.req.Body
+	if body == nil || x.req.ContentLength == 0 {
+		return x.send(head)
+	}
+	if x.req.ContentLength > 0 && x.req.ContentLength <= inlineBytes {
+		data, err := io.ReadAll(io.LimitReader(body, x.req.ContentLength+1))
+		if err != nil || int64(len(data)) != x.req.ContentLength {
+			return fmt.Errorf("body of %d bytes instead of %d: %w", len(data), x.req.ContentLength, errors.Join(err, errBodyLength))
+		}
+		return x.send(append(head, data...))
+	}
+	if err := x.send(head); err != nil {
+		return err
+	}
+	x.written = make(chan error, 1)
+	go func() { x.written <- x.sendBody(body) }()
+	return nil
+}
+
+var errBodyLength = errors.New("the body has another length than announced")
+
+// sendBody writes a body whose length is announced.
+func (x *exchange) sendBody(body io.Reader) error {
+	n, err := io.Copy(x.c.raw, io.LimitReader(body, x.req.ContentLength))
+	if err == nil && n != x.req.ContentLength {
+		err = errBodyLength
+	}
+	return err
+}
+
+// send writes data and tells the trace when the first byte was written.
+func (x *exchange) send(data []byte) error {
+	n, err := x.c.raw.Write(data)
+	if n > 0 && !x.wrote {
+		x.wrote = true
+		if trace := httptrace.ContextClientTrace(x.req.Context()); trace != nil && trace.WroteHeaders != nil {
+			trace.WroteHeaders()
+		}
+	}
+	return err
+}
+
+// head returns request line and header.
+func (x *exchange) head() []byte {
+	var b bytes.Buffer
+	target := x.req.URL.Opaque
+	if target == "" {
+		target = x.req.URL.RequestURI()
+	}
+	host := x.req.Host
+	if host == "" {
+		host = x.req.URL.Host
+	}
+	b.WriteString(x.req.Method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	if x.req.Body != nil && x.req.ContentLength > 0 {
+		b.WriteString("Content-Length: " + strconv.FormatInt(x.req.ContentLength, 10) + "\r\n")
+	} else if x.req.Method == http.MethodPost || x.req.Method == http.MethodPut || x.req.Method == http.MethodPatch {
+		b.WriteString("Content-Length: 0\r\n")
+	}
+	_ = x.req.Header.WriteSubset(&b, ownHeaders) // a buffer takes everything
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// ownHeaders are written from the request's fields.
+var ownHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
+// readHead reads the head of the answer that belongs to the request.
+func (x *exchange) readHead() (*http.Response, error) {
+	for stale := 0; ; {
+		resp, err := http.ReadResponse(x.c.r, x.req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			if resp.StatusCode == http.StatusSwitchingProtocols {
+				return resp, nil
+			}
+			continue // informational; the final answer follows
+		}
+		if x.t.Belongs == nil || x.t.Belongs(x.req, resp) {
+			return resp, nil
+		}
+		if stale++; stale > maxStale || resp.Close {
+			return nil, errStaleAnswer
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes+1)); err != nil || n > maxStaleBytes {
+			return nil, errors.Join(errStaleAnswer, err)
+		}
+	}
+}
+
+var errStaleAnswer = errors.New("the connection carries answers to other requests")
+
+// answer ties the end of the answer's body to the connection.
+func (x *exchange) answer(resp *http.Response) *http.Response {
+	x.reusable = x.reusableAfter(resp)
+	x.c.expires = time.Now().Add(keptFor(resp.Header))
+	if resp.Body == http.NoBody || resp.ContentLength == 0 && x.bodyWritten() {
+		x.end(x.reusable && x.bodyWritten())
+		return resp
+	}
+	resp.Body = &answerBody{ReadCloser: resp.Body, x: x}
+	return resp
+}
+
+// reusableAfter reports whether another request may follow the answer. One
+// without a length ends with its connection.
+func (x *exchange) reusableAfter(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || x.req.Method == http.MethodHead
+	return !resp.Close && framed && resp.ProtoAtLeast(1, 1)
+}
+
+// keptFor returns how long the target keeps the connection.
+func keptFor(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+			return time.Duration(s)*time.Second - idleMargin
+		}
+	}
+	return idleLifetime
+}
+
+// bodyWritten reports whether the whole request was written.
+func (x *exchange) bodyWritten() bool {
+	if x.written == nil {
+		return true
+	}
+	select {
+	case err := <-x.written:
+		x.written <- err
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// end gives the connection back or closes it. Only the first call counts.
+func (x *exchange) end(reuse bool) {
+	x.once.Do(func() {
+		watched := x.unwatch()
+		// Bytes that are there already belong to no request.
+		if reuse && watched && x.c.r.Buffered() == 0 && time.Now().Before(x.c.expires) {
+			x.t.putIdle(x.c)
+			return
+		}
+		_ = x.c.raw.Close()
+	})
+}
+
+// answerBody returns the connection at the end of the body.
+type answerBody struct {
+	io.ReadCloser
+	x *exchange
+}
+
+// Read reads the body.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.x.end(errors.Is(err, io.EOF) && b.x.reusable && b.x.bodyWritten())
+	}
+	return n, err
+}
+
+// Close ends the exchange. A body that was not read to its end closes the
+// connection.
+func (b *answerBody) Close() error {
+	b.x.end(false)
+	return nil
+}
--- a/internal/connection/target/watcher_test.go
+++ b/internal/connection/target/watcher_test.go
@@ -57,7 +57,7 @@
 	list := httptest.NewServer(http.HandlerFunc(f.serve))
 	f.list = []membership.Listed{f.entry(membership.StatusLive), {ID: "elsewhere", Role: membership.RoleTarget, Service: "s", DataCentre: "dc2", Address: "127.0.0.1:1"}}
 	f.watcher = &Watcher{
-		DataCentre: "dc1", HTTP: &http.Client{Transport: NewTransport()}, Log: logging.Discard(), Changed: func() {},
+		DataCentre: "dc1", HTTP: &http.Client{Transport: &Transport{Dial: Dial}}, Log: logging.Discard(), Changed: func() {},
 		Platform: &platform.Client{URL: list.URL + "/instances", HTTP: http.DefaultClient},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
@@ -149,7 +150,7 @@
 	p.targets = &target.Watcher{
 		DataCentre: s.DataCentre, Log: p.log,
 		Platform: &platform.Client{URL: s.PlatformURL, HTTP: &http.Client{}},
-		HTTP:     &http.Client{Transport: target.NewTransport()},
+		HTTP:     &http.Client{Transport: &target.Transport{Dial: target.Dial}},
 		Changed:  func() { p.groups.Wake() },
 	}
 	p.groups = group.NewManager(group.Config{
@@ -249,13 +250,22 @@
 	return proxy.DefaultBodyMemory
 }
 
+// targetTransport sends requests to targets and skips late answers to others.
+func (p *process) targetTransport() *target.Transport {
+	return &target.Transport{Dial: target.Dial, Belongs: func(req *http.Request, resp *http.Response) bool {
+		asked, err := p.ext.Dialect.Request(req.Header)
+		echoed := p.ext.Dialect.Answer(resp.StatusCode, resp.Header).ID
+		return err != nil || asked.ID == "" || echoed == "" || echoed == asked.ID
+	}}
+}
+
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Groups: p.groups,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
-		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: target.NewTransport(), Peers: p.peers.HTTPTransport(),
-		PeerScheme: p.peers.Scheme(), Now: time.Now, Log: p.log, Metrics: p.scope,
+		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
+		Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Blocks: &p.blocks,
@@ -275,14 +285,15 @@
 	group, run := errgroup.WithContext(run)
 	callers, peers := p.handlers()
 	g := p.grpcServer()
-	servers := []*http.Server{
-		p.httpServer(p.set.CallerAddr, callers), p.httpServer(p.set.PeerAddr, peers), p.httpServer(p.set.AdminAddr, p.admin(metricsHandler)),
+	servers := []listener{
+		{p.set.CallerAddr, p.callerServer(callers)}, {p.set.PeerAddr, p.callerServer(peers)},
+		{p.set.AdminAddr, httpServer(p.admin(metricsHandler))},
 	}
 	if p.set.HealthAddr != "" {
-		servers = append(servers, p.httpServer(p.set.HealthAddr, p.health()))
+		servers = append(servers, listener{p.set.HealthAddr, httpServer(p.health())})
 	}
-	for _, srv := range servers {
-		if err := p.listen(group, srv); err != nil {
+	for _, l := range servers {
+		if err := p.listen(group, l); err != nil {
 			return err
 		}
 	}
@@ -322,17 +333,43 @@
 	return g
 }
 
-func (p *process) httpServer(addr string, h http.Handler) *http.Server {
-	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+// server serves a listener until it is shut down.
+type server interface {
+	Serve(lis net.Listener) error
+	Shutdown(ctx context.Context) error
+}
+
+// listener is a server with its address.
+type listener struct {
+	addr string
+	server
 }
 
-func (p *process) listen(group *errgroup.Group, srv *http.Server) error {
-	lis, err := p.listener(srv.Addr)
+func httpServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// callerServer serves requests that are steered.
+func (p *process) callerServer(h http.Handler) *caller.Server {
+	return &caller.Server{Handler: h, Limits: p.callerLimits, Log: p.log}
+}
+
+// callerLimits returns the limits of the document in force.
+func (p *process) callerLimits() caller.Limits {
+	l := (*document.CallerLimits)(nil).WithDefaults()
+	if s := p.store.Load(); s != nil {
+		l = s.Callers
+	}
+	return caller.Limits{HeaderBytes: l.MaxHeaderBytes, HeaderTimeout: l.HeaderTimeout.D(), IdleTimeout: l.IdleTimeout.D()}
+}
+
+func (p *process) listen(group *errgroup.Group, l listener) error {
+	lis, err := p.listener(l.addr)
 	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", srv.Addr)
+		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", l.addr)
 	}
 	group.Go(func() error {
-		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -351,18 +388,23 @@
 
 // stop takes the entry out of look-ups, hands its services over and waits
 // until nothing is in flight.
-func (p *process) stop(servers []*http.Server) {
+func (p *process) stop(servers []listener) {
 	p.log.Info("stopping: out of look-ups, handing over")
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout(p.store.Load()))
 	defer cancel()
 	p.fire(lifecycle.Stop)
 	p.groups.Stop()
+	for _, l := range servers {
+		if s, ok := l.server.(*caller.Server); ok {
+			s.Drain()
+		}
+	}
 	if err := p.follower.Leave(ctx, false); err != nil {
 		p.log.WithError(err).Warn("leaving not recorded by control")
 	}
 	time.Sleep(lingerTime)
-	for _, srv := range servers {
-		if err := srv.Shutdown(ctx); err != nil {
+	for _, l := range servers {
+		if err := l.Shutdown(ctx); err != nil {
 			p.log.WithError(err).Warn("requests were still in flight at the end of the stop")
 		}
 	}
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -31,7 +31,7 @@
 		"to_instance": to.Instance, "to_dc": to.DataCentre, "hops": c.hops + 1, "version": c.snap.Version,
 	}).Info("request forwarded")
 	x := exchange{
-		transport: h.Peers, scheme: h.PeerScheme, addr: to.PeerAddr,
+		transport: h.Peers, addr: to.PeerAddr,
 		header: c.peerHeader(h.Instance, remote, recorded, h.Now()), idOf: forwardedID,
 	}
 	rep, err := x.do(ctx, c)
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
@@ -81,7 +82,6 @@
 	Bodies     *BodyMemory // shared by the handlers of an entry; nil: DefaultBodyMemory for this one
 	Targets    http.RoundTripper
 	Peers      http.RoundTripper
-	PeerScheme string // "http" or "https"
 	Now        func() time.Time
 	Log        *logrus.Entry
 	Metrics    tally.Scope
@@ -218,6 +218,11 @@
 
 // serve gets the answer of a parsed request.
 func (h *Handler) serve(ctx context.Context, c *call) (*reply, error) {
+	if !c.route.Safe {
+		if err := caller.Await(ctx); err != nil {
+			return nil, errkind.Wrap(errkind.Cancelled, err, "the caller's connection ended before its earlier requests were answered")
+		}
+	}
 	h.Services.get(c.service, h.Now()).retries.Request()
 	if c.once() && !c.recorded {
 		return h.serveOnce(ctx, c)
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -288,7 +288,7 @@
 	s := sent{id: c.id, ticket: t, start: h.Now()}
 	ctx, s.cancel = context.WithCancelCause(ctx)
 	x := exchange{
-		transport: h.Targets, scheme: "http", addr: t.Target.Addr,
+		transport: h.Targets, addr: t.Target.Addr, host: c.targetHost(),
 		header: h.targetHeader(c, t.Target.ID, s.start), replay: c.route.Safe, idOf: h.answerID,
 		onWritten: func() {
 			if !unit.Valid() || h.Now().After(c.deadline) {
@@ -311,6 +311,15 @@
 	return s
 }
 
+// targetHost returns the Host header that the target gets: the caller's where
+// it selects the route, and otherwise that of the target's address.
+func (c *call) targetHost() string {
+	if c.route.Host == "" {
+		return ""
+	}
+	return c.host
+}
+
 // answerID returns the identifier of the request that a target's answer names.
 func (h *Handler) answerID(resp *http.Response) string {
 	return h.Dialect.Answer(resp.StatusCode, resp.Header).ID
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
+	connection "github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
@@ -133,12 +135,25 @@
 func newWorld(t *testing.T, peer bool, targets ...string) *world {
 	t.Helper()
 	w := newHandler(t, peer, targets...)
-	srv := httptest.NewServer(w.h)
-	w.addr = strings.TrimPrefix(srv.URL, "http://")
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.addr = lis.Addr().String()
+	srv := &caller.Server{Handler: w.h, Log: w.h.Log, Limits: func() caller.Limits {
+		return caller.Limits{HeaderBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	}}
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(lis) }()
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
-		srv.Close()
-		w.h.Targets.(*http.Transport).CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := srv.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		<-served
+		w.h.Targets.(*connection.Transport).CloseIdleConnections()
 	})
 	return w
 }
@@ -162,11 +177,11 @@
 	store.Swap(snap)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	transport := &http.Transport{DisableCompression: true}
+	transport := &connection.Transport{Dial: connection.Dial}
 	w.h = New(Config{
 		Instance: "e1", DataCentre: "a", Store: store, Dialect: dialect.Own{}, Ready: func() bool { return true },
 		Groups: w.groups, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
-		Services: &Services{}, Targets: transport, Peers: transport, PeerScheme: "http",
+		Services: &Services{}, Targets: transport, Peers: transport,
 		Now: time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
 	}, peer)
 	return w
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -19,8 +19,8 @@
 // exchange is one request to a target or to another entry.
 type exchange struct {
 	transport http.RoundTripper
-	scheme    string
 	addr      string
+	host      string // Host header; "" for that of the address
 	header    http.Header
 	replay    bool // the transport may send the request again by itself
 	// onWritten is called after each write to the connection, if the transport
@@ -67,11 +67,13 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "request path")
 	}
-	u.Scheme, u.Host = x.scheme, x.addr
-	req, err := http.NewRequestWithContext(ctx, c.method, u.String(), x.body(c))
+	// Opaque passes path and query on byte by byte.
+	u.Scheme, u.Host, u.Opaque, u.RawQuery, u.ForceQuery = "http", x.addr, c.path, "", false
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+x.addr, x.body(c))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "request to %s", x.addr)
 	}
+	req.URL, req.Host = u, x.host
 	req.ContentLength = int64(len(c.body))
 	req.GetBody = nil
 	req.Header = x.header
@@ -123,7 +125,7 @@
 		resp.Body.Close()
 		return nil, errkind.New(errkind.AnswerBroken, "the answer has status %d, which ends no request", resp.StatusCode)
 	}
-	if c.method != http.MethodHead && endsByClose(resp) {
+	if c.method != http.MethodHead && endsByClose(resp) && !c.service.UnframedAnswers {
 		resp.Body.Close()
 		return nil, errkind.New(errkind.AnswerBroken, "the answer has neither a length nor chunks, so it cannot be proved whole")
 	}
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -82,6 +82,9 @@
 	MaxConnections int         `yaml:"max_connections,omitempty"` // per target, of all instances
 	Protocol       string      `yaml:"protocol,omitempty"`        // of the targets; "h1" if empty
 	Cold           *ColdPolicy `yaml:"cold,omitempty"`
+	// UnframedAnswers takes an answer that has neither a length nor chunks for
+	// whole if its connection ends without an error. Otherwise it is refused.
+	UnframedAnswers bool `yaml:"unframed_answers,omitempty"`
 }
 
 // ColdPolicy bounds the requests to a target that has just started.
