--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -91,12 +91,20 @@
 			return
 		}
 		if x.last { // nothing follows on this connection
-			<-x.done
+			c.watch(x)
 			return
 		}
 	}
 }
 
+// watch waits for the end of the last request, or for its caller to leave.
+func (c *conn) watch(x *exchange) {
+	if err := c.await(0); err != nil {
+		return // the caller left, or the answer was written
+	}
+	<-x.done // what was sent behind the last request is not read
+}
+
 // next reads the head of the next request.
 func (c *conn) next() (*http.Request, error) {
 	limits := c.s.Limits()
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -142,16 +142,18 @@
 
 // Guards against work that goes on after its caller has left.
 func TestCallerLeaves(t *testing.T) {
-	ended := make(chan struct{}, 2)
+	ended := make(chan struct{}, 3)
 	addr, _ := start(t, roomy, func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
 		ended <- struct{}{}
 	})
-	c := dial(t, addr)
+	c, last := dial(t, addr), dial(t, addr)
 	c.send(get("/1") + get("/2"))
+	last.send("GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 	time.Sleep(20 * time.Millisecond)
 	c.Close()
-	for range 2 {
+	last.Close()
+	for range 3 {
 		select {
 		case <-ended:
 		case <-time.After(2 * time.Second):
