--- /dev/null
+++ b/internal/connection/slots/codec.go
@@ -0,0 +1,64 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+)
+
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// ask encodes work. Times are sent as what is left of them, so clocks need not
+// agree.
+func ask(g Pool, w dispatch.Work, now time.Time) *fescuepb.SlotAsk {
+	a := &fescuepb.SlotAsk{
+		Service: g.Service, Region: g.Region, Route: w.Route, Object: w.Object, From: w.From,
+		Safe: w.Safe, AnySlot: w.AnySlot, NoQueue: w.NoQueue, Remote: w.Remote,
+		Priority: uint32(max(w.Priority, 0)), DeadlineUs: w.Deadline.Sub(now).Microseconds(), Exclude: w.Exclude,
+	}
+	if !w.Objective.IsZero() {
+		a.ObjectiveUs = w.Objective.Sub(now).Microseconds()
+		if a.ObjectiveUs == 0 {
+			a.ObjectiveUs = -1 // 0 stands for none
+		}
+	}
+	return a
+}
+
+func work(a *fescuepb.SlotAsk, now time.Time) dispatch.Work {
+	w := dispatch.Work{
+		Class: document.Short, Route: a.Route, Deadline: now.Add(microseconds(a.DeadlineUs)), AnySlot: a.AnySlot,
+		NoQueue: a.NoQueue, Priority: int(a.Priority), Safe: a.Safe, Remote: a.Remote, Exclude: a.Exclude,
+		Object: a.Object, From: a.From,
+	}
+	if a.ObjectiveUs != 0 {
+		w.Objective = now.Add(microseconds(a.ObjectiveUs))
+	}
+	return w
+}
+
+func outcome(d *fescuepb.SlotDone) dispatch.Outcome {
+	r := d.GetReport()
+	return dispatch.Outcome{
+		Result: dispatch.Result(d.Result), Latency: microseconds(d.LatencyUs), FirstByte: microseconds(d.FirstByteUs),
+		Report: dispatch.Report{
+			Slots: int(r.GetSlots()), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Slowness: float64(r.GetSlowness()),
+		},
+	}
+}
+
+func pbLoad(l dispatch.Load) *fescuepb.GroupLoad {
+	return &fescuepb.GroupLoad{
+		Queued: uint32(l.Queued), InFlight: uint32(l.InFlight), FreeSlots: uint32(l.FreeSlots),
+		ExpectedWaitUs: l.ExpectedWait.Microseconds(), RunUs: l.Run.Microseconds(), Draining: l.Draining,
+	}
+}
+
+func loadOf(l *fescuepb.GroupLoad) dispatch.Load {
+	return dispatch.Load{
+		Queued: int(l.GetQueued()), InFlight: int(l.GetInFlight()), FreeSlots: int(l.GetFreeSlots()),
+		ExpectedWait: microseconds(l.GetExpectedWaitUs()), Run: microseconds(l.GetRunUs()), Draining: l.GetDraining(),
+	}
+}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -16,6 +16,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
+	"github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
@@ -72,6 +73,7 @@
 	follower *follow.Follower
 	targets  *target.Watcher
 	groups   *group.Manager
+	guarded  *group.Guarded
 	shared   *budget.Shared
 	ledger   *once.Service
 	links    *linkBudget
@@ -158,6 +160,9 @@
 		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: p.peers.Dial, NewToken: newToken,
 		HomeChanged: func(string) { p.ledger.Wake() }, Log: p.log,
 	})
+	p.guarded = &group.Guarded{
+		Instance: s.Instance, DataCentre: s.DataCentre, Client: &slots.Client{Dial: p.peers.Dial, Log: p.log}, Now: time.Now, Log: p.log,
+	}
 	p.ledger = once.New(once.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
 		Role: p.role, Dead: p.groups.Dead,
@@ -232,6 +237,7 @@
 			p.shared.Use(s)
 			p.links.use(s)
 			p.groups.Wake()
+			p.guarded.Use(s)
 		}
 		select {
 		case <-ctx.Done():
@@ -262,7 +268,7 @@
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
-		Ready: p.ready, Groups: p.groups,
+		Ready: p.ready, Groups: p.groups, Guarded: p.guarded,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
 		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
 		Now: time.Now, Log: p.log, Metrics: p.scope,
@@ -329,6 +335,7 @@
 	g := grpc.NewServer(p.peers.ServerOptions()...)
 	p.follower.Register(g)
 	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: func() []string { return *p.control.Load() }, Dial: p.peers.Dial})
+	fescuepb.RegisterSlotsServer(g, &slots.Server{Dispatcher: p.guarded.Dispatcher, Now: time.Now})
 	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	return g
 }
--- a/internal/process/group/dispatchers.go
+++ b/internal/process/group/dispatchers.go
@@ -19,8 +19,7 @@
 			continue
 		}
 		if svc.GuardedSlots {
-			m.refreshGuarded(name, svc, now)
-			continue
+			continue // Guarded has it
 		}
 		if home := m.core.Home(name); home != m.homes[name] {
 			m.homes[name] = home
@@ -28,7 +27,6 @@
 		}
 		m.refreshService(name, svc, now)
 	}
-	m.retireRemoved()
 	m.pruneRetired()
 	return moved
 }
@@ -44,7 +42,7 @@
 		}
 		return
 	}
-	settings := m.settings(svc)
+	settings := settingsOf(svc, m.cfg.DataCentre, m.snap)
 	if d == nil {
 		d = dispatch.NewDispatcher(settings, time.Now)
 		m.active[name] = d
@@ -54,18 +52,6 @@
 	d.SetTargets(m.targets(name, svc, now))
 }
 
-func (m *Manager) settings(svc *snapshot.Service) dispatch.Settings {
-	s := dispatch.Settings{
-		Service: svc.Name, DataCentre: m.cfg.DataCentre, Slots: svc.SlotsPerTarget,
-		QueueLimit: svc.QueueLimit, LongSharePercent: svc.LongShare, Warmup: svc.Warmup.D(),
-		LongestDeadline: m.snap.LongestDeadline(svc),
-	}
-	if svc.Hedge != nil {
-		s.HedgePercent, s.HedgeMinDelay = svc.Hedge.BudgetPercent, svc.Hedge.MinDelay.D()
-	}
-	return s
-}
-
 func (m *Manager) targets(name string, svc *snapshot.Service, now time.Time) []dispatch.TargetInfo {
 	retired := map[string]uint32{}
 	for _, d := range m.retired[name] {
--- a/internal/process/group/guarded.go
+++ b/internal/process/group/guarded.go
@@ -1,49 +1,312 @@
 package group
 
 import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/sirupsen/logrus"
 )
 
-// refreshGuarded brings the dispatcher of a service with guarded slots in
-// line with the snapshot. Its targets refuse what exceeds their slots, so every
-// entry may dispatch and no share has to be promised.
-func (m *Manager) refreshGuarded(name string, svc *snapshot.Service, now time.Time) {
-	d := m.active[name]
-	if d == nil {
-		d = dispatch.NewDispatcher(m.settings(svc), time.Now)
-		m.active[name] = d
-	} else {
-		d.Configure(m.settings(svc))
+const (
+	// suspectFor is how long an entry that did not answer an ask is passed over
+	// as a dispatcher.
+	suspectFor = time.Second
+	// maxHomes bounds the entries that are asked for one request; the last one is
+	// this entry itself.
+	maxHomes = 2
+)
+
+// Guarded dispatches the services whose targets guard their slots. The entries
+// of a region agree, by the members that they see, on one dispatcher for each
+// group. They may disagree for a moment, or not reach it, and then two of them
+// dispatch: the targets refuse what exceeds their slots, so no share has to be
+// promised. It is safe for concurrent use.
+type Guarded struct {
+	Instance   string
+	DataCentre string
+	Client     *slotlink.Client
+	Now        func() time.Time
+	Log        *logrus.Entry
+
+	mu       sync.Mutex
+	snap     *snapshot.Snapshot
+	local    map[slotlink.Pool]*dispatch.Dispatcher
+	loads    map[slotlink.Pool]loadAt // of groups that other entries dispatch
+	suspects map[string]time.Time     // instance to until when it is passed over
+	homes    map[slotlink.Pool]string // for the log
+}
+
+// loadAt is a load with the time at which it was learned.
+type loadAt struct {
+	dispatch.Load
+	at time.Time
+}
+
+// Use puts a snapshot in force.
+func (g *Guarded) Use(s *snapshot.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.local == nil {
+		g.local, g.loads = map[slotlink.Pool]*dispatch.Dispatcher{}, map[slotlink.Pool]loadAt{}
+		g.suspects, g.homes = map[string]time.Time{}, map[slotlink.Pool]string{}
 	}
-	listed := m.snap.Targets(name, m.cfg.DataCentre)
-	infos := make([]dispatch.TargetInfo, 0, len(listed))
-	for _, t := range listed {
-		infos = append(infos, m.guardedTarget(t, now))
+	g.snap = s
+	for k, d := range g.local {
+		svc := s.Services[k.Service]
+		if svc == nil || !svc.GuardedSlots {
+			d.Stop()
+			delete(g.local, k)
+			continue
+		}
+		d.Configure(settingsOf(svc, "", s))
+		d.SetTargets(targetInfos(s, svc, k.Region))
 	}
-	d.SetTargets(infos)
+	g.Client.Keep(g.peersLocked())
 }
 
-func (m *Manager) guardedTarget(t *fescuepb.Target, now time.Time) dispatch.TargetInfo {
-	info := dispatch.TargetInfo{ID: t.Id, Addr: t.Address, Slots: int(t.Slots), ReportedLoad: -1}
-	if t.Leaving || m.snap.TargetDrained(t.Service, t.DataCentre, t.Id) {
-		info.State = dispatch.Leaving
+// peersLocked returns the addresses of the entries that may dispatch for this
+// one.
+func (g *Guarded) peersLocked() map[string]bool {
+	region := g.snap.Region(g.DataCentre)
+	out := map[string]bool{}
+	for _, m := range g.snap.Members() {
+		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == region && m.Instance != g.Instance {
+			out[m.GrpcAddr] = true
+		}
 	}
-	return info
+	return out
+}
+
+// Dispatcher returns this entry's dispatcher of a group, whether or not the
+// others ask it, or nil if there is no such service.
+func (g *Guarded) Dispatcher(k slotlink.Pool) *dispatch.Dispatcher {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcherLocked(k)
+}
+
+func (g *Guarded) dispatcherLocked(k slotlink.Pool) *dispatch.Dispatcher {
+	if d := g.local[k]; d != nil {
+		return d
+	}
+	if g.snap == nil {
+		return nil
+	}
+	svc := g.snap.Services[k.Service]
+	if svc == nil || !svc.GuardedSlots {
+		return nil
+	}
+	d := dispatch.NewPoolDispatcher(settingsOf(svc, "", g.snap), g.Now)
+	d.SetTargets(targetInfos(g.snap, svc, k.Region))
+	g.local[k] = d
+	return d
 }
 
-// retireRemoved stops the dispatchers of services that the document no longer
-// has here.
-func (m *Manager) retireRemoved() {
-	for name, d := range m.active {
-		if svc := m.snap.Services[name]; svc != nil && svc.In(m.cfg.DataCentre) {
+// Slots returns the slots of a service in this entry's region, or nil if there
+// is no such service.
+func (g *Guarded) Slots(service string) dispatch.Slots {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.snap == nil {
+		return nil
+	}
+	region := g.snap.Region(g.DataCentre)
+	svc := g.snap.Services[service]
+	if svc == nil || !svc.GuardedSlots {
+		return nil
+	}
+	return placeSlots{g, slotlink.Pool{Service: service, Region: region}}
+}
+
+// home returns the entry that dispatches a pool: the first of its region that
+// can. It is nil if that is this entry.
+func (g *Guarded) home(k slotlink.Pool) *fescuepb.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.homeLocked(k)
+	name := g.Instance
+	if m != nil {
+		name = m.Instance
+	}
+	if before := g.homes[k]; before != name {
+		g.homes[k] = name
+		g.Log.WithFields(logrus.Fields{
+			"service": k.Service, "region": k.Region, "from_instance": before, "to_instance": name, "version": g.snap.Version,
+		}).Info("dispatcher chosen")
+	}
+	return m
+}
+
+func (g *Guarded) homeLocked(k slotlink.Pool) *fescuepb.Member {
+	now := g.Now()
+	var best *fescuepb.Member
+	for _, m := range g.snap.Members() {
+		if m.Role != fescuepb.Role_ROLE_ENTRY || m.Region != k.Region || !g.usableLocked(m, now) {
 			continue
 		}
-		d.Stop()
-		delete(m.active, name)
-		m.retired[name] = append(m.retired[name], d)
+		if best == nil || before(rankKey(k), m, best) {
+			best = m
+		}
+	}
+	if best == nil || best.Instance == g.Instance {
+		return nil
+	}
+	return best
+}
+
+func rankKey(k slotlink.Pool) string { return k.Service + "\x00" + k.Region }
+
+// before reports whether a is preferred to b for a key, by rendezvous hashing.
+func before(key string, a, b *fescuepb.Member) bool {
+	ra, rb := rank(key, a), rank(key, b)
+	if ra != rb {
+		return ra > rb
+	}
+	return a.Instance < b.Instance
+}
+
+func rank(key string, m *fescuepb.Member) uint64 {
+	return xxhash.Sum64String(key + "\x00" + m.Instance)
+}
+
+func (g *Guarded) usableLocked(m *fescuepb.Member, now time.Time) bool {
+	if m.Instance == g.Instance {
+		return true
 	}
+	return !m.Leaving && !m.Silent && m.Session > 0 && now.After(g.suspects[m.Instance])
+}
+
+// Near returns the entries of another region to send a request to, best first.
+// The key spreads the requests over them.
+func (g *Guarded) Near(region, key string) []*fescuepb.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	var out []*fescuepb.Member
+	for _, m := range g.snap.Members() {
+		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == region && g.usableLocked(m, now) {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *fescuepb.Member) int {
+		if before(key, a, b) {
+			return -1
+		}
+		return 1
+	})
+	return out[:min(len(out), maxNear)]
+}
+
+// maxNear bounds the entries that are tried for one request.
+const maxNear = 2
+
+// Suspect passes an entry over for a moment.
+func (g *Guarded) Suspect(instance string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects[instance] = g.Now().Add(suspectFor)
+}
+
+func (g *Guarded) noteLoad(k slotlink.Pool, l dispatch.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loads[k] = loadAt{l, g.Now()}
+}
+
+// placeSlots are the slots of one group, wherever it is dispatched.
+type placeSlots struct {
+	g *Guarded
+	k slotlink.Pool
+}
+
+// Acquire asks the group's dispatcher. If that one does not answer, the next
+// one is asked, and at last this entry decides itself.
+func (p placeSlots) Acquire(ctx context.Context, w dispatch.Work) (*dispatch.Ticket, error) {
+	for range maxHomes {
+		home := p.g.home(p.k)
+		if home == nil {
+			break
+		}
+		t, load, err := p.g.Client.Acquire(ctx, home.GrpcAddr, p.k, w, p.g.Now())
+		if errors.Is(err, slotlink.ErrSilent) || errkind.Of(err) == errkind.NotDispatcher && err != nil {
+			p.g.Suspect(home.Instance)
+			p.g.Log.WithFields(logrus.Fields{"service": p.k.Service, "region": p.k.Region, "instance": home.Instance}).Info("dispatcher passed over: no answer")
+			continue
+		}
+		p.g.noteLoad(p.k, load)
+		return t, err
+	}
+	d := p.g.Dispatcher(p.k)
+	if d == nil {
+		return nil, errkind.New(errkind.NoTarget, "service %q is not in the version in force", p.k.Service)
+	}
+	return d.Acquire(ctx, w)
+}
+
+// loadFor is how long the load of a group elsewhere counts.
+const loadFor = 500 * time.Millisecond
+
+// Load returns the load of the group as far as it is known here.
+func (p placeSlots) Load() dispatch.Load {
+	if p.g.home(p.k) == nil {
+		if d := p.g.Dispatcher(p.k); d != nil {
+			return d.Load()
+		}
+	}
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	l := p.g.loads[p.k]
+	if p.g.Now().Sub(l.at) > loadFor {
+		return dispatch.Load{Run: l.Run}
+	}
+	return l.Load
+}
+
+// Stop refuses everything that waits here.
+func (g *Guarded) Stop() { g.Client.Close() }
+
+func settingsOf(svc *snapshot.Service, dc string, s *snapshot.Snapshot) dispatch.Settings {
+	out := dispatch.Settings{
+		Service: svc.Name, DataCentre: dc, Slots: svc.SlotsPerTarget,
+		QueueLimit: svc.QueueLimit, LongSharePercent: svc.LongShare, Warmup: svc.Warmup.D(),
+		LongestDeadline: s.LongestDeadline(svc),
+	}
+	if svc.Hedge != nil {
+		out.HedgePercent, out.HedgeMinDelay = svc.Hedge.BudgetPercent, svc.Hedge.MinDelay.D()
+	}
+	return out
+}
+
+// targetInfos returns the targets of a service in a region.
+func targetInfos(s *snapshot.Snapshot, svc *snapshot.Service, region string) []dispatch.TargetInfo {
+	var infos []dispatch.TargetInfo
+	for _, dc := range s.DataCentres(region) {
+		for _, t := range s.Targets(svc.Name, dc) {
+			infos = append(infos, targetInfo(s, svc, t))
+		}
+	}
+	return infos
+}
+
+func targetInfo(s *snapshot.Snapshot, svc *snapshot.Service, t *fescuepb.Target) dispatch.TargetInfo {
+	info := dispatch.TargetInfo{
+		ID: t.Id, Addr: t.Address, DataCentre: t.DataCentre, Slots: int(t.Slots), ReportedLoad: -1, Incarnation: t.BornUnixMs,
+		ColdFor: time.Duration(t.ColdMs) * time.Millisecond,
+	}
+	if svc.Cold != nil {
+		info.ColdRate = svc.Cold.PerSecond
+	}
+	if t.Leaving || s.TargetDrained(svc.Name, t.DataCentre, t.Id) {
+		info.State = dispatch.Leaving
+	}
+	return info
 }
--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -172,9 +172,6 @@
 	if m.snap == nil {
 		return nil
 	}
-	if svc := m.snap.Services[service]; svc != nil && svc.GuardedSlots {
-		return m.snap.Member(m.cfg.Instance)
-	}
 	return m.snap.Member(m.core.Home(service))
 }
 
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
@@ -53,10 +54,17 @@
 type TargetInfo struct {
 	ID           string
 	Addr         string
+	DataCentre   string
 	State        TargetState
 	Slots        int       // slots this dispatcher may use now: its budget share
 	ReportedLoad float64   // 0..1, below 0: unknown
 	Since        time.Time // first seen healthy, for slow start; zero: warm
+	// Incarnation differs for each start of the target; 0 if it is not known.
+	Incarnation int64
+	// ColdFor is how long the target is still cold, when it was first told of
+	// with this incarnation. Until then it takes ColdRate requests a second.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Work describes a request that needs a slot.
@@ -64,10 +72,20 @@
 	Class    document.Class
 	Route    string    // key for running-time estimates
 	Deadline time.Time // zero: Settings.LongestDeadline from now
-	Safe     bool      // may be hedged
-	Once     bool      // must run at most once
-	Remote   bool      // sent by another data centre
-	Exclude  []string  // targets already tried
+	// Objective is when the answer must be there to have its full value. A
+	// request waits only while it can meet it. Zero: none, only the deadline
+	// counts.
+	Objective time.Time
+	// AnySlot takes a slot although the answer will miss its objective.
+	AnySlot  bool
+	Object   string   // that the request is about; a target that handled it lately is faster
+	From     string   // data centre of the entry that asks
+	NoQueue  bool     // refuse instead of waiting
+	Priority int      // 0 goes first
+	Safe     bool     // may be hedged
+	Once     bool     // must run at most once
+	Remote   bool     // sent by another data centre
+	Exclude  []string // targets already tried
 }
 
 // Result is how a request ended at its target.
@@ -88,6 +106,23 @@
 	Result    Result
 	Latency   time.Duration // until the response was complete; 0: time since dispatch
 	FirstByte time.Duration // until the first byte; 0: unknown
+	Report    Report
+}
+
+// Report is what a target said about itself in its answer. The zero value says
+// nothing.
+type Report struct {
+	Slots    int     // 0: there is no report
+	Running  int     // requests on the slots
+	Waiting  int     // requests in the target's own queue
+	Slowness float64 // how long work takes at this moment, 1 is usual; 0: unknown
+}
+
+// Slots hands out slots on the targets of a group: a Dispatcher, or a link to
+// one in another process.
+type Slots interface {
+	Acquire(ctx context.Context, w Work) (*Ticket, error)
+	Load() Load
 }
 
 // Load summarises the group for lookups, spillover and rejections.
@@ -96,5 +131,6 @@
 	InFlight     int
 	FreeSlots    int
 	ExpectedWait time.Duration // of a short request that arrives now
+	Run          time.Duration // typical running time of short requests; 0: unknown
 	Draining     bool          // takes no new requests: stopped, or every target is leaving
 }
--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -7,31 +7,46 @@
 	"time"
 )
 
-// tickEvery is the resolution of everything that happens with time alone:
-// expiry, slow start, back-off and the evidence from requests in flight.
-const tickEvery = 5 * time.Millisecond
+// tickEvery is the resolution of everything that happens with time alone while
+// requests wait: expiry, slow start and back-off. quietTick is that of the
+// evidence from requests in flight when none waits.
+const (
+	tickEvery = 5 * time.Millisecond
+	quietTick = 25 * time.Millisecond
+)
 
-// Dispatcher makes a Group usable from many goroutines. A mutex guards the
-// group: a goroutine fed by a ring cost 2.3 to 2.8 us for one Acquire and
+// Dispatcher makes a Group or a Pool usable from many goroutines. A mutex guards
+// it: a goroutine fed by a ring cost 2.3 to 2.8 us for one Acquire and
 // Done, the mutex 1.1 to 1.9 us.
 type Dispatcher struct {
 	now   func() time.Time
 	mu    sync.Mutex
-	g     *Group
+	g     scheduler
 	timer *time.Timer
-	armed bool
+	armed time.Duration // what the timer was set to; 0: it is not set
 }
 
-// NewDispatcher returns a running dispatcher without targets.
+// NewDispatcher returns a running dispatcher without targets, whose slots are
+// hard limits.
 func NewDispatcher(s Settings, now func() time.Time) *Dispatcher {
-	d := &Dispatcher{now: now, g: NewGroup(now(), s)}
-	d.timer = time.AfterFunc(tickEvery, d.tick)
-	d.armed = true
+	return newDispatcher(NewGroup(now(), s), now)
+}
+
+// NewPoolDispatcher returns a running dispatcher without targets, for targets
+// that guard their slots.
+func NewPoolDispatcher(s Settings, now func() time.Time) *Dispatcher {
+	return newDispatcher(NewPool(now(), s), now)
+}
+
+func newDispatcher(g scheduler, now func() time.Time) *Dispatcher {
+	d := &Dispatcher{now: now, g: g}
+	d.timer = time.AfterFunc(quietTick, d.tick)
+	d.armed = quietTick
 	return d
 }
 
 // do runs f on the group and wakes the requests that it decided.
-func (d *Dispatcher) do(f func(g *Group, now time.Time)) {
+func (d *Dispatcher) do(f func(g scheduler, now time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f(d.g, d.now())
@@ -44,39 +59,47 @@
 	for _, r := range d.g.Decided() {
 		close(r.ready)
 	}
-	if !d.armed && (d.g.flight > 0 || d.g.queuedCount() > 0) {
-		d.armed = true
-		d.timer.Reset(tickEvery)
+	next := time.Duration(0)
+	queued, running := d.g.counts()
+	switch {
+	case queued > 0:
+		next = tickEvery
+	case running > 0:
+		next = quietTick
+	}
+	if next > 0 && (d.armed == 0 || next < d.armed) {
+		d.armed = next
+		d.timer.Reset(next)
 	}
 }
 
 func (d *Dispatcher) tick() {
-	d.do(func(g *Group, now time.Time) {
-		d.armed = false
+	d.do(func(g scheduler, now time.Time) {
+		d.armed = 0
 		g.Tick(now)
 	})
 }
 
 // Configure replaces the settings.
 func (d *Dispatcher) Configure(s Settings) {
-	d.do(func(g *Group, now time.Time) { g.Configure(now, s) })
+	d.do(func(g scheduler, now time.Time) { g.Configure(now, s) })
 }
 
 // SetTargets replaces the targets.
 func (d *Dispatcher) SetTargets(infos []TargetInfo) {
-	d.do(func(g *Group, now time.Time) { g.SetTargets(now, infos) })
+	d.do(func(g scheduler, now time.Time) { g.SetTargets(now, infos) })
 }
 
 // Load returns the present load.
 func (d *Dispatcher) Load() (l Load) {
-	d.do(func(g *Group, now time.Time) { l = g.Load(now) })
+	d.do(func(g scheduler, now time.Time) { l = g.Load(now) })
 	return l
 }
 
 // Stop refuses everything that waits and every later Acquire with Stopping.
 // Requests in flight go on and end with Done.
 func (d *Dispatcher) Stop() {
-	d.do(func(g *Group, _ time.Time) { g.Stop() })
+	d.do(func(g scheduler, _ time.Time) { g.Stop() })
 }
 
 // Acquire waits for a slot on a target. It fails with QueueFull,
@@ -84,7 +107,7 @@
 // *Refusal. After an error no slot is held and nothing was sent.
 func (d *Dispatcher) Acquire(ctx context.Context, w Work) (*Ticket, error) {
 	if ctx.Err() != nil {
-		return nil, cancelled(ctx)
+		return nil, Cancelled(ctx)
 	}
 	t := &Ticket{d: d}
 	waits, err := d.submit(t, w)
@@ -97,8 +120,8 @@
 	select {
 	case <-t.req.ready:
 	case <-ctx.Done():
-		d.do(func(g *Group, now time.Time) { g.Cancel(now, &t.req) })
-		return nil, cancelled(ctx)
+		d.do(func(g scheduler, now time.Time) { g.Cancel(now, &t.req) })
+		return nil, Cancelled(ctx)
 	}
 	if t.req.refusal != nil {
 		return nil, t.req.refusal
@@ -123,9 +146,9 @@
 	return waits, nil
 }
 
-// cancelled returns the refusal of a request whose context ended while it was
-// queued. It did not run, which errkind.DeadlineExceeded would leave open.
-func cancelled(ctx context.Context) error {
+// Cancelled returns the refusal of a request whose context ended while it
+// waited. It did not run, which errkind.DeadlineExceeded would leave open.
+func Cancelled(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refuse(errUnmeetable, 0)
 	}
@@ -138,8 +161,15 @@
 	QueuedFor time.Duration
 	Reason    string // why this target, for the decision log line
 
-	d   *Dispatcher
-	req Request
+	d    *Dispatcher
+	req  Request
+	done func(Outcome) // of a slot that another process has given; nil otherwise
+}
+
+// NewTicket returns a slot that another process has given. done gives it back;
+// it is called at most once.
+func NewTicket(target TargetInfo, queuedFor time.Duration, reason string, done func(Outcome)) *Ticket {
+	return &Ticket{Target: target, QueuedFor: queuedFor, Reason: reason, done: done}
 }
 
 func (t *Ticket) fill() {
@@ -150,6 +180,13 @@
 
 // Done gives the slot back. Only the first call counts.
 func (t *Ticket) Done(o Outcome) {
+	if t.d == nil {
+		if done := t.done; done != nil {
+			t.done = nil
+			done(o)
+		}
+		return
+	}
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
 	t.d.g.Done(t.d.now(), &t.req, o)
@@ -160,9 +197,12 @@
 // none for work that is not safe, beyond the hedge budget, or while other
 // requests wait.
 func (t *Ticket) Hedge() (*Ticket, bool) {
+	if t.d == nil {
+		return nil, false
+	}
 	h := &Ticket{d: t.d}
 	ok := false
-	t.d.do(func(g *Group, now time.Time) { ok = g.Hedge(now, &t.req, &h.req) })
+	t.d.do(func(g scheduler, now time.Time) { ok = g.Hedge(now, &t.req, &h.req) })
 	if !ok {
 		return nil, false
 	}
--- a/internal/request/dispatch/dispatcher_test.go
+++ b/internal/request/dispatch/dispatcher_test.go
@@ -50,8 +50,8 @@
 	if l := d.Load(); l.InFlight != 0 || l.Queued != 0 {
 		t.Errorf("load after the end: %+v", l)
 	}
-	for _, tg := range d.g.targets {
-		if tg.inFlight() != 0 || tg.slots(&d.g.set) != 2 {
+	for _, tg := range d.g.(*Group).targets {
+		if tg.inFlight() != 0 || tg.slots(&d.g.(*Group).set) != 2 {
 			t.Errorf("target %s has %d in flight after the end", tg.info.ID, tg.inFlight())
 		}
 		if tg.health.demoted {
--- /dev/null
+++ b/internal/request/dispatch/forecast.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// elsewhereCost is how much sooner a target in another data centre must be
+	// expected to answer: the way there takes time and its traffic has a price.
+	elsewhereCost = 4 * time.Millisecond
+	// spreadCost keeps targets equally busy, and equally filled with objects,
+	// where nothing else tells them apart.
+	spreadCost = 10 * time.Millisecond
+	// evictShare of the gain of an object at hand is lost if a target has to
+	// forget one for it.
+	evictShare = 0.7
+	// recentObjects are those that a target handled within this time.
+	recentObjects = 10 * time.Second
+	// unusedFor is how long a target may go without a request before it gets one
+	// although another would answer sooner: otherwise a new one would never be
+	// used, nor one that has recovered be noticed.
+	unusedFor = 1500 * time.Millisecond
+	// keepFree is the share of all slots that is kept free of requests that are
+	// late anyway.
+	keepFree = 0.15
+)
+
+// forecast is what is expected of a request at one target.
+type forecast struct {
+	target   *backend
+	wait     time.Duration // for a slot
+	run      time.Duration
+	cost     time.Duration // by which targets are compared
+	distance int           // of the request's object, -1 if the target has not handled it
+	atHand   bool
+}
+
+// The reasons for a choice, for the decision log line.
+const (
+	reasonAtHand = "object at hand"
+)
+
+func (f forecast) reason() string {
+	if f.atHand {
+		return reasonAtHand
+	}
+	return reasonLeast
+}
+
+// best returns the forecast of the target from which the answer of r is
+// expected first; its target is nil if none may be used.
+func (p *Pool) best(at time.Duration, r *Request) forecast {
+	var best forecast
+	free, total := 0, 0
+	for _, b := range p.targets {
+		if !b.usable(at) {
+			continue
+		}
+		total += b.slots()
+		free += max(0, b.slots()-len(b.running)-b.waiting)
+		if slices.Contains(r.work.Exclude, b.info.ID) {
+			continue
+		}
+		f := p.forecast(at, r, b)
+		if best.target == nil || f.cost < best.cost {
+			best = f
+		}
+	}
+	late := r.work.AnySlot || r.timed() && at+best.run >= r.due
+	if late && best.target != nil && float64(free) < keepFree*float64(total) && best.wait == 0 {
+		best.wait = time.Millisecond // the last free slots are for requests that can be in time
+	}
+	return best
+}
+
+func (p *Pool) forecast(at time.Duration, r *Request, b *backend) forecast {
+	f := forecast{target: b, distance: -1}
+	if d, known := b.memory.distance(r.work.Object); known {
+		f.distance = d
+		f.atHand = d < p.keeps.most()
+	}
+	atHand, typical := r.runs.typical()
+	switch {
+	case r.work.Object == "":
+		typical = r.runs.all.meanIfAny()
+	case f.atHand:
+		typical = atHand
+	}
+	f.run = time.Duration(float64(typical) * b.factor(at))
+	f.wait = b.waitFor(at, f.run)
+	f.cost = f.wait + f.run + time.Duration(b.failing(at)*float64(failCost))
+	if b.info.DataCentre != r.work.From {
+		f.cost += elsewhereCost
+	}
+	f.cost += time.Duration(float64(spreadCost) * float64(len(b.running)+b.waiting) / float64(b.slots()))
+	if !f.atHand && r.work.Object != "" {
+		f.cost += p.crowding(at, r, b)
+	}
+	if at-b.startedAt > unusedFor && f.wait == 0 && r.work.Safe {
+		f.cost -= typical
+	}
+	return f
+}
+
+// crowding is what it costs to give a target an object that it does not have.
+func (p *Pool) crowding(at time.Duration, r *Request, b *backend) time.Duration {
+	recent, most := b.memory.since(at-recentObjects), p.keeps.most()
+	cost := time.Duration(float64(spreadCost) * min(float64(recent)/float64(min(most, maxObjects/4)), 1))
+	if atHand, without := r.runs.typical(); recent >= most {
+		cost += time.Duration(evictShare * float64(without-atHand))
+	}
+	return cost
+}
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -37,6 +37,15 @@
 	hedge     bool          // is a hedge of another request
 	hedged    bool          // has had a hedge
 	ready     chan struct{}
+
+	// Of a pool.
+	due       time.Duration // the objective, or else the deadline
+	runs      *runStats
+	prefers   *backend // while it waits
+	backend   *backend // while it runs
+	expected  time.Duration
+	distance  int  // of its object at the start
+	whileCold bool // started while the target was cold
 }
 
 // Group is the state of one dispatch group. It is not safe for concurrent
--- a/internal/request/dispatch/inuse.go
+++ b/internal/request/dispatch/inuse.go
@@ -1,16 +1,20 @@
 package dispatch
 
-import "time"
-
 // InUse returns the requests in flight by target.
 func (d *Dispatcher) InUse() map[string]uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.g.inUse()
+}
+
+func (g *Group) inUse() map[string]uint32 {
 	out := map[string]uint32{}
-	d.do(func(g *Group, _ time.Time) {
-		for id, t := range g.byID {
-			if n := t.inFlight(); n > 0 {
-				out[id] = uint32(n)
-			}
+	for id, t := range g.byID {
+		if n := t.inFlight(); n > 0 {
+			out[id] = uint32(n)
 		}
-	})
+	}
 	return out
 }
+
+func (g *Group) counts() (queued, running int) { return g.queuedCount(), g.flight }
--- a/internal/request/dispatch/refusal.go
+++ b/internal/request/dispatch/refusal.go
@@ -14,6 +14,11 @@
 	err        error
 }
 
+// NewRefusal returns a refusal that another process has made.
+func NewRefusal(kind errkind.Kind, message string, after time.Duration) *Refusal {
+	return refuse(errkind.New(kind, "%s", message), after)
+}
+
 // Error returns the message of the refusal.
 func (r *Refusal) Error() string { return r.err.Error() }
 
@@ -34,6 +39,7 @@
 var (
 	errQueueFull  = errkind.New(errkind.QueueFull, "the queue of the dispatch group is full")
 	errUnmeetable = errkind.New(errkind.DeadlineUnmeetable, "the deadline cannot be met")
+	errTooLate    = errkind.New(errkind.DeadlineUnmeetable, "the latency objective cannot be met")
 	errNoTarget   = errkind.New(errkind.NoTarget, "no target of the dispatch group takes requests")
 	errCancelled  = errkind.New(errkind.Cancelled, "the caller went away while the request was queued")
 	errStopping   = errkind.New(errkind.Stopping, "the dispatcher is stopping")
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
 )
@@ -27,6 +28,8 @@
 	headerLeft        = "Fescue-Forwarded-Left-Ms"
 	headerService     = "Fescue-Forwarded-Service"
 	headerVersion     = "Fescue-Forwarded-Version"
+	headerObjective   = "Fescue-Forwarded-Objective-Ms" // left; 0 if it is missed
+	headerSends       = "Fescue-Forwarded-Sends"        // to targets so far
 
 	headerQueued     = "Fescue-Queued"
 	headerFree       = "Fescue-Free-Slots"
@@ -34,11 +37,13 @@
 	headerKind       = dialect.HeaderKind
 	headerNotRun     = "Fescue-Provably-Not-Run"
 	headerRetryAfter = "Fescue-Retry-After-Ms"
+	headerHandled    = "Fescue-Handled-Us" // time that the request spent at the other entry
 )
 
 // internalHeaders are accepted on the peer listener only.
 var internalHeaders = []string{
 	headerForwardedBy, headerHops, headerRemote, headerRecorded, headerID, headerLeft, headerService, headerVersion,
+	headerObjective, headerSends,
 }
 
 const (
@@ -49,14 +54,24 @@
 
 // call is one request with everything that the decisions need.
 type call struct {
-	id       string
-	snap     *snapshot.Snapshot
-	service  *snapshot.Service
-	route    *snapshot.Route
-	shift    string
-	key      string
-	affinity string
-	deadline time.Time // the caller's, or the route's timeout if that is sooner
+	id         string
+	snap       *snapshot.Snapshot
+	service    *snapshot.Service
+	route      *snapshot.Route
+	shift      string
+	key        string
+	affinity   string    // object that the request is about, on routes where it counts
+	dataCentre string    // of this entry
+	deadline   time.Time // the caller's, or the route's timeout if that is sooner
+	// objective is when the answer must leave to meet the route's latency
+	// objective. It is in the past if that was missed before the request came.
+	objective time.Time
+	step      spill.Step // the place that is asked now
+
+	sends    int      // to targets so far
+	exclude  []string // targets that it was sent to
+	mayRan   error    // of a send after which the request may have run
+	lastSend bool     // no further send is allowed
 	received time.Time
 	body     []byte
 	release  func() // gives the body's memory back; nil without a body
@@ -102,7 +117,7 @@
 func (h *Handler) parse(r *http.Request, snap *snapshot.Snapshot, now time.Time) (*call, error) {
 	c := newCall(r, snap, now)
 	head, err := h.Dialect.Request(r.Header)
-	c.id, c.keyed, c.affinity = requestID(head.ID), head.Key != "", head.Affinity
+	c.id, c.keyed, c.dataCentre = requestID(head.ID), head.Key != "", h.DataCentre
 	if limit := snap.Callers.MaxHeaderBytes; headerSize(r) > limit {
 		return c, errkind.New(errkind.HeaderTooLarge, "the header has %d bytes, at most %d are allowed", headerSize(r), limit)
 	}
@@ -118,7 +133,11 @@
 	if err := c.checkShift(head.Shift); err != nil {
 		return c, err
 	}
+	if c.route.Affinity {
+		c.affinity = head.Affinity
+	}
 	c.setDeadline(head.Wait)
+	c.setObjective(h.elapsed(c, head.Wait), r.Header.Get(headerObjective))
 	return c, c.checkKey(head.Key)
 }
 
@@ -187,6 +206,7 @@
 		c.id = id
 	}
 	c.named = h.Get(headerService)
+	c.sends, _ = strconv.Atoi(h.Get(headerSends))                  // without one there were none
 	c.granted, _ = dialect.Milliseconds(h.Get(headerLeft))         // without one, the caller's deadline holds
 	c.version, _ = strconv.ParseUint(h.Get(headerVersion), 10, 64) // without one, err stands as it is
 	return nil
@@ -311,6 +331,35 @@
 	c.deadline = c.received.Add(left)
 }
 
+// callerShare of a latency objective is left to the way between caller and
+// entry, which the entry does not see.
+const callerShare = 0.1
+
+// setObjective sets when the answer must leave. elapsed is how long the caller
+// has waited before this attempt; granted is what a forwarding entry tells.
+func (c *call) setObjective(elapsed time.Duration, granted string) {
+	switch {
+	case granted != "":
+		left, _ := dialect.Milliseconds(granted) // 0: missed
+		c.objective = c.received.Add(left)
+	case c.route.Objective > 0:
+		own := time.Duration(float64(c.route.Objective) * (1 - callerShare))
+		c.objective = c.received.Add(own - elapsed)
+	default:
+		c.objective = c.deadline
+	}
+}
+
+// elapsed estimates how long the caller has waited before this attempt: it
+// tells how much longer it will wait, and all callers of a route wait equally
+// long in total.
+func (h *Handler) elapsed(c *call, wait time.Duration) time.Duration {
+	if c.route.Host == "" || h.peer || wait <= 0 {
+		return 0
+	}
+	return max(h.Services.waits.longest(c.route, wait, c.received)-wait, 0)
+}
+
 func (c *call) checkKey(key string) error {
 	c.key = key
 	if !c.once() {
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -31,7 +31,7 @@
 		"to_instance": to.Instance, "to_dc": to.DataCentre, "hops": c.hops + 1, "version": c.snap.Version,
 	}).Info("request forwarded")
 	x := exchange{
-		transport: h.Peers, addr: to.PeerAddr,
+		transport: h.Peers, addr: to.PeerAddr, host: c.host,
 		header: c.peerHeader(h.Instance, remote, recorded, h.Now()), idOf: forwardedID,
 	}
 	rep, err := x.do(ctx, c)
@@ -86,6 +86,16 @@
 	return after
 }
 
+// readHandled returns how long the request was at the other entry, 0 if it does
+// not say.
+func readHandled(h http.Header) time.Duration {
+	us, err := strconv.ParseInt(h.Get(headerHandled), 10, 64)
+	if err != nil || us < 0 {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
 func readLoad(h http.Header) dispatch.Load {
 	var l dispatch.Load
 	l.Queued, _ = strconv.Atoi(h.Get(headerQueued))
--- /dev/null
+++ b/internal/request/proxy/guarded.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/spill"
+)
+
+// Guarded finds the dispatchers of services whose targets guard their slots.
+type Guarded interface {
+	// Slots returns the slots of a service in this entry's region, or nil.
+	Slots(service string) dispatch.Slots
+	// Near returns the entries of another region to send a request to, best
+	// first. Requests are spread by key.
+	Near(region, key string) []*fescuepb.Member
+	// Suspect notes that an entry could not be reached.
+	Suspect(instance string)
+}
+
+// maxSteps bounds the places that are asked for one request.
+const maxSteps = 6
+
+// runGuarded runs a request of a service whose targets guard their slots. It
+// asks one region after another for a slot while the request provably did not
+// run, the one from which the answer is expected first coming first.
+func (h *Handler) runGuarded(ctx context.Context, c *call) (*reply, error) {
+	var refusal error = errkind.New(errkind.NoTarget, "no region takes requests of service %q", c.service.Name)
+	tried := map[spill.Ask]bool{}
+	for range maxSteps {
+		step, ok := h.Places.Next(h.Now(), c.snap, h.query(c, tried))
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		c.step = step
+		rep, err := h.take(ctx, c, step)
+		if err == nil {
+			return rep, nil
+		}
+		refusal = moreUseful(refusal, err)
+		if c.lastSend || !mayMoveOn(err) {
+			refusal = err
+			break
+		}
+		tried[step.Ask] = true
+	}
+	if c.mayRan != nil {
+		return nil, c.mayRan // a refusal would claim that it has not run
+	}
+	return nil, refusal
+}
+
+// mayMoveOn reports whether another place may be asked after err: the request
+// did not run, and another place may take it.
+func mayMoveOn(err error) bool {
+	kind := errkind.Of(err)
+	return kind.Answer().DidRun == errkind.No && kind != errkind.Cancelled
+}
+
+// moreUseful returns the refusal to answer with: the one that says soonest when
+// to come back.
+func moreUseful(a, b error) error {
+	after := func(err error) time.Duration {
+		if d, ok := dispatch.RetryAfter(err); ok {
+			return d
+		}
+		return time.Hour
+	}
+	if after(a) < after(b) {
+		return a
+	}
+	return b
+}
+
+func (h *Handler) query(c *call, tried map[spill.Ask]bool) spill.Query {
+	now := h.Now()
+	q := spill.Query{
+		Service: c.service.Name, Region: c.snap.Region(h.DataCentre),
+		Objective: c.objective.Sub(now), Deadline: c.left(now), Remote: c.remote, Allowed: c.route.AllowedIn, Tried: tried,
+	}
+	if s := h.Guarded.Slots(c.service.Name); s != nil {
+		q.Load = s.Load()
+	}
+	return q
+}
+
+// take asks one region and runs the request there.
+func (h *Handler) take(ctx context.Context, c *call, step spill.Step) (*reply, error) {
+	if !step.Near {
+		return h.forwardNear(ctx, c, step.Region)
+	}
+	s := h.Guarded.Slots(c.service.Name)
+	if s == nil {
+		return nil, errkind.New(errkind.NotReady, "service %q is not in the version in force", c.service.Name)
+	}
+	return h.dispatch(ctx, c, s)
+}
+
+// forwardNear sends the request to an entry of another region, which asks its
+// dispatcher.
+func (h *Handler) forwardNear(ctx context.Context, c *call, region string) (*reply, error) {
+	var err error = errkind.New(errkind.NoTarget, "no entry of region %q is known", region)
+	for _, m := range h.Guarded.Near(region, c.id) {
+		start := h.Now()
+		var rep *reply
+		rep, err = h.forward(ctx, c, m, false)
+		h.Places.Observe(h.Now(), region, c.service.Name, farOutcome(rep, err, h.Now().Sub(start)))
+		if err == nil || !errors.Is(err, errPeerUnreachable) {
+			return rep, err
+		}
+		h.Guarded.Suspect(m.Instance)
+	}
+	return nil, err
+}
+
+// farOutcome is what a request to another region met, with the load that its
+// answer or refusal tells.
+func farOutcome(rep *reply, err error, took time.Duration) spill.Outcome {
+	o := outcome(err, took)
+	if rep != nil {
+		load := readLoad(rep.header)
+		o.Load, o.Run = &load, 0
+		if handled := readHandled(rep.header); handled > 0 {
+			o.RoundTrip = max(took-handled, 0)
+		}
+	}
+	return o
+}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -75,6 +76,7 @@
 	Dialect    dialect.Dialect
 	Ready      func() bool // a confirmed version is in force
 	Groups     Groups
+	Guarded    Guarded
 	Caps       Caps
 	Places     *spill.Chooser
 	Ledger     Ledger
@@ -134,6 +136,8 @@
 	}
 	if h.peer {
 		rep.header.Set(headerID, c.id)
+		rep.header.Set(headerHandled, strconv.FormatInt(h.Now().Sub(start).Microseconds(), 10))
+		h.describeLoad(c, rep.header)
 	}
 	h.Dialect.Name(rep.header, h.Instance, "", "")
 	defer func() { h.m.latency.RecordDuration(h.Now().Sub(start)) }()
@@ -200,9 +204,16 @@
 		fields["service"] = c.service.Name
 	}
 	h.Log.WithFields(fields).Info("request refused or failed")
-	rep := h.errorReply(c, err)
-	h.describeLoad(c, rep.header)
-	return rep
+	return h.errorReply(c, err)
+}
+
+// guardedSlots returns the slots that served, or refused, the call here, or
+// nil.
+func (h *Handler) guardedSlots(c *call) dispatch.Slots {
+	if !c.service.GuardedSlots {
+		return nil
+	}
+	return h.Guarded.Slots(c.service.Name)
 }
 
 // describeLoad tells the entry that forwarded the request how busy the
@@ -211,6 +222,10 @@
 	if !h.peer || c.service == nil {
 		return
 	}
+	if s := h.guardedSlots(c); s != nil {
+		setLoad(header, s.Load())
+		return
+	}
 	if d := h.Groups.Dispatcher(c.service.Name); d != nil {
 		setLoad(header, d.Load())
 	}
@@ -232,6 +247,9 @@
 
 // run has the request dispatched in the best place that admits it.
 func (h *Handler) run(ctx context.Context, c *call) (*reply, error) {
+	if c.service.GuardedSlots {
+		return h.runGuarded(ctx, c)
+	}
 	var refusal error = errkind.New(errkind.NoTarget, "no data centre takes requests of service %q", c.service.Name)
 	if h.servedHere(c) {
 		rep, err := h.runHere(ctx, c)
--- a/internal/request/proxy/homes_test.go
+++ b/internal/request/proxy/homes_test.go
@@ -23,7 +23,11 @@
 // useDocument puts a document in force in a world.
 func (w *world) useDocument(text string, members ...*fescuepb.Member) {
 	w.Helper()
-	snap, err := snapshot.Build(w.h.Store.Load().Version+1, []*fescuepb.Section{{Team: "platform", Yaml: []byte(text)}}, members, nil)
+	snap, err := new(snapshot.Builder).Build(snapshot.Content{
+		Version: w.h.Store.Load().Version + 1, Members: members,
+		Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(text)}},
+		Targets:  []*fescuepb.Target{{Id: "0", Service: "rota", DataCentre: "a"}, {Id: "9", Service: "rota", DataCentre: "c"}},
+	})
 	if err != nil {
 		w.Fatal(err)
 	}
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -15,7 +15,7 @@
 )
 
 // dispatch admits the call on this instance and runs it at a local target.
-func (h *Handler) dispatch(ctx context.Context, c *call, d *dispatch.Dispatcher) (*reply, error) {
+func (h *Handler) dispatch(ctx context.Context, c *call, d dispatch.Slots) (*reply, error) {
 	if c.remote && !h.enterRamp(c, d) {
 		return nil, errkind.New(errkind.QueueFull, "requests from other data centres are still ramping up")
 	}
@@ -62,13 +62,16 @@
 func (noUnit) Valid() bool { return true }
 func (noUnit) Release()    {}
 
-func (h *Handler) enterRamp(c *call, d *dispatch.Dispatcher) bool {
+func (h *Handler) enterRamp(c *call, d dispatch.Slots) bool {
+	if c.service.GuardedSlots {
+		return true // the sender shifts its requests slowly
+	}
 	load := d.Load()
 	return h.Services.get(c.service, h.Now()).ramp.Admit(h.Now(), load.InFlight+load.FreeSlots)
 }
 
 func (h *Handler) leaveRamp(c *call, err error) {
-	if c.remote {
+	if c.remote && !c.service.GuardedSlots {
 		h.Services.get(c.service, h.Now()).ramp.Done(h.Now(), rampResult(err))
 	}
 }
@@ -86,25 +89,42 @@
 
 // attempts sends the call to one target after another while each provably
 // did not run it, within the retry budget and the deadline.
-func (h *Handler) attempts(ctx context.Context, c *call, d *dispatch.Dispatcher, unit Unit) (*reply, error) {
-	w := dispatch.Work{
-		Class: c.route.Class, Route: c.route.Name, Deadline: c.deadline,
-		Safe: c.route.Safe, Once: c.once(), Remote: c.remote,
-	}
-	for attempt := 1; ; attempt++ {
-		t, err := d.Acquire(ctx, w)
+func (h *Handler) attempts(ctx context.Context, c *call, d dispatch.Slots, unit Unit) (*reply, error) {
+	for {
+		t, err := d.Acquire(ctx, c.work())
 		if err != nil {
 			return nil, err
 		}
-		h.logDecision(c, t, attempt)
+		c.sends++
+		c.exclude = append(c.exclude, t.Target.ID)
+		h.logDecision(c, t, c.sends)
 		rep, err := h.hedged(ctx, c, t, unit)
-		if err == nil || !h.mayRetry(ctx, c, attempt, err) {
-			return rep, err
+		if err == nil {
+			return rep, nil
+		}
+		if errkind.Of(err).Answer().DidRun != errkind.No {
+			c.mayRan = err
+		}
+		if !h.mayRetry(ctx, c, c.sends, err) {
+			c.lastSend = true
+			return nil, err
 		}
-		w.Exclude = append(w.Exclude, t.Target.ID)
 	}
 }
 
+// work describes the call to a dispatcher.
+func (c *call) work() dispatch.Work {
+	w := dispatch.Work{
+		Class: c.route.Class, Route: c.route.Name, Deadline: c.deadline,
+		Safe: c.route.Safe, Once: c.once(), Remote: c.remote, Priority: c.route.Priority, Exclude: c.exclude,
+	}
+	if c.service.GuardedSlots {
+		w.Objective, w.AnySlot = c.objective, c.step.Mode == spill.AnySlot
+		w.Object, w.From = c.affinity, c.dataCentre
+	}
+	return w
+}
+
 // mayRetry decides about another attempt and waits before it.
 func (h *Handler) mayRetry(ctx context.Context, c *call, attempt int, err error) bool {
 	now := h.Now()
@@ -137,7 +157,8 @@
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "route": c.route.Name, "shift": c.shift,
 		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
-		"queued_ms": float64(t.QueuedFor.Microseconds()) / 1000, "version": c.snap.Version,
+		"queued_ms": milliseconds(t.QueuedFor), "mode": c.step.Mode.String(), "region": c.step.Region,
+		"objective_ms": milliseconds(c.objective.Sub(h.Now())), "object": c.affinity, "version": c.snap.Version,
 	}).Info("request dispatched")
 }
 
@@ -154,6 +175,14 @@
 	load   *dialect.Load // that the target reported in its answer
 }
 
+// report returns the load that the target reported.
+func (s sent) report() dispatch.Report {
+	if s.load == nil {
+		return dispatch.Report{}
+	}
+	return dispatch.Report{Slots: s.load.Slots, Running: s.load.Running, Waiting: s.load.Waiting, Slowness: s.load.Slowness}
+}
+
 // errHedgeLost cancels the attempt that lost against its hedge.
 var errHedgeLost = errkind.New(errkind.Cancelled, "the other attempt answered first")
 
@@ -355,7 +384,7 @@
 func (h *Handler) settle(s sent) (*reply, error) {
 	if s.err != nil {
 		s.cancel(nil)
-		o := dispatch.Outcome{Result: result(s.err), Latency: h.Now().Sub(s.start)}
+		o := dispatch.Outcome{Result: result(s.err), Latency: h.Now().Sub(s.start), Report: s.report()}
 		s.end(o, cancelledAfterSend(s.err))
 		return nil, s.err
 	}
@@ -363,18 +392,30 @@
 	h.Dialect.Name(s.rep.header, h.Instance, s.ticket.Target.ID, s.id)
 	s.rep.end = func(err error) {
 		s.cancel(nil)
-		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte}
+		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte, Report: s.report()}
 		if s.rep.status >= http.StatusInternalServerError {
 			o.Result = dispatch.ServerError
 		}
 		if err != nil {
 			o.Result = dispatch.CancelledByCaller
 		}
+		h.logAnswer(s, o)
 		s.end(o, err != nil)
 	}
 	return s.rep, nil
 }
 
+// logAnswer tells how the request ran at its target.
+func (h *Handler) logAnswer(s sent, o dispatch.Outcome) {
+	h.Log.WithFields(logrus.Fields{
+		"request_id": s.id, "target": s.ticket.Target.ID, "status": s.rep.status, "whole": o.Result != dispatch.CancelledByCaller,
+		"run_ms": milliseconds(o.Latency), "running": o.Report.Running, "waiting": o.Report.Waiting, "slowness": o.Report.Slowness,
+	}).Info("target answered")
+}
+
+// milliseconds is how durations are logged.
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 func result(err error) dispatch.Result {
 	switch errkind.Of(err) {
 	case errkind.TargetShed:
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -120,6 +120,23 @@
 
 func (l *testLedger) Abandon(string, string) { l.ended.Store("abandoned") }
 
+// testGuarded gives out the slots of region north.
+type testGuarded struct {
+	w *world
+}
+
+func (g testGuarded) Slots(string) dispatch.Slots { return g.w.d }
+
+func (g testGuarded) Near(region, _ string) (out []*fescuepb.Member) {
+	for _, m := range g.w.h.Store.Load().Members() {
+		if m.Region == region {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+func (g testGuarded) Suspect(string) {}
+
 // world is an entry with stand-in targets.
 type world struct {
 	*testing.T
@@ -180,7 +197,7 @@
 	transport := &connection.Transport{Dial: connection.Dial}
 	w.h = New(Config{
 		Instance: "e1", DataCentre: "a", Store: store, Dialect: dialect.Own{}, Ready: func() bool { return true },
-		Groups: w.groups, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
+		Groups: w.groups, Guarded: testGuarded{w}, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
 		Services: &Services{}, Targets: transport, Peers: transport,
 		Now: time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
 	}, peer)
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -198,6 +198,9 @@
 	h.Set(headerID, c.id)
 	h.Set(headerLeft, dialect.FormatMilliseconds(c.left(now)))
 	h.Set(headerService, c.service.Name)
+	left, _ := objectiveLeft(c, now)
+	h.Set(headerObjective, strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set(headerSends, strconv.Itoa(c.sends))
 	h.Set(headerVersion, strconv.FormatUint(c.snap.Version, 10))
 	h.Set(headerForwardedBy, self)
 	h.Set(headerHops, strconv.Itoa(c.hops+1))
@@ -206,6 +209,13 @@
 	return h
 }
 
+// objectiveLeft returns the time left to meet the objective at another entry,
+// of which half a round trip is needed for the way back, and whether any is.
+func objectiveLeft(c *call, now time.Time) (time.Duration, bool) {
+	left := c.objective.Sub(now) - c.step.Travel/2
+	return max(left, 0), left > 0
+}
+
 func setFlag(h http.Header, name string, on bool) {
 	if on {
 		h.Set(name, "1")
--- a/internal/request/proxy/services.go
+++ b/internal/request/proxy/services.go
@@ -15,6 +15,7 @@
 type Services struct {
 	byName sync.Map
 	split  splitter
+	waits  waits
 }
 
 type serviceState struct {
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -222,6 +222,9 @@
 // Region returns the region of data centre dc, or "".
 func (s *Snapshot) Region(dc string) string { return s.regionOf[dc] }
 
+// Regions returns the regions, sorted.
+func (s *Snapshot) Regions() []string { return slices.Sorted(maps.Keys(s.dcsOf)) }
+
 // DataCentres returns the data centres of a region.
 func (s *Snapshot) DataCentres(region string) []string { return s.dcsOf[region] }
 
