--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -226,6 +226,7 @@
 
 // begin makes the exchange of a request.
 func (c *conn) begin(req *http.Request) *exchange {
+	draining := c.s.isDraining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x := &exchange{c: c, turn: c.turn, next: make(chan struct{}), done: make(chan struct{}), header: http.Header{}}
@@ -235,6 +236,7 @@
 	x.req.Body = x.body
 	x.last = req.Close || !req.ProtoAtLeast(1, 1)
 	c.turn = x.next
+	c.noMore = c.noMore || draining
 	c.running++
 	return x
 }
@@ -251,16 +253,19 @@
 	}
 }
 
-// makeLast makes the present answer the last one, unless a request that was
-// read follows it.
-func (c *conn) makeLast(next chan struct{}) bool {
+// endWithRunning takes no request beyond those in progress.
+func (c *conn) endWithRunning() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.turn != next || c.phase != waiting {
-		return false
-	}
-	c.noMore = true
-	return true
+	c.noMore = c.noMore || c.running > 0
+}
+
+// isLast reports whether the present answer is the last one: no further request
+// is taken, and none that was taken follows it.
+func (c *conn) isLast(next chan struct{}) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.noMore && c.turn == next
 }
 
 // closeIfIdle closes the connection if no request is in progress.
--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -130,7 +130,7 @@
 		_ = x.c.raw.SetWriteDeadline(x.deadline)
 	}
 	x.frame(status)
-	x.closing = x.closing || x.last || x.c.s.isDraining() && x.c.makeLast(x.next)
+	x.closing = x.closing || x.last || x.c.isLast(x.next)
 	if x.closing {
 		x.header.Set("Connection", "close")
 	}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -104,12 +104,16 @@
 	return s.draining
 }
 
-// Drain makes every further answer ask its caller to use another connection.
-// New connections are still accepted.
+// Drain makes each connection end with the requests that it has in progress, or
+// else with the next one. New connections are still accepted, for one request
+// each.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
+	for c := range s.conns {
+		c.endWithRunning()
+	}
 }
 
 // Shutdown stops accepting, closes idle connections and waits until the
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -262,6 +263,33 @@
 	}
 }
 
+// Guards against a connection with pipelined requests that never ends while its
+// server drains.
+func TestDrainEndsPipelinedConnection(t *testing.T) {
+	var taken atomic.Int32
+	addr, s := start(t, roomy, func(_ http.ResponseWriter, r *http.Request) {
+		taken.Add(1)
+		time.Sleep(50 * time.Millisecond)
+	})
+	c := dial(t, addr)
+	c.send(get("/1") + get("/2"))
+	time.Sleep(20 * time.Millisecond)
+	s.Drain()
+	c.send(get("/3"))
+	if resp, _ := c.answer(); resp.Close {
+		t.Error("the first answer closes although a second request was taken")
+	}
+	if resp, _ := c.answer(); !resp.Close {
+		t.Error("the last answer does not close")
+	}
+	if _, err := c.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the last answer: %v", err)
+	}
+	if taken.Load() != 2 {
+		t.Errorf("%d requests were taken, want 2", taken.Load())
+	}
+}
+
 // Guards against a request body that is taken for the next request, and
 // against a connection that is lost because a handler did not read a body.
 func TestBodies(t *testing.T) {
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,22 +43,34 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
-	// lingerTime keeps a stopping entry answering while callers with a cached
-	// look-up still come.
-	lingerTime = 3 * time.Second
 	// stopMargin is for leaving at control and for writing the last answers.
 	stopMargin = 10 * time.Second
+	// exitMargin before the process is killed, requests in flight are cut off so
+	// that it ends by itself.
+	exitMargin = 300 * time.Millisecond
 )
 
-// stopTimeout bounds the graceful stop. It outlasts the longest request that
-// is admitted while the entry lingers: a document may allow more than a
-// minute.
-func stopTimeout(snap *snapshot.Snapshot) time.Duration {
+// timeout bounds the graceful stop. Without a time of grace it outlasts the
+// longest request that is admitted while the entry lingers: a document may allow
+// more than a minute.
+func (s Stop) timeout(snap *snapshot.Snapshot) time.Duration {
+	if s.Grace > 0 {
+		return s.Grace.D() - exitMargin
+	}
 	longest := document.DefaultLongestDeadline
 	if snap != nil {
 		longest = snap.Limits.LongestDeadline.D()
 	}
-	return lingerTime + longest + stopMargin
+	return s.Linger.D() + longest + stopMargin
+}
+
+// linger returns how long requests are still taken, at most half of the time of
+// grace.
+func (s Stop) linger() time.Duration {
+	if s.Grace > 0 {
+		return min(s.Linger.D(), s.Grace.D()/2-exitMargin)
+	}
+	return s.Linger.D()
 }
 
 // process holds the parts of a running entry.
@@ -397,7 +410,7 @@
 // until nothing is in flight.
 func (p *process) stop(servers []listener) {
 	p.log.Info("stopping: out of look-ups, handing over")
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout(p.store.Load()))
+	ctx, cancel := context.WithTimeout(context.Background(), p.set.Stop.timeout(p.store.Load()))
 	defer cancel()
 	p.fire(lifecycle.Stop)
 	p.groups.Stop()
@@ -406,17 +419,26 @@
 			s.Drain()
 		}
 	}
-	if err := p.follower.Leave(ctx, false); err != nil {
-		p.log.WithError(err).Warn("leaving not recorded by control")
-	}
-	time.Sleep(lingerTime)
-	for _, l := range servers {
-		if err := l.Shutdown(ctx); err != nil {
-			p.log.WithError(err).Warn("requests were still in flight at the end of the stop")
+	lingered := time.After(p.set.Stop.linger())
+	go func() {
+		if err := p.follower.Leave(ctx, false); err != nil {
+			p.log.WithError(err).Warn("leaving not recorded by control")
 		}
+	}()
+	<-lingered
+	var down sync.WaitGroup
+	for _, l := range servers {
+		down.Go(func() {
+			if err := l.Shutdown(ctx); err != nil {
+				p.log.WithError(err).WithField("addr", l.addr).Warn("requests were still in flight at the end of the stop")
+			}
+		})
 	}
+	down.Wait()
 	p.fire(lifecycle.Finished)
-	if err := p.follower.Leave(ctx, true); err != nil {
+	leaving, done := context.WithTimeout(context.Background(), exitMargin)
+	defer done()
+	if err := p.follower.Leave(leaving, true); err != nil {
 		p.log.WithError(err).Warn("exit not recorded by control")
 	}
 }
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -2,7 +2,10 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
 // Settings are the static settings of fescue-entry.
@@ -30,13 +33,26 @@
 	NeedHostRoutes bool         `yaml:"need_host_routes,omitempty"`
 	BlocksFile     string       `yaml:"blocks,omitempty"` // client blocks as text, until control provides them
 	MemoryLimit    int          `yaml:"memory_limit_mib,omitempty"`
+	Stop           Stop         `yaml:"stop,omitempty"`
 	TLS            settings.TLS `yaml:"tls"`
 	Log            settings.Log `yaml:"log,omitempty"`
 }
 
+// Stop bounds the graceful stop.
+type Stop struct {
+	// Linger is how long a stopping entry still takes requests: callers with a
+	// cached look-up come for a while.
+	Linger document.Duration `yaml:"linger,omitempty"`
+	// Grace is when the process is killed after it was asked to stop. Without it
+	// the stop outlasts the longest request that the document allows.
+	Grace document.Duration `yaml:"grace,omitempty"`
+}
+
 // Bounds of the settings.
 const (
-	maxMemoryMiB = 64 << 10
+	maxMemoryMiB  = 64 << 10
+	defaultLinger = 3 * time.Second
+	maxStop       = time.Hour
 )
 
 // Check records problems with the settings.
@@ -69,6 +85,11 @@
 		c.Addr(a, s.TLS.PlaintextLoopback, "peers", i)
 	}
 	c.IntRange(s.MemoryLimit, 0, maxMemoryMiB, "memory_limit_mib")
+	if s.Stop.Linger == 0 {
+		s.Stop.Linger = document.Duration(defaultLinger)
+	}
+	c.DurationRange(s.Stop.Linger, 0, maxStop, "stop", "linger")
+	c.DurationRange(s.Stop.Grace, 0, maxStop, "stop", "grace")
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
--- a/internal/process/entry/stop_test.go
+++ b/internal/process/entry/stop_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
@@ -22,11 +23,24 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := stopTimeout(snap); got <= c.longest+lingerTime {
+		stop := Stop{Linger: document.Duration(defaultLinger)}
+		if got := stop.timeout(snap); got <= c.longest+defaultLinger {
 			t.Errorf("%q: the stop ends after %v, requests may run %v", c.section, got, c.longest)
 		}
+		if stop.timeout(nil) <= 0 {
+			t.Error("no time to stop before the first version")
+		}
+	}
+}
+
+// Guards against a stop that is killed with requests in flight, and against
+// requests that are taken so late that they cannot end in time.
+func TestStopWithinGrace(t *testing.T) {
+	stop := Stop{Linger: document.Duration(defaultLinger), Grace: document.Duration(6 * time.Second)}
+	if got := stop.timeout(nil); got >= 6*time.Second {
+		t.Errorf("the stop takes %v of 6s", got)
 	}
-	if stopTimeout(nil) <= 0 {
-		t.Error("no time to stop before the first version")
+	if got := stop.linger(); got > 3*time.Second {
+		t.Errorf("requests are taken for %v of 6s", got)
 	}
 }
