--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -28,6 +28,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
+	"github.com/fescuejunction/fescuejunction/internal/request/retry"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
@@ -278,12 +279,33 @@
 	}}
 }
 
+// retryShare returns this entry's part of the bound of retries. Entries that
+// have just joined may not be known here yet.
+func (p *process) retryShare() proxy.RetryShare {
+	r := p.set.Retry
+	if r == nil {
+		return proxy.RetryShare{}
+	}
+	return proxy.RetryShare{
+		Policy: retry.Policy{Percent: r.Percent, Slack: r.Slack, Window: r.Window.D()},
+		Entries: func() int {
+			if s := p.store.Load(); s != nil {
+				return s.EntryCount() + joiningEntries
+			}
+			return 1
+		},
+	}
+}
+
+// joiningEntries are counted beside the known ones.
+const joiningEntries = 2
+
 func (p *process) handlers() (callers, peers http.Handler) {
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Groups: p.groups, Guarded: p.guarded,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
-		Services: &proxy.Services{}, Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
+		Services: &proxy.Services{}, Retries: p.retryShare(), Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
 		Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
 	look := lookup.New(lookup.Config{
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -34,10 +34,19 @@
 	BlocksFile     string       `yaml:"blocks,omitempty"` // client blocks as text, until control provides them
 	MemoryLimit    int          `yaml:"memory_limit_mib,omitempty"`
 	Stop           Stop         `yaml:"stop,omitempty"`
+	Retry          *Retry       `yaml:"retry,omitempty"`
 	TLS            settings.TLS `yaml:"tls"`
 	Log            settings.Log `yaml:"log,omitempty"`
 }
 
+// Retry bounds the retries of each service with guarded slots, of all entries
+// together, in every span of time of length Window.
+type Retry struct {
+	Percent float64           `yaml:"percent"` // of the requests
+	Slack   float64           `yaml:"slack"`   // requests on top of that
+	Window  document.Duration `yaml:"window"`
+}
+
 // Stop bounds the graceful stop.
 type Stop struct {
 	// Linger is how long a stopping entry still takes requests: callers with a
@@ -90,6 +99,12 @@
 	}
 	c.DurationRange(s.Stop.Linger, 0, maxStop, "stop", "linger")
 	c.DurationRange(s.Stop.Grace, 0, maxStop, "stop", "grace")
+	if r := s.Retry; r != nil {
+		if !(r.Percent >= 0 && r.Percent <= 100) || !(r.Slack >= 0) {
+			c.Add([]any{"retry"}, "percent must be 0 to 100 and slack at least 0")
+		}
+		c.DurationRange(r.Window, time.Second, maxStop, "retry", "window")
+	}
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
--- a/internal/process/group/guarded.go
+++ b/internal/process/group/guarded.go
@@ -303,7 +303,7 @@
 		ColdFor: time.Duration(t.ColdMs) * time.Millisecond,
 	}
 	if svc.Cold != nil {
-		info.ColdRate = svc.Cold.PerSecond
+		info.ColdRate, info.ColdTime = svc.Cold.PerSecond, svc.Cold.For.D()
 	}
 	if t.Leaving || s.TargetDrained(svc.Name, t.DataCentre, t.Id) {
 		info.State = dispatch.Leaving
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -65,6 +65,7 @@
 	// with this incarnation. Until then it takes ColdRate requests a second.
 	ColdFor  time.Duration
 	ColdRate float64
+	ColdTime time.Duration // how long a target is cold after it has become so
 }
 
 // Work describes a request that needs a slot.
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -66,6 +66,11 @@
 		b.speed, b.fail, b.failures, b.outUntil, b.backoff = 0, 0, 0, 0, 0
 	}
 	b.cold.note(at, info)
+	if b.listed && b.info.State != Active && info.State == Active {
+		// It got no requests for a while and may have become cold meanwhile.
+		b.memory.clear()
+		b.cold.begin(at, info.ColdTime)
+	}
 	b.info, b.listed = info, true
 }
 
@@ -166,6 +171,7 @@
 	if at < b.outUntil {
 		return
 	}
+	b.memory.clear() // it has most likely started anew
 	b.backoff = min(max(2*b.backoff, poolMinBack), poolMaxBack)
 	b.outUntil = at + b.backoff
 }
@@ -208,11 +214,10 @@
 	return min(second, longestOverdue)
 }
 
-// waitFor returns how long a request waits for a slot behind others that
-// prefer this target.
-func (b *backend) waitFor(at time.Duration, typical time.Duration) time.Duration {
+// waitFor returns how long a request waits for a slot behind others that prefer
+// this target.
+func (b *backend) waitFor(at time.Duration, ahead int, typical time.Duration) time.Duration {
 	free := b.slots() - len(b.running)
-	ahead := b.waiting
 	if free > ahead {
 		if b.cold.allows(at) {
 			return 0
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -88,7 +88,7 @@
 		typical = atHand
 	}
 	f.run = time.Duration(float64(typical) * b.factor(at))
-	f.wait = b.waitFor(at, f.run)
+	f.wait = b.waitFor(at, p.ahead(r, b), f.run)
 	f.cost = f.wait + f.run + time.Duration(b.failing(at)*float64(failCost))
 	if b.info.DataCentre != r.work.From {
 		f.cost += elsewhereCost
@@ -103,6 +103,23 @@
 	return f
 }
 
+// ahead returns how many waiting requests that prefer a target go before r.
+func (p *Pool) ahead(r *Request, b *backend) int {
+	if b.waiting == 0 {
+		return 0
+	}
+	n := 0
+	for _, q := range p.queue {
+		if q == r || moreUrgent(q, r) > 0 {
+			break
+		}
+		if q.prefers == b {
+			n++
+		}
+	}
+	return n
+}
+
 // crowding is what it costs to give a target an object that it does not have.
 func (p *Pool) crowding(at time.Duration, r *Request, b *backend) time.Duration {
 	recent, most := b.memory.since(at-recentObjects), p.keeps.most()
--- a/internal/request/dispatch/hedge.go
+++ b/internal/request/dispatch/hedge.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/request/retry"
+)
 
 // hedgeSamples is how many running times of the route are known before its
 // requests are hedged.
@@ -15,6 +19,12 @@
 	return max(g.set.HedgeMinDelay, r.route.run.tail)
 }
 
+// hedgePolicy returns the bound of hedges. One is allowed before enough requests
+// have come for the percentage to be a whole one.
+func hedgePolicy(s Settings) retry.Policy {
+	return retry.Policy{Percent: float64(s.HedgePercent), Slack: 1}
+}
+
 func (g *Group) mayHedge(r *Request) bool {
 	return g.set.HedgePercent > 0 && r.work.Safe && !r.work.Once && !r.hedge && !r.hedged
 }
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -241,9 +241,7 @@
 // first, and turns down those that cannot be in time any more.
 func (p *Pool) fill(at time.Duration) {
 	for _, r := range slices.Clone(p.queue) {
-		r.prefers.waiting-- // so that r does not wait behind itself
 		best := p.best(at, r)
-		r.prefers.waiting++
 		switch {
 		case best.target == nil:
 			p.turnDown(r, refuse(errNoTarget, p.soonestBack(at)))
@@ -306,7 +304,7 @@
 			continue
 		}
 		l.FreeSlots += max(0, b.slots()-len(b.running)-b.waiting)
-		if w := b.waitFor(at, 0); soonest < 0 || w < soonest {
+		if w := b.waitFor(at, b.waiting, 0); soonest < 0 || w < soonest {
 			soonest = w
 		}
 	}
--- /dev/null
+++ b/internal/request/dispatch/pool_test.go
@@ -0,0 +1,398 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+)
+
+// poolWorld drives a Pool by hand.
+type poolWorld struct {
+	*testing.T
+	p   *Pool
+	now time.Time
+}
+
+func newPool(t *testing.T, targets ...TargetInfo) *poolWorld {
+	w := &poolWorld{T: t, p: NewPool(epoch, Settings{}), now: epoch}
+	w.p.SetTargets(w.now, targets)
+	return w
+}
+
+func poolTarget(id string, slots int) TargetInfo { return TargetInfo{ID: id, Slots: slots, DataCentre: "a"} }
+
+// work returns a request whose objective is 300 ms away.
+func (w *poolWorld) work(object string) Work {
+	return Work{
+		Route: "r", Object: object, From: "a", Safe: true,
+		Objective: w.now.Add(300 * time.Millisecond), Deadline: w.now.Add(2 * time.Second),
+	}
+}
+
+func (w *poolWorld) submit(work Work) (*Request, error) {
+	r := &Request{}
+	return r, w.p.Submit(w.now, r, work)
+}
+
+// mustStart submits a request that must start at once.
+func (w *poolWorld) mustStart(work Work) *Request {
+	w.Helper()
+	r, err := w.submit(work)
+	if err != nil || r.state != running {
+		w.Fatalf("state %v, %v; want it running", r.state, err)
+	}
+	return r
+}
+
+// serve runs a request of an object to its end: in cold if its target has not
+// handled the object before, in warm otherwise.
+func (w *poolWorld) serve(object string, warm, cold time.Duration) string {
+	w.Helper()
+	r := w.mustStart(w.work(object))
+	took := cold
+	if r.distance >= 0 {
+		took = warm
+	}
+	w.now = w.now.Add(took)
+	w.p.Done(w.now, r, Outcome{Result: OK, Latency: took})
+	return r.info.ID
+}
+
+// train serves objects until each is at hand at one target.
+func (w *poolWorld) train(objects ...string) map[string]string {
+	w.Helper()
+	at := map[string]string{}
+	for range 6 {
+		for _, o := range objects {
+			at[o] = w.serve(o, 100*time.Millisecond, 300*time.Millisecond)
+		}
+	}
+	return at
+}
+
+// Guards against requests of an object that wander between targets: each move
+// costs a run without the object at hand.
+func TestPoolKeepsObjectsAtTheirTargets(t *testing.T) {
+	w := newPool(t, poolTarget("1", 4), poolTarget("2", 4))
+	at := w.train("x", "y", "z", "u")
+	used := map[string]bool{}
+	for o, id := range at {
+		used[id] = true
+		for range 3 {
+			if got := w.serve(o, 100*time.Millisecond, 300*time.Millisecond); got != id {
+				t.Errorf("object %s moved from %s to %s", o, id, got)
+			}
+		}
+	}
+	if len(used) != 2 {
+		t.Errorf("all objects are at one target: %v", at)
+	}
+}
+
+// Guards against a request that takes a free slot of a target without its object
+// although the one that has it would answer sooner after a wait.
+func TestPoolWaitsForTheObject(t *testing.T) {
+	w := newPool(t, poolTarget("1", 1), poolTarget("2", 1))
+	at := w.train("x", "y", "z", "u")
+	first := w.mustStart(w.work("x"))
+	second, err := w.submit(w.work("x"))
+	if err != nil || second.state != queued {
+		t.Fatalf("state %v, %v; want it to wait for the busy target", second.state, err)
+	}
+	w.now = w.now.Add(100 * time.Millisecond)
+	w.p.Done(w.now, first, Outcome{Result: OK, Latency: 100 * time.Millisecond})
+	if second.state != running || second.info.ID != at["x"] {
+		t.Errorf("state %v at %q, want it running at %q", second.state, second.info.ID, at["x"])
+	}
+}
+
+// Guards against requests that wait although they cannot meet their objective
+// any more: they hold back others and come too late.
+func TestPoolRefusesWhatCannotBeInTime(t *testing.T) {
+	w := newPool(t, poolTarget("1", 1))
+	w.train("x")
+	w.mustStart(w.work("x"))
+	waiting := 0
+	for range 5 {
+		r, err := w.submit(w.work("x"))
+		switch {
+		case err == nil && r.state == queued:
+			waiting++
+		case errkind.Of(err) != errkind.DeadlineUnmeetable:
+			t.Fatalf("refused with %v", err)
+		}
+	}
+	if waiting < 1 || waiting > 2 { // runs of 100 ms, an objective of 300 ms
+		t.Errorf("%d requests wait for one slot", waiting)
+	}
+	w.now = w.now.Add(250 * time.Millisecond) // the slot did not get free
+	w.p.Tick(w.now)
+	if queued, _ := w.p.counts(); queued != 0 {
+		t.Errorf("%d requests wait although they cannot be in time", queued)
+	}
+}
+
+// Guards against slots that are taken by requests that come late anyway while
+// others could still be in time.
+func TestPoolKeepsSlotsForWhatIsInTime(t *testing.T) {
+	w := newPool(t, poolTarget("1", 10))
+	w.train("x")
+	late := w.work("x")
+	late.Objective, late.AnySlot = w.now.Add(-time.Second), true
+	started := 0
+	for range 10 {
+		if _, err := w.submit(late); err == nil {
+			started++
+		}
+	}
+	if started < 5 || started > 9 {
+		t.Errorf("late requests took %d of 10 slots", started)
+	}
+	w.mustStart(w.work("x"))
+}
+
+// Guards against requests that go on to a target that became slow, reports to
+// be slow or fails, while another one is free.
+func TestPoolAvoidsBadTargets(t *testing.T) {
+	bad := map[string]Outcome{
+		"slow":    {Result: OK, Latency: time.Second},
+		"reports": {Result: OK, Latency: 100 * time.Millisecond, Report: Report{Slots: 4, Slowness: 4}},
+		"fails":   {Result: ServerError, Latency: 10 * time.Millisecond},
+		"resets":  {Result: Failed, Latency: 10 * time.Millisecond},
+		"refuses": {Result: Unreachable, Latency: time.Millisecond},
+	}
+	for name, o := range bad {
+		w := newPool(t, poolTarget("1", 4), poolTarget("2", 4))
+		w.train("x", "y")
+		hits := 0
+		for range 40 {
+			r := w.mustStart(w.work(""))
+			w.now = w.now.Add(5 * time.Millisecond)
+			if r.info.ID == "1" {
+				hits++
+				w.p.Done(w.now, r, o)
+				continue
+			}
+			w.p.Done(w.now, r, Outcome{Result: OK, Latency: 100 * time.Millisecond, Report: Report{Slots: 4, Slowness: 1}})
+		}
+		if hits > 6 {
+			t.Errorf("%s: %d of 40 requests went to the bad target", name, hits)
+		}
+	}
+}
+
+// Guards against a target that is silent and noticed only by its deadlines.
+func TestPoolNoticesSilentTarget(t *testing.T) {
+	w := newPool(t, poolTarget("1", 4), poolTarget("2", 4))
+	w.train("x", "y")
+	hits := 0
+	for range 60 {
+		r := w.mustStart(w.work(""))
+		w.now = w.now.Add(20 * time.Millisecond)
+		if r.info.ID == "1" {
+			hits++
+			continue // no answer
+		}
+		w.p.Done(w.now, r, Outcome{Result: OK, Latency: 100 * time.Millisecond})
+	}
+	if hits > 4 {
+		t.Errorf("%d requests went to a silent target", hits)
+	}
+}
+
+// Guards against targets that join and never get a request, because all objects
+// are at hand elsewhere.
+func TestPoolUsesNewTargets(t *testing.T) {
+	w := newPool(t, poolTarget("1", 4))
+	w.train("x", "y")
+	w.p.SetTargets(w.now, []TargetInfo{poolTarget("1", 4), poolTarget("2", 4)})
+	used := false
+	for range 40 {
+		used = used || w.serve("x", 100*time.Millisecond, 300*time.Millisecond) == "2"
+	}
+	if !used {
+		t.Error("the new target got none of 40 requests in 4 s")
+	}
+}
+
+// Guards against a request that goes to another data centre although one of its
+// own is as good.
+func TestPoolPrefersOwnDataCentre(t *testing.T) {
+	other := poolTarget("1", 4)
+	other.DataCentre = "b"
+	w := newPool(t, other, poolTarget("2", 4))
+	if r := w.mustStart(w.work("x")); r.info.ID != "2" {
+		t.Errorf("sent to %s", r.info.ID)
+	}
+}
+
+// Guards against more urgent work that waits behind less urgent work.
+func TestPoolServesUrgentWorkFirst(t *testing.T) {
+	w := newPool(t, poolTarget("1", 1))
+	w.train("x")
+	first := w.mustStart(w.work("x"))
+	low, high := w.work("x"), w.work("x")
+	low.Priority = 2
+	a, errA := w.submit(low)
+	b, errB := w.submit(high)
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	w.now = w.now.Add(60 * time.Millisecond)
+	w.p.Done(w.now, first, Outcome{Result: OK, Latency: 60 * time.Millisecond})
+	if b.state != running || a.state == running {
+		t.Errorf("urgent request %v, other one %v", b.state, a.state)
+	}
+}
+
+// Guards against objects that count as at hand long after the target has
+// forgotten them.
+func TestPoolLearnsHowManyObjectsAreKept(t *testing.T) {
+	const kept = 12
+	w := newPool(t, poolTarget("1", 4))
+	var order []string // the target's own memory
+	handle := func(o string) time.Duration {
+		i := slices.Index(order, o)
+		if i >= 0 {
+			order = slices.Delete(order, i, i+1)
+		}
+		order = append([]string{o}, order...)
+		order = order[:min(len(order), kept)]
+		if i >= 0 {
+			return 100 * time.Millisecond
+		}
+		return 300 * time.Millisecond
+	}
+	for i := range 400 {
+		o := fmt.Sprint(i % 8)
+		if i%10 > 6 {
+			o = fmt.Sprint(i % 40)
+		}
+		r := w.mustStart(w.work(o))
+		took := handle(o)
+		w.now = w.now.Add(took)
+		w.p.Done(w.now, r, Outcome{Result: OK, Latency: took})
+	}
+	if got := w.p.keeps.most(); got < kept-4 || got > kept+8 {
+		t.Errorf("estimate %d, the target keeps %d", got, kept)
+	}
+}
+
+// Guards against more requests in flight than slots, more requests to a cold
+// target than it tolerates, requests that are lost in the queue, and requests
+// that start after they were refused.
+func TestPoolInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now := NewPool(epoch, Settings{QueueLimit: 8}), epoch
+		slots := map[string]int{}
+		starts := map[string][]time.Time{} // of the cold target
+		coldUntil := map[string]time.Time{}
+		var live []*Request
+		note := func(r *Request) {
+			if r.state == running && now.Before(coldUntil[r.info.ID]) {
+				starts[r.info.ID] = append(starts[r.info.ID], now)
+			}
+		}
+		settle := func() {
+			for _, r := range p.Decided() {
+				note(r)
+			}
+			live = slices.DeleteFunc(live, func(r *Request) bool { return r.state != queued && r.state != running })
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				var infos []TargetInfo
+				for i := range rapid.IntRange(0, 4).Draw(t, "targets") {
+					in := poolTarget(fmt.Sprint(i), rapid.IntRange(1, 3).Draw(t, "slots"))
+					in.State = TargetState(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "state"))
+					if i == 0 {
+						in.Incarnation, in.ColdFor, in.ColdRate = 1, 3*time.Second, 5
+						if coldUntil[in.ID].IsZero() {
+							coldUntil[in.ID] = now.Add(in.ColdFor)
+						}
+					}
+					infos = append(infos, in)
+					slots[in.ID] = max(slots[in.ID], in.Slots)
+				}
+				p.SetTargets(now, infos)
+			case 1, 2:
+				r := &Request{}
+				w := Work{Route: "r", Object: rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object"), Deadline: now.Add(time.Second)}
+				w.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				w.AnySlot = rapid.Bool().Draw(t, "any")
+				if rapid.Bool().Draw(t, "timed") {
+					w.Objective = now.Add(time.Duration(rapid.IntRange(-50, 300).Draw(t, "objective")) * time.Millisecond)
+				}
+				if p.Submit(now, r, w) == nil {
+					note(r)
+					live = append(live, r)
+				}
+			case 3:
+				if len(live) > 0 {
+					r := rapid.SampledFrom(live).Draw(t, "request")
+					res := Result(rapid.IntRange(0, 5).Draw(t, "result"))
+					if r.state == running {
+						p.Done(now, r, Outcome{Result: res})
+					} else {
+						p.Cancel(now, r)
+					}
+				}
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+				p.Tick(now)
+			default:
+				p.Tick(now)
+			}
+			settle()
+			checkPool(t, p, live, slots)
+		}
+		for id, list := range starts {
+			for _, end := range list {
+				n := 0
+				for _, at := range list {
+					if at.After(end.Add(-time.Second)) && !at.After(end) {
+						n++
+					}
+				}
+				if n > 5 {
+					t.Fatalf("%d requests in a second to the cold target %s, which tolerates 5", n, id)
+				}
+			}
+		}
+	})
+}
+
+func checkPool(t *rapid.T, p *Pool, live []*Request, slots map[string]int) {
+	waiting, inFlight := map[*backend]int{}, 0
+	for _, r := range live {
+		if r.state == queued {
+			if !slices.Contains(p.queue, r) {
+				t.Fatal("a waiting request is not in the queue")
+			}
+			waiting[r.prefers]++
+		}
+		if r.state == running {
+			inFlight++
+		}
+	}
+	if q, f := p.counts(); q != len(live)-inFlight || f != inFlight {
+		t.Fatalf("counts %d and %d, %d requests of which %d run", q, f, len(live), inFlight)
+	}
+	for _, b := range p.targets {
+		if len(b.running) > slots[b.info.ID] {
+			t.Fatalf("target %s has %d in flight on %d slots", b.info.ID, len(b.running), slots[b.info.ID])
+		}
+		if b.waiting != waiting[b] {
+			t.Fatalf("target %s: %d wait, %d are counted", b.info.ID, waiting[b], b.waiting)
+		}
+	}
+	if !slices.IsSortedFunc(p.queue, moreUrgent) {
+		t.Fatal("the queue is not in order")
+	}
+}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -81,6 +81,7 @@
 	Places     *spill.Chooser
 	Ledger     Ledger
 	Services   *Services
+	Retries    RetryShare
 	Bodies     *BodyMemory // shared by the handlers of an entry; nil: DefaultBodyMemory for this one
 	Targets    http.RoundTripper
 	Peers      http.RoundTripper
@@ -238,7 +239,7 @@
 			return nil, errkind.Wrap(errkind.Cancelled, err, "the caller's connection ended before its earlier requests were answered")
 		}
 	}
-	h.Services.get(c.service, h.Now()).retries.Request()
+	h.service(c.service).retries.Request(h.Now())
 	if c.once() && !c.recorded {
 		return h.serveOnce(ctx, c)
 	}
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -67,12 +67,12 @@
 		return true // the sender shifts its requests slowly
 	}
 	load := d.Load()
-	return h.Services.get(c.service, h.Now()).ramp.Admit(h.Now(), load.InFlight+load.FreeSlots)
+	return h.service(c.service).ramp.Admit(h.Now(), load.InFlight+load.FreeSlots)
 }
 
 func (h *Handler) leaveRamp(c *call, err error) {
 	if c.remote && !c.service.GuardedSlots {
-		h.Services.get(c.service, h.Now()).ramp.Done(h.Now(), rampResult(err))
+		h.service(c.service).ramp.Done(h.Now(), rampResult(err))
 	}
 }
 
@@ -131,7 +131,7 @@
 	decision := retry.Decide(retry.Attempt{
 		Kind: errkind.Of(err), Once: c.once(), Tries: attempt,
 		Safe: c.route.Safe, MaxAttempts: c.route.MaxAttempts, Remaining: c.left(now),
-	}, h.Services.get(c.service, now).retries, now, rand.Float64())
+	}, h.service(c.service).retries, now, rand.Float64())
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "attempt": attempt, "retry": decision.Retry,
 		"reason": decision.Reason, "error": err.Error(),
--- a/internal/request/proxy/services.go
+++ b/internal/request/proxy/services.go
@@ -24,15 +24,38 @@
 }
 
 // get returns the state of a service with the budget of its present version.
-func (s *Services) get(svc *snapshot.Service, now time.Time) *serviceState {
+func (s *Services) get(svc *snapshot.Service, policy retry.Policy, now time.Time) *serviceState {
 	v, ok := s.byName.Load(svc.Name)
 	if !ok {
 		v, _ = s.byName.LoadOrStore(svc.Name, &serviceState{
-			retries: retry.NewBudget(svc.Retry.BudgetPercent, now),
+			retries: retry.NewBudget(policy, now),
 			ramp:    spill.NewRemoteRamp(now),
 		})
 	}
 	st := v.(*serviceState)
-	st.retries.SetPercent(svc.Retry.BudgetPercent)
+	st.retries.Set(policy)
 	return st
 }
+
+// RetryShare bounds the retries of services with guarded slots, in place of the
+// document, for all entries together.
+type RetryShare struct {
+	Policy retry.Policy
+	// Entries is the number of entries that share the slack.
+	Entries func() int
+}
+
+// shareMargin of the bound is used: entries count spans of time that do not
+// begin together.
+const shareMargin = 0.8
+
+// service returns the state of the call's service.
+func (h *Handler) service(svc *snapshot.Service) *serviceState {
+	p := retry.Policy{Percent: float64(svc.Retry.BudgetPercent), Slack: retry.DefaultSlack}
+	if svc.GuardedSlots && h.Retries.Entries != nil {
+		p = h.Retries.Policy
+		p.Percent *= shareMargin
+		p.Slack *= shareMargin / float64(max(h.Retries.Entries(), 1))
+	}
+	return h.Services.get(svc, p, h.Now())
+}
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -7,63 +7,97 @@
 	"time"
 )
 
-// The bounds of a budget.
+// Policy bounds extra requests in every span of time of length Window.
+type Policy struct {
+	Percent float64       // of the ordinary requests of the span
+	Slack   float64       // requests that are allowed on top of that
+	Window  time.Duration // DefaultWindow if 0
+}
+
+// The bounds that hold where the document or the settings state no others.
 const (
-	// minPerSecond lets a service with few requests retry at all.
-	minPerSecond = 1.0
-	// burst is how many extra requests may follow each other at once.
-	burst = 10.0
+	DefaultWindow = 10 * time.Second
+	// DefaultSlack lets a service with few requests retry at all.
+	DefaultSlack = 10
 )
 
-// Budget bounds extra requests to a percentage of ordinary ones. It is a
-// token bucket, safe for concurrent use.
+// steps of a window are counted one by one: a span that does not begin with a
+// step is bounded by the steps that it touches.
+const steps = 20
+
+// Budget bounds extra requests, such as retries, by the ordinary ones. It is
+// safe for concurrent use.
+//
+// Invariant: in every span of Window, the extra requests are at most Slack plus
+// Percent of the ordinary requests of that span and the step before it.
 type Budget struct {
-	mu      sync.Mutex
-	percent float64
-	tokens  float64
-	last    time.Time
+	mu       sync.Mutex
+	policy   Policy
+	began    time.Time // of the present step
+	at       int       // its position
+	ordinary [steps + 1]int
+	extra    [steps + 1]int
 }
 
-// NewBudget returns a budget of percent of the requests, with a small minimum
-// rate. A budget of 0 percent allows nothing.
-func NewBudget(percent int, now time.Time) *Budget {
-	return &Budget{percent: float64(percent), tokens: minPerSecond, last: now}
+// NewBudget returns an unused budget.
+func NewBudget(p Policy, now time.Time) *Budget {
+	b := &Budget{began: now}
+	b.Set(p)
+	return b
 }
 
-// SetPercent changes the percentage.
-func (b *Budget) SetPercent(percent int) {
+// Set replaces the policy. What was counted stays counted.
+func (b *Budget) Set(p Policy) {
+	if p.Window <= 0 {
+		p.Window = DefaultWindow
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.percent = float64(percent)
+	b.policy = p
 }
 
 // Request counts an ordinary request.
-func (b *Budget) Request() {
+func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(burst, b.tokens+b.percent/100)
+	b.advance(now)
+	b.ordinary[b.at]++
 }
 
 // Take spends one extra request if the budget allows it.
 func (b *Budget) Take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	if b.percent <= 0 || b.tokens < 1 {
+	b.advance(now)
+	if b.policy.Percent <= 0 {
 		return false
 	}
-	b.tokens--
+	if float64(sum(b.extra[:])+1) > b.policy.Slack+b.policy.Percent/100*float64(sum(b.ordinary[:])) {
+		return false
+	}
+	b.extra[b.at]++
 	return true
 }
 
-// refill adds the minimum rate, which only restores the first token.
-func (b *Budget) refill(now time.Time) {
-	passed := now.Sub(b.last).Seconds()
+func sum(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// advance moves to the step of now. A clock that goes back stays in the
+// present step.
+func (b *Budget) advance(now time.Time) {
+	step := b.policy.Window / steps
+	passed := int(now.Sub(b.began) / step)
 	if passed <= 0 {
 		return
 	}
-	b.last = now
-	if b.tokens < 1 {
-		b.tokens = min(1, b.tokens+passed*minPerSecond)
+	for range min(passed, len(b.extra)) {
+		b.at = (b.at + 1) % len(b.extra)
+		b.ordinary[b.at], b.extra[b.at] = 0, 0
 	}
+	b.began = b.began.Add(time.Duration(passed) * step)
 }
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -36,40 +36,69 @@
 	for _, c := range cases {
 		a := ok
 		c.change(&a)
-		if d := Decide(a, NewBudget(10, now), now, 0.5); d.Retry != c.want {
+		if d := Decide(a, NewBudget(Policy{Percent: 10, Slack: DefaultSlack}, now), now, 0.5); d.Retry != c.want {
 			t.Errorf("%s: retry %v (%s), want %v", c.name, d.Retry, d.Reason, c.want)
 		}
 	}
-	if d := Decide(ok, NewBudget(0, now), now, 0.5); d.Retry {
+	if d := Decide(ok, NewBudget(Policy{Slack: DefaultSlack}, now), now, 0.5); d.Retry {
 		t.Error("retry without a budget")
 	}
 }
 
-// Guards against retries that exceed the percentage plus the minimum rate.
+// Guards against retries of safe work that may have run, and of other work that
+// may have.
+func TestDecideSafe(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, kind := range []errkind.Kind{errkind.TargetFailed, errkind.AnswerBroken, errkind.AnswerMismatch} {
+		for _, safe := range []bool{true, false} {
+			a := Attempt{Kind: kind, Safe: safe, Tries: 1, MaxAttempts: 2, Remaining: time.Second}
+			if d := Decide(a, NewBudget(Policy{Percent: 10, Slack: DefaultSlack}, now), now, 0.5); d.Retry != safe {
+				t.Errorf("%s, safe %v: retry %v (%s)", kind, safe, d.Retry, d.Reason)
+			}
+		}
+	}
+}
+
+// Guards against retries that exceed, in any span of a window, the percentage of
+// the requests of that span plus the slack.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		p := Policy{
+			Percent: float64(rapid.IntRange(0, 50).Draw(t, "percent")),
+			Slack:   float64(rapid.IntRange(0, 10).Draw(t, "slack")), Window: time.Second,
+		}
 		now := time.Unix(1000, 0)
-		percent := rapid.IntRange(0, 50).Draw(t, "percent")
-		b := NewBudget(percent, now)
-		requests, taken, start := 0, 0, now
-		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 3), 1, 300).Draw(t, "steps") {
+		b := NewBudget(p, now)
+		var requests, taken []time.Time
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 3), 1, 400).Draw(t, "steps") {
 			switch step {
 			case 0:
-				now = now.Add(50 * time.Millisecond)
+				now = now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "ms")) * time.Millisecond)
 			case 1:
-				b.Request()
-				requests++
+				b.Request(now)
+				requests = append(requests, now)
 			default:
 				if b.Take(now) {
-					taken++
+					taken = append(taken, now)
 				}
 			}
-			most := float64(percent*requests)/100 + now.Sub(start).Seconds()*minPerSecond + minPerSecond + 1e-6
-			if percent == 0 {
+		}
+		within := func(list []time.Time, from, to time.Time) (n int) {
+			for _, at := range list {
+				if !at.Before(from) && !at.After(to) {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range taken {
+			from := end.Add(-p.Window)
+			most := p.Slack + p.Percent/100*float64(within(requests, from.Add(-p.Window/steps), end))
+			if p.Percent == 0 {
 				most = 0
 			}
-			if float64(taken) > most {
-				t.Fatalf("%d retries for %d requests in %v, at most %.1f allowed", taken, requests, now.Sub(start), most)
+			if got := within(taken, from.Add(time.Nanosecond), end); float64(got) > most+1e-6 {
+				t.Fatalf("%d retries in the window up to %v, at most %.1f allowed", got, end, most)
 			}
 		}
 	})
