--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -287,7 +287,7 @@
 		return proxy.RetryShare{}
 	}
 	return proxy.RetryShare{
-		Policy: retry.Policy{Percent: r.Percent, Slack: r.Slack, Window: r.Window.D()},
+		Policy: retry.Policy{Percent: 100 * r.Ratio, Slack: r.Slack, Window: r.Window.D()},
 		Entries: func() int {
 			if s := p.store.Load(); s != nil {
 				return s.EntryCount() + joiningEntries
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -42,9 +42,9 @@
 // Retry bounds the retries of each service with guarded slots, of all entries
 // together, in every span of time of length Window.
 type Retry struct {
-	Percent float64           `yaml:"percent"` // of the requests
-	Slack   float64           `yaml:"slack"`   // requests on top of that
-	Window  document.Duration `yaml:"window"`
+	Ratio  float64           `yaml:"ratio"` // retries per request
+	Slack  float64           `yaml:"slack"` // requests on top of that
+	Window document.Duration `yaml:"window"`
 }
 
 // Stop bounds the graceful stop.
@@ -100,8 +100,8 @@
 	c.DurationRange(s.Stop.Linger, 0, maxStop, "stop", "linger")
 	c.DurationRange(s.Stop.Grace, 0, maxStop, "stop", "grace")
 	if r := s.Retry; r != nil {
-		if !(r.Percent >= 0 && r.Percent <= 100) || !(r.Slack >= 0) {
-			c.Add([]any{"retry"}, "percent must be 0 to 100 and slack at least 0")
+		if !(r.Ratio >= 0 && r.Ratio <= 1) || !(r.Slack >= 0) {
+			c.Add([]any{"retry"}, "ratio must be 0 to 1 and slack at least 0")
 		}
 		c.DurationRange(r.Window, time.Second, maxStop, "retry", "window")
 	}
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -3,15 +3,20 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// elsewhereCost is how much sooner a target in another data centre must be
 	// expected to answer: the way there takes time and its traffic has a price.
 	elsewhereCost = 4 * time.Millisecond
-	// spreadCost keeps targets equally busy, and equally filled with objects,
-	// where nothing else tells them apart.
+	// spreadCost keeps targets equally busy where nothing else tells them apart.
 	spreadCost = 10 * time.Millisecond
+	// placeCost is what each place in the order of preference for an object costs,
+	// up to maxPlaceCost.
+	placeCost    = 20 * time.Millisecond
+	maxPlaceCost = 60 * time.Millisecond
 	// evictShare of the gain of an object at hand is lost if a target has to
 	// forget one for it.
 	evictShare = 0.7
@@ -95,7 +100,7 @@
 	}
 	f.cost += time.Duration(float64(spreadCost) * float64(len(b.running)+b.waiting) / float64(b.slots()))
 	if !f.atHand && r.work.Object != "" {
-		f.cost += p.crowding(at, r, b)
+		f.cost += p.placing(at, r, b)
 	}
 	if at-b.startedAt > unusedFor && f.wait == 0 && r.work.Safe {
 		f.cost -= typical
@@ -120,12 +125,24 @@
 	return n
 }
 
-// crowding is what it costs to give a target an object that it does not have.
-func (p *Pool) crowding(at time.Duration, r *Request, b *backend) time.Duration {
-	recent, most := b.memory.since(at-recentObjects), p.keeps.most()
-	cost := time.Duration(float64(spreadCost) * min(float64(recent)/float64(min(most, maxObjects/4)), 1))
-	if atHand, without := r.runs.typical(); recent >= most {
+// placing is what it costs to give a target an object that it does not have.
+// Targets are preferred by rendezvous hashing, so that a dispatcher that has
+// just started sends an object where the one before it did.
+func (p *Pool) placing(at time.Duration, r *Request, b *backend) time.Duration {
+	place := 0
+	own := placeRank(r.work.Object, b)
+	for _, other := range p.targets {
+		if other != b && other.usable(at) && placeRank(r.work.Object, other) > own {
+			place++
+		}
+	}
+	cost := min(time.Duration(place)*placeCost, maxPlaceCost)
+	if atHand, without := r.runs.typical(); b.memory.since(at-recentObjects) >= p.keeps.most() {
 		cost += time.Duration(evictShare * float64(without-atHand))
 	}
 	return cost
 }
+
+func placeRank(object string, b *backend) uint64 {
+	return xxhash.Sum64String(object + "\x00" + b.info.ID)
+}
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -148,7 +148,7 @@
 		return nil
 	case r.work.AnySlot || r.work.NoQueue:
 		return refuse(errQueueFull, best.wait)
-	case at+best.wait+best.run >= r.due:
+	case r.timed() && at+best.wait+best.run >= r.due:
 		return refuse(errTooLate, best.wait)
 	case len(p.queue) >= p.set.QueueLimit:
 		return refuse(errQueueFull, best.wait)
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -24,7 +24,9 @@
 	return w
 }
 
-func poolTarget(id string, slots int) TargetInfo { return TargetInfo{ID: id, Slots: slots, DataCentre: "a"} }
+func poolTarget(id string, slots int) TargetInfo {
+	return TargetInfo{ID: id, Slots: slots, DataCentre: "a"}
+}
 
 // work returns a request whose objective is 300 ms away.
 func (w *poolWorld) work(object string) Work {
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -68,6 +68,7 @@
 	objective time.Time
 	step      spill.Step // the place that is asked now
 
+	trail    []string // regions that were asked, with what they answered
 	sends    int      // to targets so far
 	exclude  []string // targets that it was sent to
 	mayRan   error    // of a send after which the request may have run
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -41,6 +41,7 @@
 		if err == nil {
 			return rep, nil
 		}
+		c.trail = append(c.trail, step.Region+", "+step.Mode.String()+": "+err.Error())
 		refusal = moreUseful(refusal, err)
 		if c.lastSend || !mayMoveOn(err) {
 			refusal = err
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -201,6 +201,9 @@
 	kind := errkind.Of(err)
 	h.m.answers[kind].Inc(1)
 	fields := logrus.Fields{"request_id": c.id, "kind": kind, "did_run": c.didRun(kind), "shift": c.shift, "error": err.Error()}
+	if len(c.trail) > 0 {
+		fields["asked"] = c.trail
+	}
 	if c.service != nil {
 		fields["service"] = c.service.Name
 	}
