dispatch, proxy: late requests take free slots only; ask callers to come back later

Cause: a share of slots kept free from late requests cost more than it gave, and callers that were refused came back within the same overload.

A first attempt is told from a repeated one by 0.8 of the longest wait of the route, since the patience of callers differs. Retry-After is at least a quarter of the time left. The retry budget counts a forwarded request once.

--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -26,9 +26,6 @@
 	// although another would answer sooner: otherwise a new one would never be
 	// used, nor one that has recovered be noticed.
 	unusedFor = 1500 * time.Millisecond
-	// keepFree is the share of all slots that is kept free of requests that are
-	// late anyway.
-	keepFree = 0.15
 )
 
 // forecast is what is expected of a request at one target.
@@ -57,13 +54,10 @@
 // expected first; its target is nil if none may be used.
 func (p *Pool) best(at time.Duration, r *Request) forecast {
 	var best forecast
-	free, total := 0, 0
 	for _, b := range p.targets {
 		if !b.usable(at) {
 			continue
 		}
-		total += b.slots()
-		free += max(0, b.slots()-len(b.running)-b.waiting)
 		if slices.Contains(r.work.Exclude, b.info.ID) {
 			continue
 		}
@@ -72,10 +66,6 @@
 			best = f
 		}
 	}
-	late := r.work.AnySlot || r.timed() && at+best.run >= r.due
-	if late && best.target != nil && float64(free) < keepFree*float64(total) && best.wait == 0 {
-		best.wait = time.Millisecond // the last free slots are for requests that can be in time
-	}
 	return best
 }
 
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -85,6 +85,7 @@
 	hops     int
 	from     string        // instance that forwarded the call, "" for callers
 	named    string        // service that the forwarding instance has chosen
+	wait     time.Duration // that the caller states
 	granted  time.Duration // time left that the forwarding instance has granted
 	version  uint64        // in force at the forwarding instance
 	remote   bool          // forwarded from another data centre
@@ -137,6 +138,7 @@
 	if c.route.Affinity {
 		c.affinity = head.Affinity
 	}
+	c.wait = head.Wait
 	c.setDeadline(head.Wait)
 	c.setObjective(h.elapsed(c, head.Wait), r.Header.Get(headerObjective))
 	return c, c.checkKey(head.Key)
@@ -351,14 +353,18 @@
 	}
 }
 
-// elapsed estimates how long the caller has waited before this attempt: it
-// tells how much longer it will wait, and all callers of a route wait equally
-// long in total.
+// patienceSpread is the share of the longest wait from which on a wait counts as
+// that of a first attempt: callers of a route are not all equally patient.
+const patienceSpread = 0.8
+
+// elapsed estimates how long the caller has waited before this attempt: one
+// that waits much shorter than others has been refused before.
 func (h *Handler) elapsed(c *call, wait time.Duration) time.Duration {
 	if c.route.Host == "" || h.peer || wait <= 0 {
 		return 0
 	}
-	return max(h.Services.waits.longest(c.route, wait, c.received)-wait, 0)
+	first := time.Duration(patienceSpread * float64(h.Services.waits.longest(c.route, wait, c.received)))
+	return max(first-wait, 0)
 }
 
 func (c *call) checkKey(key string) error {
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -242,7 +242,9 @@
 			return nil, errkind.Wrap(errkind.Cancelled, err, "the caller's connection ended before its earlier requests were answered")
 		}
 	}
-	h.service(c.service).retries.Request(h.Now())
+	if !c.remote { // otherwise the entry that forwarded it has counted it
+		h.service(c.service).retries.Request(h.Now())
+	}
 	if c.once() && !c.recorded {
 		return h.serveOnce(ctx, c)
 	}
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -158,7 +158,7 @@
 		"request_id": c.id, "service": c.service.Name, "route": c.route.Name, "shift": c.shift,
 		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
 		"queued_ms": milliseconds(t.QueuedFor), "mode": c.step.Mode.String(), "region": c.step.Region,
-		"objective_ms": milliseconds(c.objective.Sub(h.Now())), "object": c.affinity, "version": c.snap.Version,
+		"objective_ms": milliseconds(c.objective.Sub(h.Now())), "object": c.affinity, "wait_ms": milliseconds(c.wait), "here_ms": milliseconds(h.Now().Sub(c.received)), "version": c.snap.Version,
 	}).Info("request dispatched")
 }
 
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -134,7 +134,7 @@
 	kind := errkind.Of(err)
 	ref := dialect.Refusal{ID: c.id, Kind: kind, DidRun: c.didRun(kind)}
 	if kind.Answer().Retry {
-		ref.RetryAfter = retryAfter(err)
+		ref.RetryAfter = max(retryAfter(err), c.comeBack(h.Now()))
 	}
 	body, _ := json.Marshal(errorBody{Kind: kind, Message: err.Error(), DidRun: ref.DidRun, RequestID: c.id})
 	header := http.Header{}
@@ -158,6 +158,19 @@
 	}
 }
 
+// comeBackShare of the time that the caller still waits passes before it should
+// come back: it has one more try, and what refused it now lasts for a while.
+const comeBackShare = 0.25
+
+// comeBack returns when a caller of a route by host should try again at the
+// earliest.
+func (c *call) comeBack(now time.Time) time.Duration {
+	if c.route == nil || c.route.Host == "" {
+		return 0
+	}
+	return time.Duration(comeBackShare * float64(max(c.left(now), 0)))
+}
+
 func retryAfter(err error) time.Duration {
 	var pe *peerError
 	if errors.As(err, &pe) && pe.retryAfter > 0 {
