proxy: count the sends of other entries against attempts and retry budget

An entry that is lost with a safe request counts as one send, and the request may be tried again within the budget.

--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -29,7 +29,7 @@
 	headerService     = "Fescue-Forwarded-Service"
 	headerVersion     = "Fescue-Forwarded-Version"
 	headerObjective   = "Fescue-Forwarded-Objective-Ms" // left; 0 if it is missed
-	headerSends       = "Fescue-Forwarded-Sends"        // to targets so far
+	headerSends       = "Fescue-Forwarded-Sends"        // to targets so far; the answer has it too
 
 	headerQueued     = "Fescue-Queued"
 	headerFree       = "Fescue-Free-Slots"
@@ -209,7 +209,7 @@
 		c.id = id
 	}
 	c.named = h.Get(headerService)
-	c.sends, _ = strconv.Atoi(h.Get(headerSends))                  // without one there were none
+	c.sends = readSends(h)
 	c.granted, _ = dialect.Milliseconds(h.Get(headerLeft))         // without one, the caller's deadline holds
 	c.version, _ = strconv.ParseUint(h.Get(headerVersion), 10, 64) // without one, err stands as it is
 	return nil
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -41,6 +41,7 @@
 		}
 		return nil, err
 	}
+	c.sends = max(c.sends, readSends(rep.header))
 	if kind := errkind.Kind(rep.header.Get(headerKind)); kind != "" {
 		defer rep.finish(nil)
 		c.proved = c.proved || rep.header.Get(headerNotRun) != ""
@@ -54,6 +55,16 @@
 	return rep, nil
 }
 
+// readSends returns to how many targets a request was sent in total, 0 if the
+// header does not say.
+func readSends(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(headerSends))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // forwardedID returns the identifier of the request that another entry's
 // answer names.
 func forwardedID(resp *http.Response) string { return resp.Header.Get(headerID) }
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -37,13 +37,14 @@
 			break
 		}
 		c.step = step
+		before := c.sends
 		rep, err := h.take(ctx, c, step)
 		if err == nil {
 			return rep, nil
 		}
 		c.trail = append(c.trail, step.Region+", "+step.Mode.String()+": "+err.Error())
 		refusal = moreUseful(refusal, err)
-		if c.lastSend || !mayMoveOn(err) {
+		if !h.mayMoveOn(ctx, c, before, err) {
 			refusal = err
 			break
 		}
@@ -55,11 +56,23 @@
 	return nil, refusal
 }
 
-// mayMoveOn reports whether another place may be asked after err: the request
-// did not run, and another place may take it.
-func mayMoveOn(err error) bool {
-	kind := errkind.Of(err)
-	return kind.Answer().DidRun == errkind.No && kind != errkind.Cancelled
+// mayMoveOn decides whether another place may be asked after err. before is the
+// number of sends to targets before this place was asked. What another entry
+// has sent counts like this entry's own sends.
+func (h *Handler) mayMoveOn(ctx context.Context, c *call, before int, err error) bool {
+	notRun := errkind.Of(err).Answer().DidRun == errkind.No
+	switch {
+	case c.lastSend:
+		return false
+	case c.step.Near: // attempts has decided about what was sent here
+		return notRun
+	case notRun && c.sends == before:
+		return true
+	case !notRun:
+		c.mayRan = err
+		c.sends = max(c.sends, before+1)
+	}
+	return h.mayRetry(ctx, c, c.sends, err)
 }
 
 // moreUseful returns the refusal to answer with: the one that says soonest when
--- /dev/null
+++ b/internal/request/proxy/guarded_test.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
+)
+
+// threeRegions routes by host to one service with targets in three regions.
+const threeRegions = `team: platform
+regions: [{name: north, data_centres: [a, b]}, {name: south, data_centres: [c]}, {name: east, data_centres: [d]}]
+services: [{name: rota, guarded_slots: true, health_path: /health, retry: {budget_percent: 100}}]
+host_routes:
+  - {name: safe, host: rota.example, prefix: /safe/, safe: true, max_attempts: 2, timeout: 2s, services: [{service: rota, weight: 1}]}
+  - {name: unsafe, host: rota.example, prefix: /unsafe/, max_attempts: 2, timeout: 2s, services: [{service: rota, weight: 1}]}
+`
+
+// peerAnswer makes a stand-in for an entry that answers with a kind of error
+// after it has sent the request to targets, and hangs up if the kind is empty.
+func peerAnswer(t *testing.T, asked *atomic.Int32, kind errkind.Kind, targets int) string {
+	return target(t, func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		if kind == "" {
+			panic(http.ErrAbortHandler)
+		}
+		before, _ := strconv.Atoi(r.Header.Get(headerSends))
+		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set(headerKind, string(kind))
+		w.Header().Set(headerSends, strconv.Itoa(before+targets))
+		w.WriteHeader(kind.Answer().Status)
+	})
+}
+
+// Guards against a request that is sent to more targets than its route allows,
+// because another entry sent it as well.
+func TestSendsOfOtherEntriesCount(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		path        string
+		localSheds  bool
+		kind        errkind.Kind // that the entries of the other regions answer
+		sends       int          // by each of them
+		wantEntries int32
+		want        errkind.Kind
+	}{
+		{"no slot here, none there", "/safe/1", false, errkind.QueueFull, 0, 2, errkind.NoTarget},
+		{"no slot here, shed there", "/safe/1", false, errkind.TargetShed, 1, 2, errkind.TargetShed},
+		{"shed here, shed there", "/safe/1", true, errkind.TargetShed, 1, 1, errkind.TargetShed},
+		{"shed here, no slot there", "/safe/1", true, errkind.QueueFull, 0, 2, errkind.NoTarget},
+		{"shed twice there", "/safe/1", false, errkind.TargetShed, 2, 1, errkind.TargetShed},
+		{"an entry is lost with a safe request", "/safe/1", false, "", 1, 2, errkind.TargetFailed},
+		{"an entry is lost with another request", "/unsafe/1", false, "", 1, 1, errkind.TargetFailed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var here, entries atomic.Int32
+			w := newWorld(t, false, target(t, func(w http.ResponseWriter, _ *http.Request) {
+				here.Add(1)
+				w.Header().Set(dialect.HeaderNotRun, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			if !tc.localSheds {
+				w.d.SetTargets(nil)
+			}
+			var members []*fescuepb.Member
+			for dc, region := range map[string]string{"c": "south", "d": "east"} {
+				members = append(members, &fescuepb.Member{
+					Instance: "e" + dc, DataCentre: dc, Region: region, Role: fescuepb.Role_ROLE_ENTRY,
+					PeerAddr: peerAnswer(t, &entries, tc.kind, tc.sends),
+				})
+			}
+			w.useDocument(threeRegions, members...)
+			req := w.request("GET", tc.path, "")
+			req.Host = "rota.example"
+			w.expect(req, tc.want, tc.want.Answer().DidRun)
+			if entries.Load() != tc.wantEntries {
+				t.Errorf("%d other entries got the request, want %d", entries.Load(), tc.wantEntries)
+			}
+			if tc.localSheds != (here.Load() > 0) {
+				t.Errorf("%d sends to the target here", here.Load())
+			}
+		})
+	}
+}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -137,6 +137,7 @@
 	}
 	if h.peer {
 		rep.header.Set(headerID, c.id)
+		rep.header.Set(headerSends, strconv.Itoa(c.sends))
 		rep.header.Set(headerHandled, strconv.FormatInt(h.Now().Sub(start).Microseconds(), 10))
 		h.describeLoad(c, rep.header)
 	}
--- a/internal/request/proxy/homes_test.go
+++ b/internal/request/proxy/homes_test.go
@@ -26,7 +26,7 @@
 	snap, err := new(snapshot.Builder).Build(snapshot.Content{
 		Version: w.h.Store.Load().Version + 1, Members: members,
 		Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(text)}},
-		Targets:  []*fescuepb.Target{{Id: "0", Service: "rota", DataCentre: "a"}, {Id: "9", Service: "rota", DataCentre: "c"}},
+		Targets:  []*fescuepb.Target{{Id: "0", Service: "rota", DataCentre: "a"}, {Id: "9", Service: "rota", DataCentre: "c"}, {Id: "10", Service: "rota", DataCentre: "d"}},
 	})
 	if err != nil {
 		w.Fatal(err)
