--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -305,6 +305,7 @@
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Groups: p.groups, Guarded: p.guarded,
 		Caps: &caps{p.shared, p.store}, Places: spill.NewChooser(p.links, rand.Float64), Ledger: p.ledger,
+		Shares:   spill.NewShares(p.set.Region, p.set.RegionShift, spill.DefaultShiftWindow),
 		Services: &proxy.Services{}, Retries: p.retryShare(), Bodies: proxy.NewBodyMemory(bodyMemory(p.set)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
 		Now: time.Now, Log: p.log, Metrics: p.scope,
 	}
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -30,13 +30,16 @@
 	// NeedHostRoutes keeps the entry from serving until the document routes by
 	// host: before that, it could not tell an unknown host from a missing
 	// document.
-	NeedHostRoutes bool         `yaml:"need_host_routes,omitempty"`
-	BlocksFile     string       `yaml:"blocks,omitempty"` // client blocks as text, until control provides them
-	MemoryLimit    int          `yaml:"memory_limit_mib,omitempty"`
-	Stop           Stop         `yaml:"stop,omitempty"`
-	Retry          *Retry       `yaml:"retry,omitempty"`
-	TLS            settings.TLS `yaml:"tls"`
-	Log            settings.Log `yaml:"log,omitempty"`
+	NeedHostRoutes bool   `yaml:"need_host_routes,omitempty"`
+	BlocksFile     string `yaml:"blocks,omitempty"` // client blocks as text, until control provides them
+	MemoryLimit    int    `yaml:"memory_limit_mib,omitempty"`
+	Stop           Stop   `yaml:"stop,omitempty"`
+	Retry          *Retry `yaml:"retry,omitempty"`
+	// RegionShift is the share of the requests of a region that may move to
+	// other regions, or back, within two seconds; 0 bounds nothing.
+	RegionShift float64      `yaml:"region_shift,omitempty"`
+	TLS         settings.TLS `yaml:"tls"`
+	Log         settings.Log `yaml:"log,omitempty"`
 }
 
 // Retry bounds the retries of each service with guarded slots, of all entries
@@ -105,6 +108,9 @@
 		}
 		c.DurationRange(r.Window, time.Second, maxStop, "retry", "window")
 	}
+	if !(s.RegionShift >= 0 && s.RegionShift <= 1) {
+		c.Add([]any{"region_shift"}, "must be 0 to 1")
+	}
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -31,6 +31,9 @@
 func (h *Handler) runGuarded(ctx context.Context, c *call) (*reply, error) {
 	var refusal error = errkind.New(errkind.NoTarget, "no region takes requests of service %q", c.service.Name)
 	tried := map[spill.Ask]bool{}
+	if !c.remote {
+		h.Shares.Arrived(h.Now())
+	}
 	for range maxSteps {
 		step, ok := h.Places.Next(h.Now(), c.snap, h.query(c, tried))
 		if !ok || ctx.Err() != nil {
@@ -38,10 +41,14 @@
 		}
 		c.step = step
 		before := c.sends
+		if !step.Near { // otherwise it counts when it has a slot
+			h.noteShare(c)
+		}
 		rep, err := h.take(ctx, c, step)
 		if err == nil {
 			return rep, nil
 		}
+		h.unnoteShare(c)
 		c.trail = append(c.trail, step.Region+", "+step.Mode.String()+": "+err.Error())
 		refusal = moreUseful(refusal, err)
 		if !h.mayMoveOn(ctx, c, before, err) {
@@ -53,9 +60,27 @@
 	if c.mayRan != nil {
 		return nil, c.mayRan // a refusal would claim that it has not run
 	}
+	if !c.remote {
+		h.Shares.Refused(h.Now())
+	}
 	return nil, refusal
 }
 
+// noteShare notes the region in which a request of this entry's callers runs.
+func (h *Handler) noteShare(c *call) {
+	if !c.remote && c.undoShare == nil {
+		c.undoShare = h.Shares.Ran(h.Now(), c.step.Region)
+	}
+}
+
+// unnoteShare takes noteShare back for a request that another region may get.
+func (h *Handler) unnoteShare(c *call) {
+	if c.undoShare != nil {
+		c.undoShare(h.Now())
+		c.undoShare = nil
+	}
+}
+
 // mayMoveOn decides whether another place may be asked after err. before is the
 // number of sends to targets before this place was asked. What another entry
 // has sent counts like this entry's own sends.
@@ -96,6 +121,9 @@
 		Service: c.service.Name, Region: c.snap.Region(h.DataCentre),
 		Objective: c.objective.Sub(now), Deadline: c.left(now), Remote: c.remote, Allowed: c.route.AllowedIn, Tried: tried,
 	}
+	if !c.remote {
+		q.May = h.Shares.May
+	}
 	if s := h.Guarded.Slots(c.service.Name); s != nil {
 		q.Load = s.Load()
 	}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -79,6 +79,7 @@
 	Guarded    Guarded
 	Caps       Caps
 	Places     *spill.Chooser
+	Shares     *spill.Shares
 	Ledger     Ledger
 	Services   *Services
 	Retries    RetryShare
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -95,6 +95,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if c.service.GuardedSlots {
+			h.noteShare(c)
+		}
 		c.sends++
 		c.exclude = append(c.exclude, t.Target.ID)
 		h.logDecision(c, t, c.sends)
--- a/internal/request/spill/plan.go
+++ b/internal/request/spill/plan.go
@@ -47,6 +47,9 @@
 	Load      dispatch.Load // of the sender's region
 	Allowed   func(region string) bool
 	Tried     map[Ask]bool
+	// May reports whether the request may run in a region without moving too
+	// large a share of the requests at once; nil: in any.
+	May func(region string) bool
 }
 
 // preferNear is how much sooner the answer of another region must be expected:
@@ -71,8 +74,7 @@
 // Next returns the next step for a request, or false if no region is left that
 // is worth asking.
 func (c *Chooser) Next(now time.Time, snap *snapshot.Snapshot, q Query) (Step, bool) {
-	options := c.options(now, snap, q)
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost(), b.cost()) })
+	options := inShare(c.options(now, snap, q), q.May)
 	for _, mode := range []Mode{InTime, AnySlot} {
 		for _, o := range options {
 			s := Step{Ask: Ask{o.region, mode}, Near: o.near, Expected: o.wait + o.travel + q.Load.Run, Travel: o.travel}
@@ -84,6 +86,25 @@
 	return Step{}, false
 }
 
+// inShare orders options by preference. A region that may not get more requests
+// now is left out, or comes last if it is the own one.
+func inShare(options []option, may func(region string) bool) []option {
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost(), b.cost()) })
+	if may == nil || !slices.ContainsFunc(options, func(o option) bool { return o.near }) {
+		return options
+	}
+	out, last := options[:0:0], options[:0:0]
+	for _, o := range options {
+		switch {
+		case may(o.region):
+			out = append(out, o)
+		case o.near:
+			last = append(last, o)
+		}
+	}
+	return append(out, last...)
+}
+
 // worth reports whether a region may be asked in a mode. The own dispatcher
 // knows better than any estimate whether the objective can be met.
 func worth(mode Mode, o option, q Query) bool {
--- /dev/null
+++ b/internal/request/spill/shares_test.go
@@ -0,0 +1,108 @@
+package spill
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against requests that move to another region, or back, faster than the
+// share that may move from a window to the next.
+func TestShares(t *testing.T) {
+	const most = 0.15
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewShares("north", most, DefaultShiftWindow)
+		now := epoch
+		type ran struct {
+			at     time.Time
+			region string
+		}
+		var all []ran
+		regions := []string{"north", "south", "east"}
+		wanted := "north"
+		gap := time.Duration(rapid.IntRange(2, 25).Draw(t, "gap in ms")) * time.Millisecond
+		lasts, refusals := 0, rapid.IntRange(0, 3).Draw(t, "refused of four")
+		for i := range 600 {
+			if lasts--; lasts < 0 {
+				wanted = rapid.SampledFrom(regions).Draw(t, "wanted")
+				lasts = rapid.IntRange(0, 300).Draw(t, "requests")
+			}
+			now = now.Add(gap)
+			s.Arrived(now)
+			if i%4 < refusals {
+				s.Refused(now)
+				continue
+			}
+			for _, region := range append([]string{wanted}, regions...) {
+				if !s.May(region) {
+					continue
+				}
+				undo := s.Ran(now, region)
+				if i%7 == 0 && region == wanted {
+					undo(now)
+					continue
+				}
+				all = append(all, ran{now, region})
+				break
+			}
+		}
+		share := func(from, to time.Time) (map[string]float64, float64) {
+			counts, n := map[string]float64{}, 0.0
+			for _, r := range all {
+				if !r.at.Before(from) && r.at.Before(to) {
+					counts[r.region]++
+					n++
+				}
+			}
+			for region := range counts {
+				counts[region] /= n
+			}
+			return counts, n
+		}
+		for end := epoch.Add(4 * time.Second); end.Before(now); end = end.Add(200 * time.Millisecond) {
+			before, _ := share(end.Add(-4*time.Second), end.Add(-2*time.Second))
+			after, m := share(end.Add(-2*time.Second), end)
+			moved := 0.0
+			for region, v := range after {
+				moved += max(0, v-before[region])
+			}
+			if moved > most+2*shareBurst/m { // a burst at both ends
+				t.Fatalf("%.3f of %.0f requests moved within %v", moved, m, DefaultShiftWindow)
+			}
+		}
+	})
+}
+
+// Guards against a limit that never lets all requests move, and against one that
+// an idle entry or a burst gets around.
+func TestSharesMoveInTime(t *testing.T) {
+	s := NewShares("north", 0.15, DefaultShiftWindow)
+	now, inTime := epoch, 0
+	for range 30 * 50 {
+		now = now.Add(20 * time.Millisecond)
+		s.Arrived(now)
+		region := "north"
+		if s.May("south") {
+			region, inTime = "south", inTime+1
+		}
+		s.Ran(now, region)
+	}
+	if share := s.ran["south"] / (s.ran["south"] + s.ran["north"]); share < 0.95 || inTime < 500 {
+		t.Errorf("%.2f of the requests run where they should after 30 s, %d did in total", share, inTime)
+	}
+	now = now.Add(time.Minute)
+	moved := 0
+	for range 50 {
+		s.Arrived(now)
+		if s.May("south") {
+			s.Ran(now, "south")
+			moved++
+			continue
+		}
+		s.Ran(now, "north")
+	}
+	if moved > 10 {
+		t.Errorf("%d of 50 requests at once moved after a time without requests", moved)
+	}
+}
--- a/internal/request/spill/spill_test.go
+++ b/internal/request/spill/spill_test.go
@@ -139,3 +139,50 @@
 		t.Errorf("limit %d after a minute without requests", r.Limit())
 	}
 }
+
+const regionsDocument = `team: platform
+regions: [{name: north, data_centres: [n1]}, {name: south, data_centres: [s1]}]
+services: [{name: rota, guarded_slots: true, health_path: /health}]
+`
+
+// Guards against requests that move to another region, or back to the own one,
+// faster than their share may.
+func TestNextKeepsShares(t *testing.T) {
+	s, err := new(snapshot.Builder).Build(snapshot.Content{
+		Version:  1,
+		Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(regionsDocument)}},
+		Targets:  []*fescuepb.Target{{Id: "1", Service: "rota", DataCentre: "n1"}, {Id: "2", Service: "rota", DataCentre: "s1"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name string
+		wait time.Duration // in the own region
+		bar  map[string]bool
+		want string
+	}{
+		{"own region free", 0, nil, "north south north south "},
+		{"own region busy", time.Second, nil, "south north south "},
+		{"other region barred", time.Second, map[string]bool{"south": true}, "north "},
+		{"own region barred", 0, map[string]bool{"north": true}, "south north south north "},
+	} {
+		q := Query{
+			Service: "rota", Region: "north", Objective: 500 * time.Millisecond, Deadline: 2 * time.Second,
+			Load: dispatch.Load{ExpectedWait: tc.wait}, Allowed: func(string) bool { return true }, Tried: map[Ask]bool{},
+			May: func(region string) bool { return !tc.bar[region] },
+		}
+		c, got := NewChooser(nil, func() float64 { return 0.5 }), ""
+		for {
+			step, ok := c.Next(epoch, s, q)
+			if !ok {
+				break
+			}
+			got += step.Region + " "
+			q.Tried[step.Ask] = true
+		}
+		if got != tc.want {
+			t.Errorf("%s: asked %q, want %q", tc.name, got, tc.want)
+		}
+	}
+}
