control: replaced replicas leave the quorum

Cause: a control machine that is gone for good stayed a voter.

The leader removes a voter that is silent for 3 s while a voter of its data centre that joined later is heard, unless the others could not lose one more. A voter that was removed while it was away, and comes back, knows no leader and asks for membership again. The simulation removes voters as well; it found that a removal which leaves no spare voter makes the loss of one more disk final.

--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -72,6 +72,7 @@
 	group.Go(func() error { p.joinSelf(ctx); return nil })
 	group.Go(func() error { newRemover(p).run(ctx); return nil })
 	group.Go(func() error { (&voucher{p: p}).run(ctx); return nil })
+	group.Go(func() error { (&succession{p: p}).run(ctx); return nil })
 	group.Go(func() error { return p.loadRegions(ctx) })
 	group.Go(func() error { p.reload(ctx, reloaded); return nil })
 	p.extend(ctx, group, ext)
--- /dev/null
+++ b/internal/process/controlmain/succession.go
@@ -0,0 +1,105 @@
+package controlmain
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/replica"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	successionInterval = time.Second
+	// replacedAfter is how long a replica is silent before the one that replaced
+	// it makes it superfluous. A process that is killed is back within a second.
+	replacedAfter = 3 * time.Second
+)
+
+// succession removes control replicas that another one of their data centre has
+// replaced: a quorum of voters that are gone cannot be reached. Only the
+// leader's does anything. It is owned by its goroutine.
+type succession struct {
+	p      *process
+	silent map[string]time.Time // peer identity to since when it is not heard
+}
+
+func (s *succession) run(ctx context.Context) {
+	ticker := time.NewTicker(successionInterval)
+	defer ticker.Stop()
+	for {
+		if s.p.lead.IsLeader() {
+			s.check(ctx, time.Now())
+		} else {
+			s.silent = nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *succession) check(ctx context.Context, now time.Time) {
+	peers := s.p.replica.Status().Peers
+	s.note(peers, now)
+	for _, old := range replaced(s.p.machine.Members(), peers) {
+		log := s.p.log.WithFields(logrus.Fields{"member": old.Instance, "addr": old.GrpcAddr, "data_centre": old.DataCentre})
+		peer := peerAt(peers, old.GrpcAddr)
+		switch since, silent := s.silent[peer.ID]; {
+		case peer.ID == "":
+			log.Warn("control replica that was replaced is no longer a member")
+			if err := s.p.server.RemoveMember(ctx, old.Instance, old.Incarnation); err != nil {
+				log.WithError(err).Warn("removal not committed; it is decided again")
+			}
+		case silent && now.Sub(since) >= replacedAfter:
+			err := s.p.replica.RemoveVoter(ctx, peer.ID)
+			log.WithError(err).WithField("silent_ms", now.Sub(since).Milliseconds()).Warn("control replica was replaced: it leaves the quorum")
+		}
+	}
+}
+
+// note keeps since when each peer is not heard.
+func (s *succession) note(peers []replica.PeerStatus, now time.Time) {
+	silent := map[string]time.Time{}
+	for _, peer := range peers {
+		if peer.Active || peer.Addr == s.p.settings.GRPCAddr {
+			continue
+		}
+		since, known := s.silent[peer.ID]
+		if !known {
+			since = now
+		}
+		silent[peer.ID] = since
+	}
+	s.silent = silent
+}
+
+func peerAt(peers []replica.PeerStatus, addr string) replica.PeerStatus {
+	for _, p := range peers {
+		if p.Addr == addr {
+			return p
+		}
+	}
+	return replica.PeerStatus{}
+}
+
+// replaced returns the control members that are not heard while a voter of the
+// same data centre is that joined later.
+func replaced(members []*fescuepb.Member, peers []replica.PeerStatus) []*fescuepb.Member {
+	var out []*fescuepb.Member
+	for _, old := range members {
+		if old.Role != fescuepb.Role_ROLE_CONTROL || peerAt(peers, old.GrpcAddr).Active {
+			continue
+		}
+		for _, m := range members {
+			p := peerAt(peers, m.GrpcAddr)
+			if m.Role == old.Role && m.DataCentre == old.DataCentre && m.Incarnation > old.Incarnation && p.Voter && p.Active {
+				out = append(out, old)
+				break
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/controlmain/succession_test.go
@@ -0,0 +1,75 @@
+package controlmain
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/replica"
+	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"google.golang.org/grpc/metadata"
+)
+
+// Guards against the removal of control replicas that nobody has replaced.
+func TestReplaced(t *testing.T) {
+	member := func(dc, addr string, incarnation uint64) *fescuepb.Member {
+		return &fescuepb.Member{Instance: addr, Role: fescuepb.Role_ROLE_CONTROL, DataCentre: dc, GrpcAddr: addr, Incarnation: incarnation}
+	}
+	peer := func(addr string, voter, active bool) replica.PeerStatus {
+		return replica.PeerStatus{ID: addr + "#0", Addr: addr, Voter: voter, Active: active}
+	}
+	old := member("a", "old", 1)
+	for name, tc := range map[string]struct {
+		other *fescuepb.Member
+		peers []replica.PeerStatus
+		want  bool
+	}{
+		"replaced":                {member("a", "new", 2), []replica.PeerStatus{peer("old", true, false), peer("new", true, true)}, true},
+		"not a peer any more":     {member("a", "new", 2), []replica.PeerStatus{peer("new", true, true)}, true},
+		"heard":                   {member("a", "new", 2), []replica.PeerStatus{peer("old", true, true), peer("new", true, true)}, false},
+		"other data centre":       {member("b", "new", 2), []replica.PeerStatus{peer("old", true, false), peer("new", true, true)}, false},
+		"was there before":        {member("a", "new", 0), []replica.PeerStatus{peer("old", true, false), peer("new", true, true)}, false},
+		"successor does not vote": {member("a", "new", 2), []replica.PeerStatus{peer("old", true, false), peer("new", false, true)}, false},
+		"successor is lost too":   {member("a", "new", 2), []replica.PeerStatus{peer("old", true, false), peer("new", true, false)}, false},
+	} {
+		got := replaced([]*fescuepb.Member{old, tc.other}, tc.peers)
+		if (len(got) == 1 && got[0] == old) != tc.want || len(got) > 1 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// Guards against control machines that are replaced one after the other until
+// the voters that are gone outnumber the others.
+func TestReplacedReplicaLeavesTheQuorum(t *testing.T) {
+	c := startCluster(t)
+	addr := freeAddr(t)
+	s := &Settings{
+		Instance: "control-3", Region: "south", DataCentre: "dc1", GRPCAddr: addr, AdminAddr: "127.0.0.1:0",
+		DataDir: t.TempDir(), Join: c.addrs, TLS: settings.TLS{PlaintextLoopback: true},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Run(ctx, s, nil, Extension{}, logging.Discard()) }()
+	t.Cleanup(func() { cancel(); <-done })
+	voters := func() (n int) {
+		op := c.operator(t, 1)
+		ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(t.Context(), "fescue-team", "a"), time.Second)
+		defer cancel()
+		st, err := op.Status(ctx, &fescuepb.StatusRequest{})
+		if err != nil {
+			return 0
+		}
+		for _, r := range st.GetReplicas() {
+			if r.Voter {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, 15*time.Second, "four voters", func() bool { return voters() == 4 })
+	_ = c.stop[0]()
+	eventually(t, 15*time.Second, "three voters again", func() bool { return voters() == 3 })
+}
--- a/internal/process/raft/membership.go
+++ b/internal/process/raft/membership.go
@@ -88,6 +88,24 @@
 	return nil
 }
 
+// RemoveVoter proposes a configuration without a voter that is gone. It refuses
+// while the voter is heard, and unless the others can lose one more: if a disk
+// were lost meanwhile, the voter could not help although it came back.
+func (r *Raft) RemoveVoter(id string) error {
+	switch {
+	case r.role != Leader:
+		return ErrNotLeader
+	case !isVoter(r.Peers(), id):
+		return nil
+	case !r.configSettled():
+		return ErrConfigBusy
+	case r.activeID(id) || !r.canRemove(id, 1):
+		return ErrStillNeeded
+	}
+	r.proposeConfig(without(r.Peers(), func(p *pb.Peer) bool { return p.Id == id }))
+	return nil
+}
+
 // configSettled reports whether the leader may start a configuration change:
 // the last one is committed and so is an entry of the own term. Without the
 // second rule two leaders could each add to a different uncommitted base.
@@ -114,7 +132,7 @@
 			r.proposeConfig(promoted(peers, learner.Id))
 			return
 		}
-		if r.canRemove(peers[old].Id) {
+		if r.canRemove(peers[old].Id, 0) {
 			r.proposeConfig(without(peers, func(p *pb.Peer) bool { return p.Id == peers[old].Id }))
 			return
 		}
@@ -127,8 +145,8 @@
 }
 
 // canRemove reports whether the voters that remain without id include an
-// active quorum. The leader never removes itself.
-func (r *Raft) canRemove(id string) bool {
+// active quorum and spare more active ones. The leader never removes itself.
+func (r *Raft) canRemove(id string, spare int) bool {
 	if id == r.id {
 		return false
 	}
@@ -142,7 +160,7 @@
 			active++
 		}
 	}
-	return active >= rest/2+1
+	return active >= rest/2+1+spare
 }
 
 func without(peers []*pb.Peer, drop func(*pb.Peer) bool) []*pb.Peer {
--- a/internal/process/raft/property_test.go
+++ b/internal/process/raft/property_test.go
@@ -56,6 +56,8 @@
 		s.cutLeader()
 	case kind < 990:
 		s.loseDisk(n)
+	case kind < 1000:
+		s.removeVoter(n)
 	}
 	for len(s.pool) > 200 {
 		i := s.rng.IntN(len(s.pool))
@@ -118,7 +120,7 @@
 func TestSafety(t *testing.T) {
 	stats := &simStats{}
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.SampledFrom([]int{1, 2, 3, 3, 5}).Draw(t, "size")
+		size := rapid.SampledFrom([]int{1, 2, 3, 3, 5, 5}).Draw(t, "size")
 		// The operations come from a seed: rapid's integers are mostly small,
 		// which would favour a few operations.
 		seed := xxhash.Sum64(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "seed"))
@@ -135,7 +137,7 @@
 		stats.checks++
 	})
 	t.Logf("%+v", *stats)
-	if stats.terms == 0 || stats.committed == 0 || stats.reads == 0 || stats.snapshots == 0 || stats.promoted == 0 || stats.crashes == 0 {
+	if stats.terms == 0 || stats.committed == 0 || stats.reads == 0 || stats.snapshots == 0 || stats.promoted == 0 || stats.crashes == 0 || stats.removed == 0 {
 		t.Fatalf("the run did not exercise every part: %+v", *stats)
 	}
 }
--- a/internal/process/raft/raft_test.go
+++ b/internal/process/raft/raft_test.go
@@ -186,3 +186,66 @@
 		t.Fatalf("%d proposals accepted, %d appends in flight with up to %d entries", accepted, appends, largest)
 	}
 }
+
+// Guards against voters that are gone for good and count for the quorum for
+// ever, and against the removal of one that is heard or needed.
+func TestRemoveVoter(t *testing.T) {
+	r := newLeader(Config{}, true)
+	for _, id := range []string{"d", "e"} { // two more voters
+		if err := r.AddLearner(&pb.Peer{Id: id, Addr: id}); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 { // the learner, then the voter
+			flush(r)
+			for _, p := range []string{"b", "d", "e"} {
+				if r.peers[p] != nil {
+					answer(r, p, appended, r.LastIndex())
+				}
+			}
+			r.repair()
+		}
+		flush(r)
+		answer(r, "b", appended, r.LastIndex())
+		answer(r, "d", appended, r.LastIndex())
+	}
+	if len(r.voters()) != 5 {
+		t.Fatalf("voters %v", r.voters())
+	}
+	heard := func(ids ...string) {
+		r.ticks += 1000
+		for _, id := range ids {
+			r.peers[id].heardTick = r.ticks
+		}
+	}
+	heard("b", "c", "d", "e")
+	if r.RemoveVoter("c") == nil {
+		t.Fatal("a voter that is heard was removed")
+	}
+	heard("b", "d")
+	if r.RemoveVoter("c") == nil {
+		t.Fatal("a voter was removed although the others cannot lose one more")
+	}
+	heard("b", "d", "e")
+	if err := r.RemoveVoter("c"); err != nil || len(r.voters()) != 4 {
+		t.Fatalf("%v, voters %v", err, r.voters())
+	}
+	if r.RemoveVoter("b") == nil || r.RemoveVoter("a") == nil {
+		t.Fatal("a second change was accepted before the first was committed")
+	}
+	// The voter comes back with its log.
+	settle := func() {
+		flush(r)
+		for _, id := range []string{"b", "d", "e"} {
+			answer(r, id, appended, r.LastIndex())
+		}
+	}
+	settle()
+	if err := r.AddLearner(&pb.Peer{Id: "c", Addr: "c"}); err != nil {
+		t.Fatal(err)
+	}
+	settle()
+	answer(r, "c", appended, r.LastIndex())
+	if r.repair(); !isVoter(r.Peers(), "c") {
+		t.Fatalf("the voter that came back does not vote: %v", r.Peers())
+	}
+}
--- a/internal/process/raft/sim_test.go
+++ b/internal/process/raft/sim_test.go
@@ -47,7 +47,7 @@
 }
 
 // simStats shows that the checks were not empty.
-type simStats struct{ checks, terms, committed, reads, snapshots, promoted, disks, crashes int }
+type simStats struct{ checks, terms, committed, reads, snapshots, promoted, disks, crashes, removed int }
 
 func newSim(t *rapid.T, size int, seed uint64, stats *simStats) *sim {
 	s := &sim{
@@ -89,13 +89,18 @@
 }
 
 // lost counts the replicas that are not voters, in the newest committed
-// configuration.
+// configuration or in one that may still be committed.
 func (s *sim) lost() int {
 	newest := slices.MaxFunc(s.nodes, func(a, b *simNode) int { return int(a.Commit()) - int(b.Commit()) })
-	peers := newest.log.configFor(newest.Commit()).Peers
+	configs := [][]*pb.Peer{newest.log.configFor(newest.Commit()).Peers}
+	for _, n := range s.nodes {
+		if c, at := n.log.config(); at > newest.Commit() {
+			configs = append(configs, c.Peers)
+		}
+	}
 	lost := 0
 	for _, n := range s.nodes {
-		if !isVoter(peers, n.id) {
+		if slices.ContainsFunc(configs, func(peers []*pb.Peer) bool { return !isVoter(peers, n.id) }) {
 			lost++
 		}
 	}
@@ -317,10 +322,26 @@
 	}
 }
 
-// join lets the replicas without membership ask every leader.
+// removeVoter lets a leader remove a voter that it does not hear, unless another
+// replica is lost already.
+func (s *sim) removeVoter(l *simNode) {
+	if s.lost() > 0 {
+		return
+	}
+	for _, n := range s.nodes {
+		before := len(l.voters())
+		if l.RemoveVoter(n.id) == nil && len(l.voters()) < before {
+			s.stats.removed++
+			s.output(l)
+		}
+	}
+}
+
+// join lets the replicas without membership, or without a leader, ask every
+// leader.
 func (s *sim) join() {
 	for _, n := range s.nodes {
-		if n.IsVoter() {
+		if n.IsVoter() && n.leader != "" {
 			continue
 		}
 		for _, l := range s.nodes {
--- a/internal/process/replica/failure_test.go
+++ b/internal/process/replica/failure_test.go
@@ -199,3 +199,28 @@
 	want := c.leader().j.list()
 	eventually(t, 5*time.Second, "the replica catches up after space is freed", func() bool { return slices.Equal(l.j.list(), want) })
 }
+
+// Guards against voters that are gone and weaken the quorum, and against a voter
+// that was removed while it was away and never finds its way back.
+func TestRemovedVoterComesBack(t *testing.T) {
+	c := newCluster(t, 5, 0)
+	l := c.leader()
+	l.mustPropose("before")
+	away := c.others(l)[0]
+	away.kill()
+	var id string
+	for _, p := range l.Status().Peers {
+		if p.Addr == away.cfg.Addr {
+			id = p.ID
+		}
+	}
+	eventually(t, 5*time.Second, "the removal", func() bool { return l.RemoveVoter(t.Context(), id) == nil })
+	l.mustPropose("meanwhile")
+	if got := len(l.Status().Peers); got != 4 {
+		t.Fatalf("%d peers after the removal", got)
+	}
+	away.start()
+	eventually(t, 10*time.Second, "the voter is back", func() bool {
+		return slices.Contains(away.j.list(), "meanwhile") && away.view.Load().isVoter() && len(l.Status().Peers) == 5
+	})
+}
--- a/internal/process/replica/join.go
+++ b/internal/process/replica/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -12,20 +13,32 @@
 	joinTimeout  = 2 * time.Second
 	// joinLogInterval keeps a long wait for the cluster from filling the log.
 	joinLogInterval = 10 * time.Second
+	// leaderless is how long a voter may know no leader before it asks for
+	// membership: it may have been removed while it was away. An election takes
+	// two rounds of at most a second each.
+	leaderless = 3 * time.Second
 )
 
-// joinLoop asks for membership while this replica is not a voter, and keeps
-// connections to all peers: an election must not wait for them.
+// joinLoop asks for membership while this replica is not a voter, or knows no
+// leader for long, and keeps connections to all peers: an election must not wait
+// for them.
 func (r *Replica) joinLoop() {
 	defer r.wg.Done()
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	var logged time.Time
+	led := time.Now()
 	for {
-		r.transport.connect(r.view.Load())
-		if err := r.askToJoin(); err != nil && time.Since(logged) > joinLogInterval {
-			logged = time.Now()
-			r.log.WithError(err).Warn("not a voter yet; no replica has accepted the request to join")
+		st := r.view.Load()
+		r.transport.connect(st)
+		if st.LeaderID != "" {
+			led = time.Now()
+		}
+		if !st.isVoter() || time.Since(led) > leaderless {
+			if err := r.askToJoin(); err != nil && time.Since(logged) > joinLogInterval {
+				logged = time.Now()
+				r.log.WithError(err).Warn("without a leader or a vote; no replica has accepted the request to join")
+			}
 		}
 		select {
 		case <-ticker.C:
@@ -38,17 +51,20 @@
 // SetJoin replaces the addresses to ask for membership.
 func (r *Replica) SetJoin(addrs []string) { r.joinAddrs.Store(&addrs) }
 
-// askToJoin tries the known addresses until one accepts, unless this replica
-// is a voter. It returns the last error.
+// askToJoin tries the known addresses, and then the peers of the configuration
+// in force, until one accepts. It returns the last error.
 func (r *Replica) askToJoin() error {
-	if r.view.Load().isVoter() {
-		return nil
-	}
 	var last error
-	for _, addr := range *r.joinAddrs.Load() {
-		if addr == r.cfg.Addr {
+	addrs := slices.Clone(*r.joinAddrs.Load())
+	for _, p := range r.view.Load().Peers {
+		addrs = append(addrs, p.Addr)
+	}
+	asked := map[string]bool{r.cfg.Addr: true}
+	for _, addr := range addrs {
+		if asked[addr] {
 			continue
 		}
+		asked[addr] = true
 		if last = r.askOne(addr); last == nil {
 			return nil
 		}
--- a/internal/process/replica/server.go
+++ b/internal/process/replica/server.go
@@ -89,6 +89,16 @@
 	})
 }
 
+// RemoveVoter removes a voter that is gone for good from the configuration. If
+// it comes back nevertheless, it asks for membership again. It returns once the
+// change is proposed.
+func (r *Replica) RemoveVoter(ctx context.Context, id string) error {
+	done := make(chan outcome, 1)
+	return r.await(ctx, done, func(rf *raft.Raft) {
+		done <- outcome{err: rf.RemoveVoter(id)}
+	}).err
+}
+
 func (r *Replica) passOn(ctx context.Context, peer *pb.Peer) (*pb.RaftAck, error) {
 	addr := r.LeaderAddr()
 	if md, ok := metadata.FromIncomingContext(ctx); addr == "" || addr == r.cfg.Addr || ok && len(md.Get(passedOnKey)) > 0 {
