caller, target: answers to unreadable heads have their kind again; late answers only of earlier requests are skipped

A late answer names an earlier request of the same connection; one that names a request which the connection never carried is returned to the sender, which tells it from its own.

--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 )
 
 const (
@@ -117,7 +120,7 @@
 	}
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
-		return nil, c.headError(err)
+		return nil, headError(err)
 	}
 	_ = c.raw.SetReadDeadline(time.Time{}) // fails only if the connection is closed, which reading shows
 	c.in.allow(unlimited)
@@ -166,38 +169,26 @@
 	errNoMore  = errors.New("the connection takes no further request")
 )
 
-// headErr is a head that cannot be read, with the status that says why.
-type headErr struct {
-	status int
-	err    error
-}
-
-func (e *headErr) Error() string { return e.err.Error() }
-func (e *headErr) Unwrap() error { return e.err }
-
-func (c *conn) headError(err error) error {
+// headError gives an error of reading a head the kind that tells the caller
+// why. A connection that ended needs no answer.
+func headError(err error) error {
+	var op *net.OpError
 	switch {
 	case errors.Is(err, errTooLarge):
-		return &headErr{http.StatusRequestHeaderFieldsTooLarge, err}
+		return errkind.Wrap(errkind.HeaderTooLarge, err, "the request's head exceeds the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &headErr{http.StatusRequestTimeout, err}
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return errkind.Wrap(errkind.SlowSender, err, "the request's head did not arrive in time")
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &op):
 		return errClosing
 	}
-	var op *net.OpError
-	if errors.As(err, &op) {
-		return errClosing
-	}
-	return &headErr{http.StatusBadRequest, err}
+	return errkind.Wrap(errkind.BadRequest, err, "the request's head is not HTTP/1.1")
 }
 
 // refuse answers a head that cannot be read, after the answers before it.
 func (c *conn) refuse(err error) {
-	var he *headErr
-	if !errors.As(err, &he) {
+	if errors.Is(err, errClosing) {
 		return
 	}
-	c.s.Log.WithError(err).WithField("status", he.status).Info("request head refused")
 	c.mu.Lock()
 	turn := c.turn
 	c.mu.Unlock()
@@ -207,7 +198,11 @@
 		return
 	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(errorTimeout))
-	head := http.Response{StatusCode: he.status, ProtoMajor: 1, ProtoMinor: 1, Close: true, ContentLength: 0}
+	status, header, body := c.s.refusal(err)
+	head := http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+		Header: header, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
 	if head.Write(c.w) == nil && c.w.Flush() == nil {
 		c.linger()
 	}
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/sirupsen/logrus"
 )
 
@@ -28,6 +29,9 @@
 type Server struct {
 	Handler http.Handler
 	Limits  func() Limits // those in force now
+	// Refusal returns the answer to a head that cannot be read; err has the kind
+	// HeaderTooLarge, SlowSender or BadRequest. Nil answers with the status alone.
+	Refusal func(err error) (status int, header http.Header, body []byte)
 	Log     *logrus.Entry
 
 	mu       sync.Mutex
@@ -71,6 +75,14 @@
 	}
 }
 
+func (s *Server) refusal(err error) (status int, header http.Header, body []byte) {
+	if s.Refusal != nil {
+		return s.Refusal(err)
+	}
+	s.Log.WithError(err).Info("request head refused")
+	return errkind.Of(err).Answer().Status, nil, nil
+}
+
 // acceptPause follows a failure to accept, such as no free descriptor.
 const acceptPause = 10 * time.Millisecond
 
--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,9 +44,11 @@
 type Transport struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-	// Belongs reports whether an answer belongs to a request. Others, which came
-	// late, are skipped. Nil accepts every answer.
-	Belongs func(req *http.Request, resp *http.Response) bool
+	// RequestID and AnswerID return the identifier of a request and the one that
+	// an answer names, "" if there is none. A late answer to an earlier request
+	// of the same connection is skipped. Without them every answer is taken.
+	RequestID func(req *http.Request) string
+	AnswerID  func(resp *http.Response) string
 
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, used last at the end
@@ -58,6 +61,18 @@
 	addr    string
 	r       *bufio.Reader
 	expires time.Time // when the target may close it
+	earlier []string  // identifiers of its last requests, at most maxStale
+}
+
+// carried notes a request that the connection has carried.
+func (c *conn) carried(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.earlier) == maxStale {
+		c.earlier = slices.Delete(c.earlier, 0, 1)
+	}
+	c.earlier = append(c.earlier, id)
 }
 
 // RoundTrip sends a request and returns the head of its answer. The connection
@@ -278,7 +293,7 @@
 			}
 			continue // informational; the final answer follows
 		}
-		if x.t.Belongs == nil || x.t.Belongs(x.req, resp) {
+		if !x.late(resp) {
 			return resp, nil
 		}
 		if stale++; stale > maxStale || resp.Close {
@@ -290,6 +305,26 @@
 	}
 }
 
+// late reports whether an answer belongs to an earlier request of the
+// connection. One that names a request which the connection never carried is
+// left to the sender, which tells it from its own: nothing shows that the right
+// answer would follow.
+func (x *exchange) late(resp *http.Response) bool {
+	if x.t.AnswerID == nil {
+		return false
+	}
+	id := x.t.AnswerID(resp)
+	return id != x.id() && slices.Contains(x.c.earlier, id)
+}
+
+// id returns the identifier of the request, "" if it has none.
+func (x *exchange) id() string {
+	if x.t.RequestID == nil {
+		return ""
+	}
+	return x.t.RequestID(x.req)
+}
+
 var errStaleAnswer = errors.New("the connection carries answers to other requests")
 
 // answer ties the end of the answer's body to the connection.
@@ -345,6 +380,7 @@
 		watched := x.unwatch()
 		// Bytes that are there already belong to no request.
 		if reuse && watched && x.c.r.Buffered() == 0 && time.Now().Before(x.c.expires) {
+			x.c.carried(x.id())
 			x.t.putIdle(x.c)
 			return
 		}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -270,13 +270,19 @@
 	return proxy.DefaultBodyMemory
 }
 
-// targetTransport sends requests to targets and skips late answers to others.
+// targetTransport sends requests to targets and skips late answers to earlier
+// ones.
 func (p *process) targetTransport() *target.Transport {
-	return &target.Transport{Dial: target.Dial, Belongs: func(req *http.Request, resp *http.Response) bool {
-		asked, err := p.ext.Dialect.Request(req.Header)
-		echoed := p.ext.Dialect.Answer(resp.StatusCode, resp.Header).ID
-		return err != nil || asked.ID == "" || echoed == "" || echoed == asked.ID
-	}}
+	return &target.Transport{
+		Dial: target.Dial,
+		RequestID: func(req *http.Request) string {
+			asked, _ := p.ext.Dialect.Request(req.Header) // an unreadable deadline leaves the identifier
+			return asked.ID
+		},
+		AnswerID: func(resp *http.Response) string {
+			return p.ext.Dialect.Answer(resp.StatusCode, resp.Header).ID
+		},
+	}
 }
 
 // retryShare returns this entry's part of the bound of retries. Entries that
@@ -300,7 +306,8 @@
 // joiningEntries are counted beside the known ones.
 const joiningEntries = 2
 
-func (p *process) handlers() (callers, peers http.Handler) {
+// steering returns the servers of callers and of other entries.
+func (p *process) steering() (callers, peers *caller.Server) {
 	cfg := proxy.Config{
 		Instance: p.set.Instance, DataCentre: p.set.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Groups: p.groups, Guarded: p.guarded,
@@ -317,18 +324,19 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /lookup", look)
-	mux.Handle("/", proxy.New(cfg, false))
-	return mux, proxy.New(cfg, true)
+	front, back := proxy.New(cfg, false), proxy.New(cfg, true)
+	mux.Handle("/", front)
+	return p.callerServer(mux, front), p.callerServer(back, back)
 }
 
 func (p *process) serve(ctx context.Context, metricsHandler http.Handler) error {
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, run := errgroup.WithContext(run)
-	callers, peers := p.handlers()
+	callers, peers := p.steering()
 	g := p.grpcServer()
 	servers := []listener{
-		{p.set.CallerAddr, p.callerServer(callers)}, {p.set.PeerAddr, p.callerServer(peers)},
+		{p.set.CallerAddr, callers}, {p.set.PeerAddr, peers},
 		{p.set.AdminAddr, httpServer(p.admin(metricsHandler))},
 	}
 	if p.set.HealthAddr != "" {
@@ -392,9 +400,10 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
-// callerServer serves requests that are steered.
-func (p *process) callerServer(h http.Handler) *caller.Server {
-	return &caller.Server{Handler: h, Limits: p.callerLimits, Log: p.log}
+// callerServer serves requests that are steered. refuses answers those whose
+// head cannot be read.
+func (p *process) callerServer(h http.Handler, refuses *proxy.Handler) *caller.Server {
+	return &caller.Server{Handler: h, Limits: p.callerLimits, Refusal: refuses.RefuseHead, Log: p.log}
 }
 
 // callerLimits returns the limits of the document in force.
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -213,6 +213,12 @@
 	return h.errorReply(c, err)
 }
 
+// RefuseHead returns the answer to a request whose head cannot be read.
+func (h *Handler) RefuseHead(err error) (status int, header http.Header, body []byte) {
+	rep := h.fail(&call{id: requestID("")}, err)
+	return rep.status, rep.header, rep.head
+}
+
 // guardedSlots returns the slots that served, or refused, the call here, or
 // nil.
 func (h *Handler) guardedSlots(c *call) dispatch.Slots {
