process: leases, promises and freshness count the time of a suspension

Cause: they were checked against the monotonic clock, which stands still while a machine is suspended; a lease that ended meanwhile looked valid, and a source that was not heard since looked fresh. Package steady reads CLOCK_BOOTTIME. What is compared with timers and contexts (deadlines of requests, sessions of followers) stays on the monotonic clock.

--- a/internal/process/budget/client.go
+++ b/internal/process/budget/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
@@ -18,15 +19,18 @@
 	requestTimeout = time.Second
 )
 
-// Shared is a Holder for concurrent use on the process's monotonic clock.
+// Shared is a Holder for concurrent use on the clock of package steady.
 type Shared struct {
 	mu     sync.Mutex
 	holder *Holder
 	wake   chan struct{}
+	now    func() time.Time
 }
 
 // NewShared wraps a holder. The holder must not be used otherwise.
-func NewShared(h *Holder) *Shared { return &Shared{holder: h, wake: make(chan struct{}, 1)} }
+func NewShared(h *Holder) *Shared {
+	return &Shared{holder: h, wake: make(chan struct{}, 1), now: steady.Now}
+}
 
 // Use takes the snapshot in force and has it acknowledged soon.
 func (s *Shared) Use(snap *snapshot.Snapshot) {
@@ -39,7 +43,7 @@
 // Acquire takes one unit of the shift. A refusal hastens the next request.
 func (s *Shared) Acquire(shift string) (Ticket, bool) {
 	s.mu.Lock()
-	t, ok := s.holder.Acquire(shift, time.Now())
+	t, ok := s.holder.Acquire(shift, s.now())
 	s.mu.Unlock()
 	if !ok {
 		s.rouse()
@@ -51,7 +55,7 @@
 func (s *Shared) Recheck(t Ticket) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder.Recheck(t, time.Now())
+	return s.holder.Recheck(t, s.now())
 }
 
 // Release gives the unit back when the request has ended.
@@ -65,7 +69,7 @@
 func (s *Shared) InUse(shift string) (inUse, limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder.InUse(shift), s.holder.Limit(shift, time.Now())
+	return s.holder.InUse(shift), s.holder.Limit(shift, s.now())
 }
 
 func (s *Shared) rouse() {
@@ -78,7 +82,7 @@
 func (s *Shared) asks() *fescuepb.LeaseRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder.Asks(time.Now())
+	return s.holder.Asks(s.now())
 }
 
 // apply takes a reply and reports whether the next request should not wait.
--- a/internal/process/budget/server.go
+++ b/internal/process/budget/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 )
@@ -40,7 +41,7 @@
 
 // NewServer returns a server for the replica.
 func NewServer(role Leadership) *Server {
-	return &Server{granter: NewGranter(), role: role, now: time.Now}
+	return &Server{granter: NewGranter(), role: role, now: steady.Now}
 }
 
 // Observe takes a committed version. Call it for each one, in order, at
--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -128,3 +128,41 @@
 }
 
 func sameAddrs(addrs []string) func() []string { return func() []string { return addrs } }
+
+// Guards against leased units that are used after the machine was suspended for
+// longer than the lease: by the monotonic clock it still runs.
+func TestLeaseEndsDuringASuspension(t *testing.T) {
+	snap := build(1, map[string]int{"a": 8}, map[string]uint64{"e1": 7, "e2": 8})
+	srv := NewServer(&fakeRole{snap: snap})
+	srv.role.(*fakeRole).leads.Store(true)
+	srv.follow()
+	srv.now = func() time.Time { return time.Now().Add(10 * time.Second) }
+	shared := NewShared(NewHolder("e1", 7))
+	now := time.Now()
+	shared.now = func() time.Time { return now }
+	shared.Use(snap)
+	const pinned = 2 // half of the cap, split between two entries
+	for range 3 { // demand, acknowledged version, grant
+		shared.Acquire("a")
+		reply, err := srv.Lease(context.Background(), shared.asks())
+		if err != nil {
+			t.Fatal(err)
+		}
+		shared.apply(reply)
+	}
+	_, leased := shared.InUse("a")
+	if leased <= pinned {
+		t.Fatalf("limit %d with a lease, %d without", leased, pinned)
+	}
+	ticket, ok := shared.Acquire("a")
+	for more := ok; more; {
+		var next Ticket
+		if next, more = shared.Acquire("a"); more {
+			ticket = next
+		}
+	}
+	now = now.Add(time.Minute) // suspended
+	if _, limit := shared.InUse("a"); limit != pinned || shared.Recheck(ticket) {
+		t.Errorf("limit %d, want %d; the last unit is still valid: %v", limit, pinned, shared.Recheck(ticket))
+	}
+}
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -11,6 +11,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/chunkstore"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -106,7 +107,7 @@
 	pushed := uint64(0)
 	for {
 		changed := s.cfg.Log.Changed()
-		s.noteCounter(s.cfg.Log.Counter(), time.Now())
+		s.noteCounter(s.cfg.Log.Counter(), steady.Now())
 		if v := s.cfg.Machine.Version(); v != pushed {
 			pushed = v
 			s.hub.Wake()
@@ -136,7 +137,7 @@
 func (s *Server) ConfirmedWithin(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.advanced) < d
+	return steady.Since(s.advanced) < d
 }
 
 type follow struct {
--- a/internal/process/controlmain/budget.go
+++ b/internal/process/controlmain/budget.go
@@ -8,6 +8,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/process/budget"
 	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
@@ -57,7 +58,7 @@
 	if !l.p.replica.IsLeader() || l.caughtUp.Load() != l.Term() {
 		return false
 	}
-	return time.Since(*l.confirmed.Load()) < budget.LeaderOverlap || l.p.server.ConfirmedWithin(budget.LeaderOverlap)
+	return steady.Since(*l.confirmed.Load()) < budget.LeaderOverlap || l.p.server.ConfirmedWithin(budget.LeaderOverlap)
 }
 
 // Term returns the replica's term.
@@ -102,7 +103,7 @@
 // its term and none from after its beginning: without an entry from before,
 // leases can be granted at once.
 func (l *leadership) catchUp(ctx context.Context, builder *snapshot.Builder, server *budget.Server) {
-	term, began := l.Term(), time.Now()
+	term, began := l.Term(), steady.Now()
 	if !l.p.replica.IsLeader() || l.caughtUp.Load() == term {
 		return
 	}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -25,6 +25,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/request/lookup"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
@@ -182,7 +183,7 @@
 		Role: p.role, Dead: p.groups.Dead,
 		DiedInContact: p.groups.DiedInContact, AllSeen: p.groups.AllSeen, Raise: p.groups.Raise, Leaving: p.groups.Leaving,
 		Peer:    func(m *fescuepb.Member) once.Peer { return once.Remote{Dial: p.peers.Dial, Addr: m.GrpcAddr} },
-		Refused: once.AddressRefuses, Now: time.Now, Claim: p.claim, Log: p.log,
+		Refused: once.AddressRefuses, Now: steady.Now, Claim: p.claim, Log: p.log,
 	})
 }
 
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
@@ -36,7 +37,8 @@
 	cfg      Config
 	hub      *feed.Hub
 	sessions *feed.Sessions
-	ack      chan struct{} // the versions to acknowledge changed; holds one
+	now      func() time.Time // of package steady
+	ack      chan struct{}    // the versions to acknowledge changed; holds one
 
 	chunks        chunks
 	blocksChanged chan struct{} // the snapshot names another table; holds one
@@ -56,7 +58,7 @@
 
 // New returns a follower; Run starts it.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, view: view.New(), ack: make(chan struct{}, 1), blocksChanged: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, now: steady.Now, view: view.New(), ack: make(chan struct{}, 1), blocksChanged: make(chan struct{}, 1)}
 	f.chunks.data = map[blocks.Hash][]byte{}
 	f.plan = planSources(cfg.Self, nil, cfg.Sources, cfg.Peers)
 	f.sessions = &feed.Sessions{
@@ -108,7 +110,7 @@
 func (f *Follower) Confirmed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.fresh.fresh(time.Now())
+	return f.fresh.fresh(f.now())
 }
 
 func (f *Follower) uninterrupted() bool {
--- a/internal/process/follow/loop.go
+++ b/internal/process/follow/loop.go
@@ -45,11 +45,11 @@
 	defer l.close(&l.current)
 	defer l.close(&l.candidate)
 	for ctx.Err() == nil {
-		l.step(ctx, time.Now())
-		timer := time.NewTimer(time.Until(l.wakeAt(time.Now())))
+		l.step(ctx, l.f.now())
+		timer := time.NewTimer(l.untilWake())
 		select {
 		case ev := <-l.events.C():
-			l.handle(ev, time.Now())
+			l.handle(ev, l.f.now())
 		case <-l.f.ack:
 			l.acknowledge()
 		case <-timer.C:
@@ -59,6 +59,12 @@
 	}
 }
 
+// untilWake returns how long step need not run without an event.
+func (l *loop) untilWake() time.Duration {
+	now := l.f.now()
+	return l.wakeAt(now).Sub(now)
+}
+
 // step abandons watches whose counter stopped and opens the next one.
 func (l *loop) step(ctx context.Context, now time.Time) {
 	l.expire(now)
@@ -108,7 +114,7 @@
 func (l *loop) openNext(ctx context.Context) {
 	plan := l.f.sources()
 	if len(plan) == 0 {
-		l.openAt = time.Now().Add(maxRetry)
+		l.openAt = l.f.now().Add(maxRetry)
 		return
 	}
 	pick := plan[l.next%len(plan)]
--- a/internal/process/follow/pure_test.go
+++ b/internal/process/follow/pure_test.go
@@ -172,3 +172,22 @@
 		t.Fatal("old counters were taken for fresh ones")
 	}
 }
+
+// Guards against a process that goes on with an old version after its machine
+// was suspended: its source counts as heard just now by the monotonic clock.
+func TestSourceExpiresAfterASuspension(t *testing.T) {
+	f := newFollower("entry-1", []string{"127.0.0.1:1"}, nil)
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	l := newLoop(f)
+	l.current = &watch{cancel: func() {}}
+	l.current.counters.progress, l.upgradeAt = now, now.Add(maxUpgrade)
+	f.fresh.advanced, f.fresh.at = 1, now
+	if !f.Confirmed() || l.untilWake() <= 0 {
+		t.Fatalf("confirmed %v, next step in %v", f.Confirmed(), l.untilWake())
+	}
+	now = now.Add(5 * time.Second) // suspended
+	if f.Confirmed() || l.untilWake() > 0 {
+		t.Errorf("confirmed %v, next step in %v: the source was not heard for 5 s", f.Confirmed(), l.untilWake())
+	}
+}
--- a/internal/process/follow/watch.go
+++ b/internal/process/follow/watch.go
@@ -38,7 +38,7 @@
 func (f *Follower) openWatch(ctx context.Context, s source, events *ring.Ring[event]) *watch {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{source: s, cancel: cancel, acks: make(chan struct{}, 1)}
-	w.counters.progress = time.Now()
+	w.counters.progress = f.now()
 	go func() {
 		err := f.receive(ctx, w, events)
 		_ = events.Put(ctx, event{w: w, err: err}) // fails only if the watch was closed
--- a/internal/process/group/exchange.go
+++ b/internal/process/group/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 )
 
 // Timeouts of the exchange with another entry.
@@ -38,12 +39,12 @@
 	m.mu.Lock()
 	req := m.core.Ping(peer.Instance)
 	m.mu.Unlock()
-	sentAt := time.Now()
+	sentAt := steady.Now()
 	reply, err := fescuepb.NewPeersClient(conn).Ping(ctx, req)
 	if err != nil {
 		return err
 	}
-	m.update(func() { m.core.OnPingReply(peer.Instance, reply, sentAt, time.Now()) })
+	m.update(func() { m.core.OnPingReply(peer.Instance, reply, sentAt, steady.Now()) })
 	return nil
 }
 
@@ -51,7 +52,7 @@
 // refuses connections. A connection of its own is tried because the state of
 // a pooled one may be old.
 func (m *Manager) probeRefused(ctx context.Context, peer *fescuepb.Member) {
-	sentAt := time.Now()
+	sentAt := steady.Now()
 	d := net.Dialer{Timeout: refuseTimeout}
 	conn, err := d.DialContext(ctx, "tcp", peer.GrpcAddr)
 	if err == nil {
--- a/internal/process/group/manager.go
+++ b/internal/process/group/manager.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
+	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
@@ -52,7 +53,7 @@
 func NewManager(cfg Config) *Manager {
 	return &Manager{
 		cfg: cfg, wake: make(chan struct{}, 1),
-		core:   NewCore(cfg.Instance, cfg.DataCentre, cfg.Incarnation, time.Now(), cfg.NewToken),
+		core:   NewCore(cfg.Instance, cfg.DataCentre, cfg.Incarnation, steady.Now(), cfg.NewToken),
 		active: map[string]*dispatch.Dispatcher{}, retired: map[string][]*dispatch.Dispatcher{},
 		homes: map[string]string{}, inFlight: map[string]bool{}, pinged: map[string]time.Time{}, emptySince: map[string]time.Time{},
 	}
@@ -110,7 +111,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The ticker and the interval are in step; half a tick absorbs jitter.
-	now := time.Now()
+	now := steady.Now()
 	due := now.Add(RefreshInterval/2 - m.core.Interval())
 	var out []*fescuepb.Member
 	for _, p := range m.core.Peers() {
@@ -130,7 +131,7 @@
 func (m *Manager) update(f func()) {
 	m.mu.Lock()
 	f()
-	now := time.Now()
+	now := steady.Now()
 	changes := m.core.Tick(now)
 	moved := m.refresh(now)
 	m.urgent = m.urgent || len(changes) > 0
@@ -152,7 +153,7 @@
 // for services whose home is this instance, so a promise made in the answer
 // holds from then on: update applies a change of home before it unlocks.
 func (m *Manager) Ping(_ context.Context, req *fescuepb.PingRequest) (reply *fescuepb.PingReply, _ error) {
-	m.update(func() { reply = m.core.OnPing(req, time.Now()) })
+	m.update(func() { reply = m.core.OnPing(req, steady.Now()) })
 	return reply, nil
 }
 
@@ -196,7 +197,7 @@
 func (m *Manager) Usable(instance string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.Alive(instance, time.Now()) && !m.core.Leaving(instance)
+	return m.core.Alive(instance, steady.Now()) && !m.core.Leaving(instance)
 }
 
 // Dead reports whether the process of a member of this data centre is proved
@@ -204,7 +205,7 @@
 func (m *Manager) Dead(instance string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.Dead(instance, time.Now())
+	return m.core.Dead(instance, steady.Now())
 }
 
 // DiedInContact reports whether a member's process is proved dead and cannot
@@ -212,7 +213,7 @@
 func (m *Manager) DiedInContact(instance string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.DiedInContact(instance, time.Now())
+	return m.core.DiedInContact(instance, steady.Now())
 }
 
 // AllSeen reports whether every other member of this data centre is alive or
@@ -220,7 +221,7 @@
 func (m *Manager) AllSeen() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.AllSeen(time.Now())
+	return m.core.AllSeen(steady.Now())
 }
 
 // Raise moves a group that is dispatched here to a higher epoch.
