group, dispatch: only the dispatcher of a pool sends to its cold targets

An entry that stands in leaves cold targets alone, and the share of the rate goes from 0.8 to 0.7: two entries that both take themselves for the dispatcher stay within half as much again.

--- a/internal/process/group/guarded.go
+++ b/internal/process/group/guarded.go
@@ -67,7 +67,7 @@
 			delete(g.local, k)
 			continue
 		}
-		d.Configure(settingsOf(svc, "", s))
+		d.Configure(g.poolSettingsLocked(svc, k))
 		d.SetTargets(targetInfos(s, svc, k.Region))
 	}
 	g.Client.Keep(g.peersLocked())
@@ -105,12 +105,23 @@
 	if svc == nil || !svc.GuardedSlots {
 		return nil
 	}
-	d := dispatch.NewPoolDispatcher(settingsOf(svc, "", g.snap), g.Now)
+	d := dispatch.NewPoolDispatcher(g.poolSettingsLocked(svc, k), g.Now)
 	d.SetTargets(targetInfos(g.snap, svc, k.Region))
 	g.local[k] = d
 	return d
 }
 
+// poolSettingsLocked returns the settings of this entry's dispatcher of a pool.
+// Only the entry that the members in force make the dispatcher sends to cold
+// targets: one that stands in for it, since it does not answer, does not know
+// what it has sent.
+func (g *Guarded) poolSettingsLocked(svc *snapshot.Service, k slotlink.Pool) dispatch.Settings {
+	set := settingsOf(svc, "", g.snap)
+	first := g.firstLocked(k, (*Guarded).presentLocked)
+	set.AvoidCold = first != nil && first.Instance != g.Instance
+	return set
+}
+
 // Slots returns the slots of a service in this entry's region, or nil if there
 // is no such service.
 func (g *Guarded) Slots(service string) dispatch.Slots {
@@ -147,19 +158,25 @@
 }
 
 func (g *Guarded) homeLocked(k slotlink.Pool) *fescuepb.Member {
-	now := g.Now()
+	best := g.firstLocked(k, (*Guarded).usableLocked)
+	if best == nil || best.Instance == g.Instance {
+		return nil
+	}
+	return best
+}
+
+// firstLocked returns the first entry of a pool's region, in the pool's order of
+// preference, for which fits holds, or nil.
+func (g *Guarded) firstLocked(k slotlink.Pool, fits func(*Guarded, *fescuepb.Member) bool) *fescuepb.Member {
 	var best *fescuepb.Member
 	for _, m := range g.snap.Members() {
-		if m.Role != fescuepb.Role_ROLE_ENTRY || m.Region != k.Region || !g.usableLocked(m, now) {
+		if m.Role != fescuepb.Role_ROLE_ENTRY || m.Region != k.Region || !fits(g, m) {
 			continue
 		}
 		if best == nil || before(rankKey(k), m, best) {
 			best = m
 		}
 	}
-	if best == nil || best.Instance == g.Instance {
-		return nil
-	}
 	return best
 }
 
@@ -178,11 +195,15 @@
 	return xxhash.Sum64String(key + "\x00" + m.Instance)
 }
 
-func (g *Guarded) usableLocked(m *fescuepb.Member, now time.Time) bool {
-	if m.Instance == g.Instance {
-		return true
-	}
-	return !m.Leaving && !m.Silent && m.Session > 0 && now.After(g.suspects[m.Instance])
+// usableLocked reports whether an entry may be asked: the members in force have
+// it present, and it answered lately as far as it was asked.
+func (g *Guarded) usableLocked(m *fescuepb.Member) bool {
+	return g.presentLocked(m) && (m.Instance == g.Instance || g.Now().After(g.suspects[m.Instance]))
+}
+
+// presentLocked reports whether the members in force have an entry present.
+func (g *Guarded) presentLocked(m *fescuepb.Member) bool {
+	return m.Instance == g.Instance || !m.Leaving && !m.Silent && m.Session > 0
 }
 
 // Near returns the entries of another region to send a request to, best first.
@@ -190,10 +211,9 @@
 func (g *Guarded) Near(region, key string) []*fescuepb.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.Now()
 	var out []*fescuepb.Member
 	for _, m := range g.snap.Members() {
-		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == region && g.usableLocked(m, now) {
+		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == region && g.usableLocked(m) {
 			out = append(out, m)
 		}
 	}
--- /dev/null
+++ b/internal/process/group/guarded_test.go
@@ -0,0 +1,73 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+)
+
+const guardedYAML = `team: platform
+regions: [{name: north, data_centres: [a]}]
+services: [{name: rota, guarded_slots: true, health_path: /health, cold: {for: 3s, per_second: 10}}]
+host_routes: [{name: r, host: rota.example, prefix: /, safe: true, max_attempts: 2, timeout: 2s, services: [{service: rota, weight: 1}]}]
+`
+
+// guardedEntries returns the Guarded of each of three entries of a region.
+func guardedEntries(t *testing.T, targets ...*fescuepb.Target) []*Guarded {
+	t.Helper()
+	var members []*fescuepb.Member
+	names := []string{"e1", "e2", "e3"}
+	for _, name := range names {
+		members = append(members, &fescuepb.Member{
+			Instance: name, DataCentre: "a", Region: "north", Role: fescuepb.Role_ROLE_ENTRY, GrpcAddr: name + ":1", Session: 1,
+		})
+	}
+	var b snapshot.Builder
+	snap, err := b.Build(snapshot.Content{
+		Version: 1, Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(guardedYAML)}}, Members: members, Targets: targets,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []*Guarded
+	for _, name := range names {
+		g := &Guarded{Instance: name, DataCentre: "a", Client: &slotlink.Client{Log: logging.Discard()}, Now: time.Now, Log: logging.Discard()}
+		g.Use(snap)
+		out = append(out, g)
+	}
+	return out
+}
+
+// Guards against a cold target that gets its rate from several entries at once,
+// because those that cannot reach its dispatcher decide alone.
+func TestOnlyTheDispatcherSendsToColdTargets(t *testing.T) {
+	entries := guardedEntries(t, &fescuepb.Target{
+		Id: "t1", Service: "rota", Address: "127.0.0.1:1", DataCentre: "a", Slots: 3, ColdMs: 3000,
+	})
+	k := slotlink.Pool{Service: "rota", Region: "north"}
+	senders := 0
+	for _, g := range entries {
+		for _, other := range entries {
+			if other != g {
+				g.Suspect(other.Instance)
+			}
+		}
+		if g.home(k) != nil {
+			t.Errorf("%s asks an entry that does not answer", g.Instance)
+		}
+		now := time.Now()
+		w := dispatch.Work{Route: "r", Safe: true, Objective: now.Add(time.Second), Deadline: now.Add(time.Second), NoQueue: true}
+		if ticket, err := g.Dispatcher(k).Acquire(t.Context(), w); err == nil {
+			senders++
+			ticket.Done(dispatch.Outcome{Result: dispatch.OK})
+		}
+	}
+	if senders != 1 {
+		t.Errorf("%d of %d entries send to the cold target, want 1", senders, len(entries))
+	}
+}
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -22,6 +22,10 @@
 	LongestDeadline  time.Duration // deadlines further away are cut to this; 0: the document's default
 	HedgePercent     int           // hedges as a percentage of requests; 0: never hedge
 	HedgeMinDelay    time.Duration // lower bound of HedgeDelay; 0: the document's default
+	// AvoidCold keeps a pool from sending to cold targets, for an entry that
+	// dispatches it in place of another: the rate of a cold target is bounded for
+	// all entries together.
+	AvoidCold bool
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/request/dispatch/cold.go
+++ b/internal/request/dispatch/cold.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// coldShare of the rate that a cold target tolerates is used: for a moment
-	// two entries may both take themselves for the dispatcher of a pool.
-	coldShare = 0.8
+	// coldShare of the rate that a cold target tolerates is used. Beside the
+	// dispatcher of a pool, one that was cut off from the others may still take
+	// itself for it, and targets bear half as much again as they state.
+	coldShare = 0.7
 	// coldFactor is how much longer a cold target is expected to run.
 	coldFactor = 2
 )
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -55,7 +55,7 @@
 func (p *Pool) best(at time.Duration, r *Request) forecast {
 	var best forecast
 	for _, b := range p.targets {
-		if !b.usable(at) {
+		if !b.usable(at) || p.set.AvoidCold && b.cold.cold(at) {
 			continue
 		}
 		if slices.Contains(r.work.Exclude, b.info.ID) {
