--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -142,7 +142,7 @@
 	shared.now = func() time.Time { return now }
 	shared.Use(snap)
 	const pinned = 2 // half of the cap, split between two entries
-	for range 3 { // demand, acknowledged version, grant
+	for range 3 {    // demand, acknowledged version, grant
 		shared.Acquire("a")
 		reply, err := srv.Lease(context.Background(), shared.asks())
 		if err != nil {
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -223,7 +223,7 @@
 
 // ready reports whether requests can be decided on.
 func (p *process) ready() bool {
-	if !p.follower.Ready() {
+	if !p.follower.Ready() || !p.guarded.Ready() {
 		return false
 	}
 	return !p.set.NeedHostRoutes || p.store.Load().HasHosts()
--- a/internal/process/group/guarded.go
+++ b/internal/process/group/guarded.go
@@ -86,6 +86,14 @@
 	return out
 }
 
+// Ready reports whether a snapshot is in force here. It gets here a moment after
+// the store has it.
+func (g *Guarded) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.snap != nil
+}
+
 // Dispatcher returns this entry's dispatcher of a group, whether or not the
 // others ask it, or nil if there is no such service.
 func (g *Guarded) Dispatcher(k slotlink.Pool) *dispatch.Dispatcher {
@@ -211,6 +219,9 @@
 func (g *Guarded) Near(region, key string) []*fescuepb.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.snap == nil {
+		return nil
+	}
 	var out []*fescuepb.Member
 	for _, m := range g.snap.Members() {
 		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == region && g.usableLocked(m) {
--- a/internal/process/group/guarded_test.go
+++ b/internal/process/group/guarded_test.go
@@ -71,3 +71,13 @@
 		t.Errorf("%d of %d entries send to the cold target, want 1", senders, len(entries))
 	}
 }
+
+// Guards against a crash of requests that arrive after the first snapshot is in
+// the store and before it is in use here.
+func TestGuardedBeforeTheFirstSnapshot(t *testing.T) {
+	g := &Guarded{Instance: "e1", DataCentre: "a", Client: &slotlink.Client{Log: logging.Discard()}, Now: time.Now, Log: logging.Discard()}
+	k := slotlink.Pool{Service: "rota", Region: "north"}
+	if g.Ready() || g.Slots("rota") != nil || g.Dispatcher(k) != nil || g.Near("north", "id") != nil {
+		t.Error("entries, slots or a dispatcher without a snapshot")
+	}
+}
