peer: fixed flow windows between instances

Cause: with windows that adapt, gRPC sends a ping and its answer for nearly every small message, and control consists of small messages.

--- a/internal/connection/peer/links.go
+++ b/internal/connection/peer/links.go
@@ -23,6 +23,11 @@
 )
 
 const (
+	// flowWindow of a stream and of a connection, in bytes. A fixed window turns
+	// the estimate of the bandwidth off, which costs a ping and its answer for
+	// each small message.
+	flowWindow = 1 << 20
+
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
 	// keepaliveMin is what servers tolerate, below keepaliveTime.
@@ -76,6 +81,8 @@
 	return []grpc.ServerOption{
 		grpc.Creds(l.creds),
 		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.InitialWindowSize(flowWindow),
+		grpc.InitialConnWindowSize(flowWindow),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMin, PermitWithoutStream: true}),
 		grpc.ChainUnaryInterceptor(l.unaryRoles),
@@ -116,6 +123,8 @@
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(l.creds),
 		grpc.WithNoProxy(),
+		grpc.WithInitialWindowSize(flowWindow),
+		grpc.WithInitialConnWindowSize(flowWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: backoffBase, Multiplier: 1.6, Jitter: 0.2, MaxDelay: backoffMax},
 			MinConnectTimeout: connectTimeout,
