dispatch: idle targets are not tried in place of those that have the object at hand

Cause: a target without a request for 1.5 s got the next one, to notice new and recovered targets. Now only a target that joined is tried; the memory of slowness and failures fades by itself.

--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -37,13 +37,14 @@
 // backend is the pool's view of a target. Times are durations since the pool's
 // epoch.
 type backend struct {
-	info      TargetInfo
-	listed    bool
-	startedAt time.Duration // of the last request
-	running   []*Request
-	waiting   int // queued requests that prefer it
-	memory    memory
-	cold      coldLimit
+	info     TargetInfo
+	listed   bool
+	joinedAt time.Duration
+	untried  bool // it joined a pool in use and has had no request
+	running  []*Request
+	waiting  int // queued requests that prefer it
+	memory   memory
+	cold     coldLimit
 
 	report   Report
 	reportAt time.Duration
@@ -88,7 +89,7 @@
 	r.whileCold = b.cold.cold(at)
 	b.cold.spend(at)
 	b.memory.touch(at, r.work.Object)
-	b.startedAt = at
+	b.untried = false
 	r.pos = len(b.running)
 	b.running = append(b.running, r)
 }
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -22,10 +22,11 @@
 	evictShare = 0.7
 	// recentObjects are those that a target handled within this time.
 	recentObjects = 10 * time.Second
-	// unusedFor is how long a target may go without a request before it gets one
-	// although another would answer sooner: otherwise a new one would never be
-	// used, nor one that has recovered be noticed.
-	unusedFor = 1500 * time.Millisecond
+	// untriedFor is how long a target that joined may go without a request before
+	// it gets one although another would answer as soon, and twice that before it
+	// gets one although another would answer sooner: with every object at hand
+	// elsewhere it would never be used.
+	untriedFor = 1500 * time.Millisecond
 )
 
 // forecast is what is expected of a request at one target.
@@ -92,12 +93,25 @@
 	if !f.atHand && r.work.Object != "" {
 		f.cost += p.placing(at, r, b)
 	}
-	if at-b.startedAt > unusedFor && f.wait == 0 && r.work.Safe {
-		f.cost -= typical
+	if b.untried && f.wait == 0 {
+		f.cost -= trialBonus(at-b.joinedAt, atHand, f.run)
 	}
 	return f
 }
 
+// trialBonus is by how much a target is preferred that has had no request since
+// it joined: so that it counts as having a request's object at hand, and later
+// as if it answered at once.
+func trialBonus(waited, atHand, run time.Duration) time.Duration {
+	switch {
+	case waited > 2*untriedFor:
+		return run
+	case waited > untriedFor:
+		return max(run-atHand, 0)
+	}
+	return 0
+}
+
 // ahead returns how many waiting requests that prefer a target go before r.
 func (p *Pool) ahead(r *Request, b *backend) int {
 	if b.waiting == 0 {
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -52,7 +52,7 @@
 	for _, info := range infos {
 		b := p.byID[info.ID]
 		if b == nil {
-			b = &backend{startedAt: at}
+			b = &backend{joinedAt: at, untried: p.seq > 0}
 			p.byID[info.ID] = b
 			p.targets = append(p.targets, b)
 		}
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -224,6 +224,21 @@
 	}
 }
 
+// Guards against a service with few requests whose objects move to targets that
+// were idle for a while, where they are not at hand.
+func TestPoolKeepsObjectsOfIdleTargets(t *testing.T) {
+	w := newPool(t, poolTarget("1", 3), poolTarget("2", 3), poolTarget("3", 3))
+	at := w.train("x", "y")
+	for range 10 {
+		for object, id := range at {
+			w.now = w.now.Add(700 * time.Millisecond)
+			if got := w.serve(object, 100*time.Millisecond, 300*time.Millisecond); got != id {
+				t.Fatalf("object %s went to %s, it is at hand at %s", object, got, id)
+			}
+		}
+	}
+}
+
 // Guards against a request that goes to another data centre although one of its
 // own is as good. An object goes to the target that is first in its order.
 func TestPoolPrefersOwnDataCentre(t *testing.T) {
