budget: no lease requests where no shift has a cap

Cause: every entry asked the control leader twice a second although the document had no caps; five of eight entries reach it between regions.

--- a/internal/process/budget/client.go
+++ b/internal/process/budget/client.go
@@ -79,6 +79,12 @@
 	}
 }
 
+func (s *Shared) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder.Idle()
+}
+
 func (s *Shared) asks() *fescuepb.LeaseRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,9 +113,17 @@
 }
 
 // Run sends requests until ctx ends: every 500 ms, and sooner when a unit
-// was refused or a new version is in force.
+// was refused or a new version is in force. Where no shift has a cap, it sends
+// none.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if c.Holder.idle() {
+			select {
+			case <-c.Holder.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		again := c.exchange(ctx)
 		if !pause(ctx, minInterval) || again {
 			continue
--- a/internal/process/budget/holder.go
+++ b/internal/process/budget/holder.go
@@ -109,6 +109,10 @@
 	}
 }
 
+// Idle reports whether no snapshot so far had a shift: then there is nothing to
+// ask for and nothing to acknowledge.
+func (h *Holder) Idle() bool { return len(h.shares) == 0 }
+
 // Acquire takes one unit of the shift if the holder's share has one free.
 func (h *Holder) Acquire(shift string, now time.Time) (Ticket, bool) {
 	s := h.shares[shift]
--- a/internal/process/budget/server_test.go
+++ b/internal/process/budget/server_test.go
@@ -166,3 +166,31 @@
 		t.Errorf("limit %d, want %d; the last unit is still valid: %v", limit, pinned, shared.Recheck(ticket))
 	}
 }
+
+// Guards against an entry that asks the leader twice a second although the
+// document has no caps, and against one that does not begin once it has one.
+func TestNoRequestsWithoutCaps(t *testing.T) {
+	var heard atomic.Uint64
+	srv := NewServer(&fakeRole{snap: build(1, nil, map[string]uint64{"e1": 7})})
+	srv.Heard = func(_ string, version uint64) { heard.Store(version) }
+	addr := serve(t, srv)
+	shared := NewShared(NewHolder("e1", 7))
+	c := &Client{Holder: shared, Addrs: func() []string { return []string{addr} }, Log: logging.Discard(), Dial: dial}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	shared.Use(build(1, nil, map[string]uint64{"e1": 7}))
+	time.Sleep(2 * minInterval)
+	if heard.Load() != 0 {
+		t.Error("asked without a cap")
+	}
+	shared.Use(build(2, map[string]int{"a": 8}, map[string]uint64{"e1": 7}))
+	for until := time.Now().Add(5 * time.Second); heard.Load() != 2 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if heard.Load() != 2 {
+		t.Error("did not ask once there was a cap")
+	}
+	cancel()
+	<-done
+}
