--- a/internal/process/raft/follower.go
+++ b/internal/process/raft/follower.go
@@ -11,6 +11,9 @@
 		r.becomeFollower(r.term, m.From)
 	}
 	r.leader = m.From
+	if !r.heardLeader {
+		r.resetElection() // the timeout in force is the short one of the start
+	}
 	r.electionElapsed = 0
 	r.campaigns = 0
 	switch m.Type {
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -101,6 +101,7 @@
 	electionTimeout int
 	votes           map[string]bool // answers to the current campaign
 	campaigns       int             // pre-votes since a leader was last heard
+	heardLeader     bool            // since the start
 
 	peers    map[string]*progress // leader only; holds every peer of the configuration
 	rounds   roundState           // leader only
@@ -256,8 +257,20 @@
 	r.resetElection()
 }
 
-// resetElection draws a new election timeout.
+// resetElection draws a new election timeout. It is shorter while no leader was
+// heard since the start: after all replicas were down there is none to wait for,
+// and if there is one, the pre-vote fails and changes nothing.
 func (r *Raft) resetElection() {
 	r.electionElapsed = 0
-	r.electionTimeout = r.cfg.ElectionTicks + r.cfg.Rand.IntN(r.cfg.ElectionTicks)
+	if r.leader != "" {
+		r.heardLeader = true
+	}
+	low, spread := r.cfg.ElectionTicks, r.cfg.ElectionTicks
+	if !r.heardLeader {
+		low, spread = max(1, low/4), max(1, spread/2)
+		if r.campaigns > 0 {
+			low = max(1, r.cfg.ElectionTicks/2) // the answers of the others take a while
+		}
+	}
+	r.electionTimeout = low + r.cfg.Rand.IntN(spread)
 }
--- a/internal/process/raft/raft_test.go
+++ b/internal/process/raft/raft_test.go
@@ -249,3 +249,27 @@
 		t.Fatalf("the voter that came back does not vote: %v", r.Peers())
 	}
 }
+
+// Guards against a cluster that waits for a leader after all of its replicas
+// were down, and against elections between two heartbeats of a leader that was
+// heard.
+func TestElectionTimeoutAfterAStart(t *testing.T) {
+	untilCampaign := func(r *Raft) int {
+		for n := 1; ; n++ {
+			if r.Tick(); r.Role() == PreCandidate {
+				return n
+			}
+		}
+	}
+	for range 20 {
+		r := newMember(Config{ElectionTicks: 16, HeartbeatTicks: 5})
+		if n := untilCampaign(r); n >= 16 {
+			t.Errorf("campaign %d ticks after the start, want less than 16", n)
+		}
+		r = newMember(Config{ElectionTicks: 16, HeartbeatTicks: 5})
+		r.Step(&pb.RaftMessage{Type: heartbeat, From: "b", To: "a", Term: 3})
+		if n := untilCampaign(r); n < 16 {
+			t.Errorf("campaign %d ticks after a heartbeat, want 16 or more", n)
+		}
+	}
+}
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -61,9 +61,9 @@
 
 const (
 	defaultTick          = 50 * time.Millisecond
-	defaultElection      = 500 * time.Millisecond
+	defaultElection      = 800 * time.Millisecond
 	defaultSnapshotEvery = 1000
-	heartbeatTicks       = 2
+	heartbeatTicks       = 5
 	inboxCapacity        = 4096
 	requestCapacity      = 1024
 )
