--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -127,3 +128,21 @@
 		return acks["entry-1"].Version == 11 && acks["entry-2"].Version == 11
 	})
 }
+
+// Guards against an entry that waits for a source which does not answer, while
+// others would: after all processes were down, some are back later.
+func TestTriesSeveralSourcesAtTheStart(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // connections wait in its backlog
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	good := newFakeSource(t, 5, 100)
+	for _, sources := range [][]string{{silent.Addr().String(), good.addr}, {good.addr, silent.Addr().String()}} {
+		f := newFollower("entry-1", sources, nil)
+		began := time.Now()
+		start(t, f)
+		eventually(t, abandonAfter, "a version in force from the source that answers", f.Ready)
+		t.Logf("ready after %v", time.Since(began))
+	}
+}
--- a/internal/process/follow/loop.go
+++ b/internal/process/follow/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/process/ring"
@@ -18,23 +19,29 @@
 	// failure in a row.
 	minRetry = 20 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
+	// Without a source in use, another candidate is opened beside those that have
+	// not confirmed their counter for hedgeAfter: after all processes were down, a
+	// source may not listen yet or not know a leader.
+	maxCandidates = 3
+	hedgeAfter    = 300 * time.Millisecond
 	// Delays before a better kind of source is tried again.
 	minUpgrade = 3 * time.Second
 	maxUpgrade = 8 * time.Second
 )
 
-// loop chooses the source. It has one watch in use and tries at most one
-// candidate, which is taken into use once its counter keeps up.
+// loop chooses the source. It has one watch in use and tries candidates, the
+// first of which is taken into use whose counter keeps up.
 type loop struct {
-	f         *Follower
-	events    *ring.Ring[event]
-	current   *watch
-	candidate *watch
-	next      int    // position in the plan of the next candidate
-	stopped   string // address of the source abandoned last, which is tried last
-	failures  int    // in a row
-	openAt    time.Time
-	upgradeAt time.Time
+	f          *Follower
+	events     *ring.Ring[event]
+	current    *watch
+	candidates []*watch  // in the order in which they were opened
+	openedAt   time.Time // of the last candidate
+	next       int       // position in the plan of the next candidate
+	stopped    string    // address of the source abandoned last, which is tried last
+	failures   int       // in a row
+	openAt     time.Time
+	upgradeAt  time.Time
 }
 
 func newLoop(f *Follower) *loop {
@@ -42,8 +49,7 @@
 }
 
 func (l *loop) run(ctx context.Context) {
-	defer l.close(&l.current)
-	defer l.close(&l.candidate)
+	defer l.closeAll()
 	for ctx.Err() == nil {
 		l.step(ctx, l.f.now())
 		timer := time.NewTimer(l.untilWake())
@@ -68,24 +74,41 @@
 // step abandons watches whose counter stopped and opens the next one.
 func (l *loop) step(ctx context.Context, now time.Time) {
 	l.expire(now)
-	if l.candidate != nil || now.Before(l.openAt) {
-		return
-	}
-	if l.current == nil {
-		l.openNext(ctx)
-	} else if !now.Before(l.upgradeAt) {
+	switch {
+	case l.current == nil:
+		if at, ok := l.nextOpening(); ok && !now.Before(at) {
+			l.openNext(ctx, now)
+		}
+	case len(l.candidates) == 0 && !now.Before(l.upgradeAt):
 		l.tryBetter(ctx, now)
 	}
 }
 
+// nextOpening returns when another candidate may be opened while no source is
+// in use, or false if there are enough.
+func (l *loop) nextOpening() (time.Time, bool) {
+	if len(l.candidates) == 0 {
+		return l.openAt, true
+	}
+	if len(l.candidates) >= min(maxCandidates, len(l.f.sources())) {
+		return time.Time{}, false
+	}
+	if hedge := l.openedAt.Add(hedgeAfter); hedge.After(l.openAt) {
+		return hedge, true
+	}
+	return l.openAt, true
+}
+
 // expire abandons watches whose counter stopped.
 func (l *loop) expire(now time.Time) {
 	if l.current != nil && now.Sub(l.current.counters.progress) >= abandonAfter {
-		l.abandon(&l.current, "counter stopped", now)
+		l.abandon(l.current, "counter stopped", now)
 		l.openAt = now.Add(randomBetween(0, abandonJitter))
 	}
-	if l.candidate != nil && now.Sub(l.candidate.counters.progress) >= abandonAfter {
-		l.abandon(&l.candidate, "counter did not advance", now)
+	for _, w := range slices.Clone(l.candidates) {
+		if now.Sub(w.counters.progress) >= abandonAfter {
+			l.abandon(w, "counter did not advance", now)
+		}
 	}
 }
 
@@ -97,33 +120,48 @@
 			at = t
 		}
 	}
-	for _, w := range []*watch{l.current, l.candidate} {
-		if w != nil {
-			earliest(w.counters.progress.Add(abandonAfter))
-		}
-	}
-	if l.candidate == nil && l.current == nil {
-		earliest(l.openAt)
+	for _, w := range l.watches() {
+		earliest(w.counters.progress.Add(abandonAfter))
 	}
-	if l.candidate == nil && l.current != nil {
-		earliest(l.upgradeAt)
+	if l.current != nil {
+		if len(l.candidates) == 0 {
+			earliest(l.upgradeAt)
+		}
+	} else if open, ok := l.nextOpening(); ok {
+		earliest(open)
 	}
 	return at
 }
 
-func (l *loop) openNext(ctx context.Context) {
-	plan := l.f.sources()
-	if len(plan) == 0 {
-		l.openAt = l.f.now().Add(maxRetry)
-		return
+// watches returns the watch in use and the candidates.
+func (l *loop) watches() []*watch {
+	if l.current == nil {
+		return l.candidates
 	}
-	pick := plan[l.next%len(plan)]
-	if pick.addr == l.stopped {
+	return append([]*watch{l.current}, l.candidates...)
+}
+
+func (l *loop) openNext(ctx context.Context, now time.Time) {
+	plan := l.f.sources()
+	for range plan {
+		pick := plan[l.next%len(plan)]
 		l.next++
-		pick = plan[l.next%len(plan)]
+		if !l.tries(pick.addr) && (pick.addr != l.stopped || len(plan) == 1) {
+			l.open(ctx, pick, now)
+			return
+		}
 	}
-	l.next++
-	l.candidate = l.f.openWatch(ctx, pick, l.events)
+	l.openAt = now.Add(maxRetry)
+}
+
+// tries reports whether a candidate follows an address.
+func (l *loop) tries(addr string) bool {
+	return slices.ContainsFunc(l.candidates, func(w *watch) bool { return w.addr == addr })
+}
+
+func (l *loop) open(ctx context.Context, s source, now time.Time) {
+	l.candidates = append(l.candidates, l.f.openWatch(ctx, s, l.events))
+	l.openedAt = now
 }
 
 // tryBetter opens a candidate of the best rank if the current source has
@@ -138,44 +176,37 @@
 	for best < len(plan) && plan[best].rank() == plan[0].rank() {
 		best++
 	}
-	l.candidate = l.f.openWatch(ctx, plan[rand.IntN(best)], l.events)
+	l.open(ctx, plan[rand.IntN(best)], now)
 }
 
 // handle takes an event. Watches expire first: after this process was
 // frozen, the counters that waited in its socket are old.
 func (l *loop) handle(ev event, now time.Time) {
 	l.expire(now)
-	slot := l.slotOf(ev.w)
-	if slot == nil {
+	if !slices.Contains(l.watches(), ev.w) {
 		return // the watch was closed
 	}
 	if ev.err != nil {
-		l.abandon(slot, ev.err.Error(), now)
+		l.abandon(ev.w, ev.err.Error(), now)
 		return
 	}
 	if l.f.take(&ev.w.counters, ev.u, now) == view.Gap {
-		l.abandon(slot, "update starts beyond the version held", now)
+		l.abandon(ev.w, "update starts beyond the version held", now)
 		return
 	}
-	if ev.w == l.candidate && ev.w.counters.level {
-		l.promote(now)
+	if ev.w != l.current && ev.w.counters.level {
+		l.promote(ev.w, now)
 	}
 }
 
-func (l *loop) slotOf(w *watch) **watch {
-	switch w {
-	case l.current:
-		return &l.current
-	case l.candidate:
-		return &l.candidate
+// promote takes a candidate into use and closes the other watches.
+func (l *loop) promote(w *watch, now time.Time) {
+	for _, other := range l.watches() {
+		if other != w {
+			other.cancel()
+		}
 	}
-	return nil
-}
-
-// promote takes the candidate into use.
-func (l *loop) promote(now time.Time) {
-	l.close(&l.current)
-	l.current, l.candidate = l.candidate, nil
+	l.current, l.candidates = w, nil
 	l.current.session.Store(l.f.nextSession())
 	l.current.acknowledge()
 	l.next, l.failures = 0, 0
@@ -185,14 +216,13 @@
 }
 
 // abandon closes a watch and plans the next one.
-func (l *loop) abandon(slot **watch, reason string, now time.Time) {
-	w := *slot
+func (l *loop) abandon(w *watch, reason string, now time.Time) {
 	if w == l.current {
 		l.stopped = w.addr
 	} else if l.stopped != "" && l.next >= len(l.f.sources()) {
 		l.stopped = "" // every other source was tried
 	}
-	l.close(slot)
+	l.close(w)
 	l.failures++
 	delay := min(maxRetry, minRetry<<min(l.failures-1, 5))
 	l.openAt = now.Add(randomBetween(delay/2, delay))
@@ -200,18 +230,24 @@
 	l.f.cfg.Log.WithFields(logrus.Fields{"source": w.addr, "kind": string(w.kind), "reason": reason}).Info("source abandoned")
 }
 
-func (l *loop) close(slot **watch) {
-	if *slot != nil {
-		(*slot).cancel()
-		*slot = nil
+func (l *loop) close(w *watch) {
+	w.cancel()
+	if w == l.current {
+		l.current = nil
+		return
+	}
+	l.candidates = slices.DeleteFunc(l.candidates, func(c *watch) bool { return c == w })
+}
+
+func (l *loop) closeAll() {
+	for _, w := range slices.Clone(l.watches()) {
+		l.close(w)
 	}
 }
 
 func (l *loop) acknowledge() {
-	for _, w := range []*watch{l.current, l.candidate} {
-		if w != nil {
-			w.acknowledge()
-		}
+	for _, w := range l.watches() {
+		w.acknowledge()
 	}
 }
 
