--- a/internal/process/control/steering.go
+++ b/internal/process/control/steering.go
@@ -145,9 +145,15 @@
 	defer cancel()
 	for {
 		done, err := st.tryDrain(ctx, dc, author, drained)
-		if done || err != nil {
-			return err
+		if !done && err == nil {
+			continue // another change came first
+		}
+		entry := st.s.cfg.Logger.WithFields(map[string]any{"dc": dc, "drained": drained, "author": author, "version": st.s.cfg.Machine.Version()})
+		if err != nil {
+			entry = entry.WithError(err)
 		}
+		entry.WithField("accepted", err == nil).Info("drain of a data centre decided")
+		return err
 	}
 }
 
--- a/internal/process/group/guarded.go
+++ b/internal/process/group/guarded.go
@@ -270,7 +270,7 @@
 		t, load, err := p.g.Client.Acquire(ctx, home.GrpcAddr, p.k, w, p.g.Now())
 		if errors.Is(err, slotlink.ErrSilent) || errkind.Of(err) == errkind.NotDispatcher && err != nil {
 			p.g.Suspect(home.Instance)
-			p.g.Log.WithFields(logrus.Fields{"service": p.k.Service, "region": p.k.Region, "instance": home.Instance}).Info("dispatcher passed over: no answer")
+			p.g.Log.WithFields(logrus.Fields{"service": p.k.Service, "region": p.k.Region, "dispatcher": home.Instance}).Info("dispatcher passed over: no answer")
 			continue
 		}
 		p.g.noteLoad(p.k, load)
