dispatch, spill: requests leave a region whose targets failed; one trial for a failed target

From half of the slots failed on, the share does not bar. A target that is back from a back-off gets one request until one succeeds; before, it got as many as it has slots.

--- a/internal/connection/slots/codec.go
+++ b/internal/connection/slots/codec.go
@@ -52,13 +52,13 @@
 func pbLoad(l dispatch.Load) *fescuepb.GroupLoad {
 	return &fescuepb.GroupLoad{
 		Queued: uint32(l.Queued), InFlight: uint32(l.InFlight), FreeSlots: uint32(l.FreeSlots),
-		ExpectedWaitUs: l.ExpectedWait.Microseconds(), RunUs: l.Run.Microseconds(), Draining: l.Draining,
+		ExpectedWaitUs: l.ExpectedWait.Microseconds(), RunUs: l.Run.Microseconds(), Draining: l.Draining, FailedPercent: uint32(l.FailedPercent),
 	}
 }
 
 func loadOf(l *fescuepb.GroupLoad) dispatch.Load {
 	return dispatch.Load{
 		Queued: int(l.GetQueued()), InFlight: int(l.GetInFlight()), FreeSlots: int(l.GetFreeSlots()),
-		ExpectedWait: microseconds(l.GetExpectedWaitUs()), Run: microseconds(l.GetRunUs()), Draining: l.GetDraining(),
+		ExpectedWait: microseconds(l.GetExpectedWaitUs()), Run: microseconds(l.GetRunUs()), Draining: l.GetDraining(), FailedPercent: int(l.GetFailedPercent()),
 	}
 }
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -138,4 +138,6 @@
 	ExpectedWait time.Duration // of a short request that arrives now
 	Run          time.Duration // typical running time of short requests; 0: unknown
 	Draining     bool          // takes no new requests: stopped, or every target is leaving
+	// FailedPercent of the slots are at targets that are out since they failed.
+	FailedPercent int
 }
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -78,11 +78,17 @@
 // open reports whether the target takes new requests, now or later.
 func (b *backend) open() bool { return b.listed && b.info.State == Active }
 
-// usable reports whether the target may get requests now.
+// usable reports whether the target may get requests now. After a back-off it
+// gets one at a time until one succeeds.
 func (b *backend) usable(at time.Duration) bool {
-	return b.open() && b.info.Slots > 0 && at >= b.outUntil
+	trial := b.failed() && len(b.running) > 0
+	return b.open() && b.info.Slots > 0 && at >= b.outUntil && !trial
 }
 
+// failed reports whether the target was taken out and has answered no request
+// since.
+func (b *backend) failed() bool { return b.backoff > 0 }
+
 func (b *backend) slots() int { return b.info.Slots }
 
 func (b *backend) begin(at time.Duration, r *Request) {
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -299,7 +299,14 @@
 	at := p.at(now)
 	l := Load{Queued: len(p.queue), InFlight: p.flight, Draining: p.stopped || !p.anyOpen()}
 	soonest := time.Duration(-1)
+	slots, failed := 0, 0
 	for _, b := range p.targets {
+		if b.open() {
+			slots += b.slots()
+			if b.failed() {
+				failed += b.slots()
+			}
+		}
 		if !b.usable(at) || b.slowness(at) >= slowNow {
 			continue
 		}
@@ -311,6 +318,9 @@
 	if l.FreeSlots == 0 {
 		l.ExpectedWait = max(soonest, 0)
 	}
+	if slots > 0 {
+		l.FailedPercent = 100 * failed / slots
+	}
 	for _, s := range p.routes {
 		if s.all.known() {
 			l.Run = max(l.Run, s.all.mean())
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -190,6 +190,29 @@
 	}
 }
 
+// Guards against a target that is back from a back-off and gets as many requests
+// as it has slots before its first answer shows whether it works.
+func TestPoolTriesFailedTargetWithOneRequest(t *testing.T) {
+	w := newPool(t, poolTarget("1", 4))
+	w.train("x")
+	w.p.Done(w.now, w.mustStart(w.work("x")), Outcome{Result: Unreachable})
+	if got := w.p.Load(w.now).FailedPercent; got != 100 {
+		t.Errorf("%d percent of the slots failed, want 100", got)
+	}
+	w.now = w.now.Add(poolMinBack)
+	trial := w.mustStart(w.work("x"))
+	if r, err := w.submit(w.work("x")); err == nil && r.state == running {
+		t.Error("a second request started beside the trial")
+	}
+	w.now = w.now.Add(10 * time.Millisecond)
+	w.p.Done(w.now, trial, Outcome{Result: OK})
+	w.mustStart(w.work("x"))
+	w.mustStart(w.work("x"))
+	if got := w.p.Load(w.now).FailedPercent; got != 0 {
+		t.Errorf("%d percent of the slots failed after a success, want 0", got)
+	}
+}
+
 // Guards against a target that is silent and noticed only by its deadlines.
 func TestPoolNoticesSilentTarget(t *testing.T) {
 	w := newPool(t, poolTarget("1", 4), poolTarget("2", 4))
--- a/internal/request/spill/plan.go
+++ b/internal/request/spill/plan.go
@@ -56,6 +56,11 @@
 // traffic between regions has a price.
 const preferNear = 15 * time.Millisecond
 
+// failedRegion is the percentage of a region's slots that must have failed for
+// its requests to move to other regions without regard to the share that may
+// move at once: there is nothing left at home that serves them.
+const failedRegion = 50
+
 // option is a region that may serve a request.
 type option struct {
 	region string
@@ -74,7 +79,11 @@
 // Next returns the next step for a request, or false if no region is left that
 // is worth asking.
 func (c *Chooser) Next(now time.Time, snap *snapshot.Snapshot, q Query) (Step, bool) {
-	options := inShare(c.options(now, snap, q), q.May)
+	may := q.May
+	if q.Load.FailedPercent >= failedRegion {
+		may = nil
+	}
+	options := inShare(c.options(now, snap, q), may)
 	for _, mode := range []Mode{InTime, AnySlot} {
 		for _, o := range options {
 			s := Step{Ask: Ask{o.region, mode}, Near: o.near, Expected: o.wait + o.travel + q.Load.Run, Travel: o.travel}
--- a/internal/request/spill/spill_test.go
+++ b/internal/request/spill/spill_test.go
@@ -157,19 +157,22 @@
 		t.Fatal(err)
 	}
 	for _, tc := range []struct {
-		name string
-		wait time.Duration // in the own region
-		bar  map[string]bool
-		want string
+		name   string
+		wait   time.Duration // in the own region
+		failed int           // percentage of its slots
+		bar    map[string]bool
+		want   string
 	}{
-		{"own region free", 0, nil, "north south north south "},
-		{"own region busy", time.Second, nil, "south north south "},
-		{"other region barred", time.Second, map[string]bool{"south": true}, "north "},
-		{"own region barred", 0, map[string]bool{"north": true}, "south north south north "},
+		{"own region free", 0, 0, nil, "north south north south "},
+		{"own region busy", time.Second, 0, nil, "south north south "},
+		{"other region barred", time.Second, 0, map[string]bool{"south": true}, "north "},
+		{"own region barred", 0, 0, map[string]bool{"north": true}, "south north south north "},
+		{"own region failed", time.Second, 50, map[string]bool{"south": true}, "south north south "},
+		{"some of the own region failed", time.Second, 49, map[string]bool{"south": true}, "north "},
 	} {
 		q := Query{
 			Service: "rota", Region: "north", Objective: 500 * time.Millisecond, Deadline: 2 * time.Second,
-			Load: dispatch.Load{ExpectedWait: tc.wait}, Allowed: func(string) bool { return true }, Tried: map[Ask]bool{},
+			Load: dispatch.Load{ExpectedWait: tc.wait, FailedPercent: tc.failed}, Allowed: func(string) bool { return true }, Tried: map[Ask]bool{},
 			May: func(region string) bool { return !tc.bar[region] },
 		}
 		c, got := NewChooser(nil, func() float64 { return 0.5 }), ""
