logging: bounded rate of routine lines, which are dropped first; fescuectl trace

Cause: under overload the log dropped whatever came when its queue was full, so that a refusal could be missing while the lines of served requests were there; its volume grew with the load; and the end of a process waited for the reader of its log.

--- a/internal/process/operator/app.go
+++ b/internal/process/operator/app.go
@@ -43,6 +43,7 @@
   fescuectl --config ctl.yaml apply kerala.yaml --wait
   fescuectl --config ctl.yaml drain --service rota --data-centre kochi-1 --wait
   fescuectl --config ctl.yaml explain --service rota --path /rota/7 --shift coast --data-centre kochi-1
+  fescuectl trace --id 24f3db7b859bc0c3 --file front-a.log --file front-b.log
   fescuectl certs --dir pki --instance c1 --host 10.0.0.1
   fescuectl keygen --team kerala --out kerala.key
 
@@ -62,7 +63,7 @@
 	p := newParser(a.Version, &e.g)
 	commands := []command{
 		&validateCmd{}, &diffCmd{}, &applyCmd{}, &getCmd{}, &historyCmd{}, &statusCmd{},
-		&drainCmd{}, &blocksCmd{}, &explainCmd{}, &certsCmd{}, &keygenCmd{},
+		&drainCmd{}, &blocksCmd{}, &explainCmd{}, &traceCmd{}, &certsCmd{}, &keygenCmd{},
 	}
 	subs := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
--- /dev/null
+++ b/internal/process/operator/trace.go
@@ -0,0 +1,142 @@
+package operator
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/integrii/flaggy"
+)
+
+// maxLogLine bounds a line of a log file, in bytes.
+const maxLogLine = 1 << 20
+
+// traceCmd prints what the logs of all instances tell of one request.
+type traceCmd struct {
+	id    string
+	files []string
+}
+
+func (c *traceCmd) define() *flaggy.Subcommand {
+	s := sub("trace", "Prints the log lines of one request from the logs of all instances, in order, and how it ended.",
+		"fescuectl trace --id 24f3db7b859bc0c3 --file front-a.log --file front-b.log")
+	s.String(&c.id, "", "id", "Identifier of the request, as the caller or an error answer names it.")
+	s.StringSlice(&c.files, "", "file", "Log file of an instance; repeat it.")
+	return s
+}
+
+func (c *traceCmd) run(e *env) error {
+	if c.id == "" || len(c.files) == 0 {
+		return fail(ExitUsage, "set --id and --file")
+	}
+	var lines []logLine
+	for _, name := range c.files {
+		found, err := readLog(name, c.id)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
+	if len(lines) == 0 {
+		return fail(ExitUsage, "no line of %d files names request %q; a log that dropped lines says so", len(c.files), c.id)
+	}
+	t := requestTrace{ID: c.id, Outcome: outcomeOf(lines)}
+	for _, l := range lines {
+		t.Lines = append(t.Lines, l.fields)
+	}
+	e.print(t, func(w io.Writer) { printTrace(w, lines, t.Outcome) })
+	return nil
+}
+
+// requestTrace is the JSON output of trace.
+type requestTrace struct {
+	ID      string           `json:"request_id"`
+	Lines   []map[string]any `json:"lines"`
+	Outcome string           `json:"outcome"`
+}
+
+// logLine is one JSON line of a log.
+type logLine struct {
+	at     time.Time
+	fields map[string]any
+}
+
+// text returns a field as text, "" if the line does not have it.
+func (l logLine) text(field string) string {
+	v, ok := l.fields[field]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(v)
+}
+
+// readLog returns the lines of a file that name a request. What precedes the
+// JSON object of a line, as log collectors add it, is passed over.
+func readLog(name, id string) ([]logLine, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.InvalidSettings, err, "open log")
+	}
+	defer f.Close()
+	var out []logLine
+	in := bufio.NewScanner(f)
+	in.Buffer(make([]byte, 64<<10), maxLogLine)
+	for in.Scan() {
+		line := in.Bytes()
+		start := bytes.IndexByte(line, '{')
+		if start < 0 || !bytes.Contains(line, []byte(id)) {
+			continue
+		}
+		l := logLine{fields: map[string]any{}}
+		if json.Unmarshal(line[start:], &l.fields) != nil || l.text("request_id") != id {
+			continue // not a line of this log, or another request's
+		}
+		if l.at, err = time.Parse(time.RFC3339Nano, l.text("time")); err != nil {
+			return nil, errkind.Wrap(errkind.BadRequest, err, "%s: time of a line", name)
+		}
+		out = append(out, l)
+	}
+	if err := in.Err(); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "read %s", name)
+	}
+	return out, nil
+}
+
+// outcomeOf says how a request ended, from its last line that tells it.
+func outcomeOf(lines []logLine) string {
+	for _, l := range slices.Backward(lines) {
+		switch l.text("msg") {
+		case "request refused or failed":
+			return fmt.Sprintf("%s answered %s: %s (did it run: %s)", l.text("instance"), l.text("kind"), l.text("error"), l.text("did_run"))
+		case "target answered":
+			return fmt.Sprintf("target %s answered status %s after %s ms, whole: %s", l.text("target"), l.text("status"), l.text("run_ms"), l.text("whole"))
+		}
+	}
+	return "no line tells how it ended: the instance was killed or cut off, or dropped the line"
+}
+
+// shownFirst are fields that every line has and that stand before the others.
+var shownFirst = []string{"time", "instance", "msg", "request_id", "level", "program"}
+
+func printTrace(w io.Writer, lines []logLine, outcome string) {
+	for _, l := range lines {
+		var rest []string
+		for name := range l.fields {
+			if !slices.Contains(shownFirst, name) && l.text(name) != "" {
+				rest = append(rest, name+"="+l.text(name))
+			}
+		}
+		sort.Strings(rest)
+		fmt.Fprintf(w, "+%8.1f ms  %s  %s  %s\n", float64(l.at.Sub(lines[0].at).Microseconds())/1000, l.text("instance"), l.text("msg"), strings.Join(rest, " "))
+	}
+	fmt.Fprintln(w, "outcome:", outcome)
+}
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
@@ -26,7 +27,7 @@
 	}
 	remote := c.remote || to.DataCentre != h.DataCentre
 	h.m.forwarded.Inc(1)
-	h.Log.WithFields(logrus.Fields{
+	logging.Routine(h.Log).WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "shift": c.shift,
 		"to_instance": to.Instance, "to_dc": to.DataCentre, "hops": c.hops + 1, "version": c.snap.Version,
 	}).Info("request forwarded")
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/retry"
@@ -157,7 +158,7 @@
 }
 
 func (h *Handler) logDecision(c *call, t *dispatch.Ticket, attempt int) {
-	h.Log.WithFields(logrus.Fields{
+	logging.Routine(h.Log).WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "route": c.route.Name, "shift": c.shift,
 		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
 		"queued_ms": milliseconds(t.QueuedFor), "mode": c.step.Mode.String(), "region": c.step.Region,
@@ -410,7 +411,11 @@
 
 // logAnswer tells how the request ran at its target.
 func (h *Handler) logAnswer(s sent, o dispatch.Outcome) {
-	h.Log.WithFields(logrus.Fields{
+	log := h.Log
+	if o.Result == dispatch.OK {
+		log = logging.Routine(log)
+	}
+	log.WithFields(logrus.Fields{
 		"request_id": s.id, "target": s.ticket.Target.ID, "status": s.rep.status, "whole": o.Result != dispatch.CancelledByCaller,
 		"run_ms": milliseconds(o.Latency), "running": o.Report.Running, "waiting": o.Report.Waiting, "slowness": o.Report.Slowness,
 	}).Info("target answered")
