--- /dev/null
+++ b/internal/process/control/steering_test.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
+)
+
+// serialOrder is an order that sets the serial of a section.
+func serialOrder(order string, base, serial uint64) SerialChange {
+	return SerialChange{Team: "operator", Author: "operator", Base: base, Order: order, Build: func(*document.Section) (*document.Section, error) {
+		return &document.Section{Team: "operator", Serial: serial}, nil
+	}}
+}
+
+// Guards against two changes on one serial that are both accepted, against an
+// accepted order that is refused when it is sent again, and against a serial
+// that does not rise.
+func TestSteeringBySerial(t *testing.T) {
+	st, ctx := newServer(t, true).Steering(), t.Context()
+	for _, tc := range []struct {
+		name string
+		c    SerialChange
+		want errkind.Kind // "" if it is accepted
+	}{
+		{"base too high", serialOrder("0", 3, 4), errkind.Conflict},
+		{"first", serialOrder("a", 0, 5), ""},
+		{"first, sent again", serialOrder("a", 0, 5), ""},
+		{"race for the same base", serialOrder("b", 0, 5), errkind.Conflict},
+		{"serial does not rise", serialOrder("c", 5, 5), errkind.InvalidDocument},
+		{"second", serialOrder("d", 5, 9), ""},
+		{"first, sent again after the second", serialOrder("a", 0, 5), ""},
+	} {
+		err := st.Change(ctx, tc.c)
+		if (err == nil) != (tc.want == "") || err != nil && errkind.Of(err) != tc.want {
+			t.Errorf("%s: %v, want %q", tc.name, err, tc.want)
+		}
+	}
+	s, err := st.Section(ctx, "operator")
+	if err != nil || s == nil || s.Serial != 9 {
+		t.Errorf("section %+v, %v; want serial 9", s, err)
+	}
+}
+
+// Guards against a drain that is lost when it is sent twice, and against one
+// that stays after it was taken back.
+func TestSteeringDrains(t *testing.T) {
+	st, ctx := newServer(t, true).Steering(), t.Context()
+	for i, drained := range []bool{true, true, false, false, true} {
+		if err := st.Drain(ctx, "dc1", "operator", drained); err != nil {
+			t.Fatalf("step %d: %v", i, err)
+		}
+		s, err := st.Section(ctx, document.PlatformTeam)
+		if err != nil || (len(s.Drains) == 1) != drained {
+			t.Errorf("step %d: drains %v, %v; want drained %v", i, s.Drains, err, drained)
+		}
+	}
+	if err := st.Drain(ctx, "nowhere", "operator", true); errkind.Of(err) != errkind.InvalidDocument {
+		t.Errorf("unknown data centre: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/process/controlmain/targets_test.go
@@ -0,0 +1,38 @@
+package controlmain
+
+import (
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+)
+
+// Guards against a change of a listed target that is not committed, and against
+// a commit with each reading because the time that a target stays cold shrinks.
+func TestTargetChanges(t *testing.T) {
+	target := func(change func(*fescuepb.Target)) *fescuepb.Target {
+		t := &fescuepb.Target{Id: "t1", Service: "rota", Address: "10.0.0.1:80", DataCentre: "a", Slots: 3, ColdMs: 2000, BornUnixMs: 5}
+		change(t)
+		return t
+	}
+	for name, tc := range map[string]struct {
+		listed       []*fescuepb.Target
+		set, removed int
+	}{
+		"the same":         {[]*fescuepb.Target{target(func(*fescuepb.Target) {})}, 0, 0},
+		"gone":             {nil, 0, 1},
+		"listed twice":     {[]*fescuepb.Target{target(func(*fescuepb.Target) {}), target(func(*fescuepb.Target) {})}, 0, 0},
+		"cold for less":    {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.ColdMs = 1500 })}, 0, 0},
+		"cold no more":     {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.ColdMs = 0 })}, 1, 0},
+		"cold anew":        {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.ColdMs = 3000 })}, 1, 0},
+		"leaving":          {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.Leaving = true })}, 1, 0},
+		"another address":  {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.Address = "10.0.0.2:80" })}, 1, 0},
+		"another service":  {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.Service = "swaps" })}, 1, 0},
+		"started anew":     {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.BornUnixMs = 9 })}, 1, 0},
+		"replaced by name": {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.Id = "t2" })}, 1, 1},
+	} {
+		change := targetChanges([]*fescuepb.Target{target(func(*fescuepb.Target) {})}, tc.listed)
+		if len(change.Set) != tc.set || len(change.Removed) != tc.removed {
+			t.Errorf("%s: %d set and %d removed, want %d and %d", name, len(change.Set), len(change.Removed), tc.set, tc.removed)
+		}
+	}
+}
