--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -47,9 +47,10 @@
 	idleTimeout       = 60 * time.Second
 	// stopMargin is for leaving at control and for writing the last answers.
 	stopMargin = 10 * time.Second
-	// exitMargin before the process is killed, requests in flight are cut off so
-	// that it ends by itself.
-	exitMargin = 300 * time.Millisecond
+	// leaveTimeout bounds the last report to control, after the last request.
+	leaveTimeout = 250 * time.Millisecond
+	// exitMargin is for the end of the process after that report.
+	exitMargin = 250 * time.Millisecond
 )
 
 // timeout bounds the graceful stop. Without a time of grace it outlasts the
@@ -57,7 +58,7 @@
 // more than a minute.
 func (s Stop) timeout(snap *snapshot.Snapshot) time.Duration {
 	if s.Grace > 0 {
-		return s.Grace.D() - exitMargin
+		return s.Grace.D() - leaveTimeout - exitMargin
 	}
 	longest := document.DefaultLongestDeadline
 	if snap != nil {
@@ -116,6 +117,7 @@
 	}
 	p.assemble()
 	go p.reload(ctx, reloaded)
+	go metrics.Serve(ctx, s.MetricsAddr, metricsHandler, log)
 	return p.serve(ctx, metricsHandler)
 }
 
@@ -469,7 +471,7 @@
 	}
 	down.Wait()
 	p.fire(lifecycle.Finished)
-	leaving, done := context.WithTimeout(context.Background(), exitMargin)
+	leaving, done := context.WithTimeout(context.Background(), leaveTimeout)
 	defer done()
 	if err := p.follower.Leave(leaving, true); err != nil {
 		p.log.WithError(err).Warn("exit not recorded by control")
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -19,7 +19,8 @@
 	PeerAddr       string   `yaml:"peer_addr,omitempty"`   // HTTP for other entries
 	GRPCAddr       string   `yaml:"grpc_addr,omitempty"`
 	AdminAddr      string   `yaml:"admin_addr,omitempty"`
-	Control        []string `yaml:"control,omitempty"` // gRPC addresses of the control replicas
+	MetricsAddr    string   `yaml:"metrics_addr,omitempty"` // of /metrics alone; empty: only at admin_addr
+	Control        []string `yaml:"control,omitempty"`      // gRPC addresses of the control replicas
 	// Seeds are addresses of some control replicas, whatever their port, and
 	// replace control.
 	Seeds []string `yaml:"seeds,omitempty"`
@@ -87,6 +88,9 @@
 	c.Addr(s.PeerAddr, s.TLS.PlaintextLoopback, "peer_addr")
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	c.Addr(s.AdminAddr, false, "admin_addr")
+	if s.MetricsAddr != "" {
+		c.Addr(s.MetricsAddr, false, "metrics_addr")
+	}
 	if len(s.Control) == 0 {
 		c.Add([]any{"control"}, "at least one address is required")
 	}
--- a/internal/process/entry/stop_test.go
+++ b/internal/process/entry/stop_test.go
@@ -37,8 +37,8 @@
 // requests that are taken so late that they cannot end in time.
 func TestStopWithinGrace(t *testing.T) {
 	stop := Stop{Linger: document.Duration(defaultLinger), Grace: document.Duration(6 * time.Second)}
-	if got := stop.timeout(nil); got >= 6*time.Second {
-		t.Errorf("the stop takes %v of 6s", got)
+	if got := stop.timeout(nil) + leaveTimeout; got >= 6*time.Second {
+		t.Errorf("the stop takes %v of 6s, with the last report to control", got)
 	}
 	if got := stop.linger(); got > 3*time.Second {
 		t.Errorf("requests are taken for %v of 6s", got)
