controlmain: a replica waits while its disk is full; metrics at an address of their own

The replica now stops, waits until a file can be written and synced, and starts again from what it has synced. Other failures of the storage end the process as before.

The metrics address in the deploy file named a port of one site only; /metrics is now also served at metrics_addr, and a port that is taken there is logged and costs the metrics only.

--- /dev/null
+++ b/internal/process/controlmain/diskfull_test.go
@@ -0,0 +1,69 @@
+package controlmain
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+)
+
+// Guards against a process that ends again and again while its disk is full, and
+// against one that goes on after another failure of its storage.
+func TestOverFullDisk(t *testing.T) {
+	full := errkind.Wrap(errkind.StorageFailed, &os.PathError{Op: "write", Path: "wal", Err: syscall.ENOSPC}, "write to the log")
+	broken := errkind.Wrap(errkind.StorageFailed, syscall.EIO, "write to the log")
+	for name, tc := range map[string]struct {
+		ends   []error // of the runs
+		full   int     // tries without room after each of them
+		runs   int
+		result error
+	}{
+		"stopped":             {[]error{nil}, 0, 1, nil},
+		"full once":           {[]error{full, nil}, 2, 2, nil},
+		"full twice":          {[]error{full, full, nil}, 0, 3, nil},
+		"another failure":     {[]error{broken}, 0, 1, broken},
+		"failure after it":    {[]error{full, broken}, 1, 2, broken},
+		"stopped when it was": {[]error{full, context.Canceled}, 1, 2, context.Canceled},
+	} {
+		runs, tries := 0, 0
+		err := overFullDisk(t.Context(), logging.Discard(), func() error {
+			runs, tries = runs+1, 0
+			return tc.ends[runs-1]
+		}, func() error {
+			if tries++; tries <= tc.full {
+				return full
+			}
+			return nil
+		})
+		if runs != tc.runs || !errors.Is(err, tc.result) {
+			t.Errorf("%s: %d runs and %v, want %d and %v", name, runs, err, tc.runs, tc.result)
+		}
+	}
+}
+
+// Guards against a stop that waits for room.
+func TestStopWhileTheDiskIsFull(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	err := overFullDisk(ctx, logging.Discard(), func() error { return syscall.ENOSPC }, func() error {
+		cancel()
+		return syscall.ENOSPC
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a probe that leaves its file behind.
+func TestHasRoom(t *testing.T) {
+	dir := t.TempDir()
+	if err := hasRoom(dir); err != nil {
+		t.Fatal(err)
+	}
+	if files, err := os.ReadDir(dir); err != nil || len(files) > 0 {
+		t.Errorf("files left: %v, %v", files, err)
+	}
+}
--- a/internal/process/controlmain/run.go
+++ b/internal/process/controlmain/run.go
@@ -43,8 +43,14 @@
 
 // Run runs a control replica until ctx ends, then finishes the calls in
 // flight. Settings that are reloaded meanwhile come from reloaded, which may be
-// nil.
+// nil. While its disk is full, the replica is stopped and the process waits.
 func Run(ctx context.Context, s *Settings, reloaded <-chan *Settings, ext Extension, log *logrus.Entry) error {
+	return overFullDisk(ctx, log,
+		func() error { return runReplica(ctx, s, reloaded, ext, log) },
+		func() error { return hasRoom(s.DataDir) })
+}
+
+func runReplica(ctx context.Context, s *Settings, reloaded <-chan *Settings, ext Extension, log *logrus.Entry) error {
 	links, err := peer.NewLinks(s.TLS, log)
 	if err != nil {
 		return err
@@ -67,6 +73,7 @@
 	group.Go(func() error { return p.grpc.Serve(lis) })
 	group.Go(func() error { return p.server.Run(ctx) })
 	group.Go(func() error { return serveAdmin(ctx, s, p.server, metricsHandler) })
+	go metrics.Serve(ctx, s.MetricsAddr, metricsHandler, log)
 	group.Go(func() error { return loadInitial(ctx, s, p.server, log) })
 	group.Go(func() error { p.lead.run(ctx, p.budgets); return nil })
 	group.Go(func() error { p.joinSelf(ctx); return nil })
--- a/internal/process/controlmain/settings.go
+++ b/internal/process/controlmain/settings.go
@@ -16,6 +16,7 @@
 	settings.Ports `yaml:",inline"`
 	GRPCAddr       string `yaml:"grpc_addr,omitempty"`
 	AdminAddr      string `yaml:"admin_addr,omitempty"`
+	MetricsAddr    string `yaml:"metrics_addr,omitempty"` // of /metrics alone; empty: only at admin_addr
 	DataDir        string `yaml:"data_dir"`
 	// Seeds are addresses of some control replicas, whatever their port, and
 	// replace replicas and join. The first start with bootstrap makes them the
@@ -69,6 +70,9 @@
 	}
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	c.Addr(s.AdminAddr, false, "admin_addr")
+	if s.MetricsAddr != "" {
+		c.Addr(s.MetricsAddr, false, "metrics_addr")
+	}
 	s.checkReplicas(c)
 	checkURL(c, s.PlatformURL, "platform_url")
 	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback && s.OperatorAddr == "" {
--- /dev/null
+++ b/internal/process/metrics/serve_test.go
@@ -0,0 +1,47 @@
+package metrics
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+)
+
+// Guards against a process that ends, or hangs, because the port of its metrics
+// is taken.
+func TestServe(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := lis.Addr().String()
+	scope, h, closer := New("test")
+	defer func() { _ = closer.Close() }()
+	Serve(t.Context(), addr, h, logging.Discard()) // returns: the port is taken
+	if err := lis.Close(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); Serve(ctx, addr, h, logging.Discard()) }()
+	scope.Counter("counted").Inc(3)
+	const counted = `fescue_counted{program="test"} 3`
+	text := ""
+	for until := time.Now().Add(5 * time.Second); !strings.Contains(text, counted) && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if resp, err := http.Get("http://" + addr + "/metrics"); err == nil {
+			body, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			text = string(body)
+		}
+	}
+	if !strings.Contains(text, counted) {
+		t.Errorf("no counter in the metrics:\n%.300s", text)
+	}
+	cancel()
+	<-done
+}
