proxy: callers come back after a third of the time that they still wait

Cause: what refuses a request in an overload lasts longer than a quarter of its time; callers that came back within it were refused again.

--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -159,8 +159,9 @@
 }
 
 // comeBackShare of the time that the caller still waits passes before it should
-// come back: it has one more try, and what refused it now lasts for a while.
-const comeBackShare = 0.25
+// come back: it has one more try, and what refused it lasts for a while. Callers
+// wait for a third at most.
+const comeBackShare = 1.0 / 3
 
 // comeBack returns when a caller of a route by host should try again at the
 // earliest.
