--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -67,7 +67,7 @@
 	s := &Server{cfg: cfg}
 	s.peers = newPeerConns(cfg.Dial)
 	s.sessions = &feed.Sessions{
-		Via: cfg.Instance, Members: cfg.Machine.Members, Report: s.RecordSession, Now: time.Now, Log: cfg.Logger,
+		Via: cfg.Instance, Members: cfg.Machine.Members, Report: s.RecordSession, Now: time.Now, Counter: cfg.Log.Counter, Log: cfg.Logger,
 	}
 	s.hub = feed.NewHub(feed.Config{
 		Instance: cfg.Instance,
--- a/internal/process/feed/sessions.go
+++ b/internal/process/feed/sessions.go
@@ -36,11 +36,20 @@
 	// Report records a change. It is repeated until Member shows it.
 	Report func(ctx context.Context, c *fescuepb.SessionChange) error
 	Now    func() time.Time
-	Log    *logrus.Entry
+	// Counter returns the quorum-confirmed counter that this instance pushes.
+	Counter func() uint64
+	Log     *logrus.Entry
 
 	mu      sync.Mutex
 	started time.Time
 	held    map[string]*session // by instance
+
+	counter    uint64
+	advancedAt time.Time // when the counter advanced last
+	// resumedAt is when the counter went on after a pause. Followers leave a
+	// source whose counter stands: that they were not heard since says nothing
+	// about them, and they need a moment to come back.
+	resumedAt time.Time
 }
 
 // session is the latest watch of a follower at this instance.
@@ -107,6 +116,7 @@
 	defer s.mu.Unlock()
 	var out []*fescuepb.SessionChange
 	now := s.Now()
+	s.followCounter(now)
 	members := map[string]*fescuepb.Member{}
 	for _, m := range s.Members() {
 		members[m.Instance] = m
@@ -124,6 +134,20 @@
 	return out
 }
 
+// counterPause without an advance of the counter, followers begin to leave.
+const counterPause = 2 * PushInterval
+
+func (s *Sessions) followCounter(now time.Time) {
+	counter := s.Counter()
+	if counter == s.counter {
+		return
+	}
+	if now.Sub(s.advancedAt) > counterPause {
+		s.resumedAt = now
+	}
+	s.counter, s.advancedAt = counter, now
+}
+
 // orphaned reports whether the state names a session here that an earlier
 // process of this instance served.
 func (s *Sessions) orphaned(m *fescuepb.Member, now time.Time) bool {
@@ -135,7 +159,7 @@
 	if m == nil || m.Incarnation != h.incarnation || m.Session > h.number {
 		return nil // not a member yet, or it has moved on
 	}
-	lost := h.lost(now)
+	lost := s.lost(h, now)
 	shown := m.Session == h.number && m.Via == s.Via && m.Silent == lost
 	if shown || h.reporting || lost && m.Session < h.number {
 		return nil
@@ -146,11 +170,20 @@
 	}
 }
 
-func (h *session) lost(now time.Time) bool {
+// lost reports whether a follower is missing. The time during which the counter
+// stands does not count.
+func (s *Sessions) lost(h *session, now time.Time) bool {
+	if now.Sub(s.advancedAt) > counterPause {
+		return false
+	}
+	since, grace := h.heardAt, lostAfter
 	if !h.closedAt.IsZero() {
-		return now.Sub(h.closedAt) > closedGrace
+		since, grace = h.closedAt, closedGrace
+	}
+	if since.Before(s.resumedAt) {
+		since = s.resumedAt
 	}
-	return now.Sub(h.heardAt) > lostAfter
+	return now.Sub(since) > grace
 }
 
 func (s *Sessions) report(ctx context.Context, c *fescuepb.SessionChange) {
@@ -178,5 +211,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held[instance]
-	return h != nil && h.incarnation == incarnation && !h.lost(s.Now())
+	return h != nil && h.incarnation == incarnation && !s.lost(h, s.Now())
 }
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -62,7 +62,7 @@
 	f.chunks.data = map[blocks.Hash][]byte{}
 	f.plan = planSources(cfg.Self, nil, cfg.Sources, cfg.Peers)
 	f.sessions = &feed.Sessions{
-		Via: cfg.Self.Instance, Members: f.members, Report: f.reportSession, Now: time.Now, Log: cfg.Log,
+		Via: cfg.Self.Instance, Members: f.members, Report: f.reportSession, Now: time.Now, Counter: relaySource{f}.Counter, Log: cfg.Log,
 	}
 	f.hub = feed.NewHub(feed.Config{
 		Instance:      cfg.Self.Instance,
