--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -19,7 +19,12 @@
 // the closer to stop reporting.
 func New(program string) (tally.Scope, http.Handler, io.Closer) {
 	reg := prometheus.NewRegistry()
-	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	// The figures of the Go runtime's memory are left out: they would be most of the
+	// answer, which is read often and over links that have a price.
+	reg.MustRegister(
+		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
 	rep := promreporter.NewReporter(promreporter.Options{Registerer: reg, Gatherer: reg})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "fescue",
--- a/internal/process/metrics/serve_test.go
+++ b/internal/process/metrics/serve_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -45,3 +46,14 @@
 	cancel()
 	<-done
 }
+
+// Guards against an answer that grows: 1,000 nodes are read every few seconds.
+func TestAnswerIsSmall(t *testing.T) {
+	_, h, closer := New("test")
+	defer func() { _ = closer.Close() }()
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	if got := w.Body.Len(); got > 4<<10 {
+		t.Errorf("%d bytes before the process has counted anything, want 4 KiB at most", got)
+	}
+}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -101,8 +101,9 @@
 
 type handlerMetrics struct {
 	requests, forwarded, hedged, retried tally.Counter
-	answers                              map[errkind.Kind]tally.Counter
 	latency                              tally.Histogram
+	// errors gets a counter for each kind that occurs, tagged with it.
+	errors tally.Scope
 }
 
 // New returns the handler for callers, or for other entries if peer is set.
@@ -116,10 +117,7 @@
 	h.m.forwarded = scope.Counter("forwarded")
 	h.m.hedged = scope.Counter("hedged")
 	h.m.retried = scope.Counter("retried")
-	h.m.answers = map[errkind.Kind]tally.Counter{}
-	for _, k := range errkind.Kinds() {
-		h.m.answers[k] = scope.Tagged(map[string]string{"kind": string(k)}).Counter("errors")
-	}
+	h.m.errors = scope
 	h.m.latency = scope.Histogram("seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16))
 	return h
 }
@@ -201,7 +199,7 @@
 // fail logs and counts an error and turns it into its answer.
 func (h *Handler) fail(c *call, err error) *reply {
 	kind := errkind.Of(err)
-	h.m.answers[kind].Inc(1)
+	h.m.errors.Tagged(map[string]string{"kind": string(kind)}).Counter("errors").Inc(1)
 	fields := logrus.Fields{"request_id": c.id, "kind": kind, "did_run": c.didRun(kind), "shift": c.shift, "error": err.Error()}
 	if len(c.trail) > 0 {
 		fields["asked"] = c.trail
