--- a/cmd/fescue-control/main.go
+++ b/cmd/fescue-control/main.go
@@ -37,6 +37,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := logging.New(os.Stderr, s.Log.Level, "fescue-control", s.Instance)
+	log, flush := logging.NewAsync(os.Stdout, s.Log.Level, "fescue-control", s.Instance)
+	defer flush()
 	return controlmain.Run(ctx, &s, settings.Follow[controlmain.Settings](ctx, config, log), controlmain.Extension{}, log)
 }
--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -37,7 +37,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log, flush := logging.NewAsync(os.Stderr, s.Log.Level, "fescue-entry", s.Instance)
+	log, flush := logging.NewAsync(os.Stdout, s.Log.Level, "fescue-entry", s.Instance)
 	defer flush()
 	return entry.Run(ctx, &s, settings.Follow[entry.Settings](ctx, config, log), entry.Extension{}, log)
 }
--- a/internal/process/operator/trace.go
+++ b/internal/process/operator/trace.go
@@ -111,19 +111,31 @@
 	return out, nil
 }
 
-// outcomeOf says how a request ended, from its last line that tells it.
+// outcomeOf says how a request ended for its caller. A failure at the instance
+// that had it first goes before what others logged, even later.
 func outcomeOf(lines []logLine) string {
+	own := func(l logLine) bool { return l.text("instance") == lines[0].text("instance") }
+	failed := func(l logLine) bool { return l.text("msg") == "request refused or failed" }
 	for _, l := range slices.Backward(lines) {
-		switch l.text("msg") {
-		case "request refused or failed":
-			return fmt.Sprintf("%s answered %s: %s (did it run: %s)", l.text("instance"), l.text("kind"), l.text("error"), l.text("did_run"))
-		case "target answered":
+		if failed(l) && own(l) {
+			return failure(l)
+		}
+	}
+	for _, l := range slices.Backward(lines) {
+		switch {
+		case failed(l):
+			return failure(l)
+		case l.text("msg") == "target answered":
 			return fmt.Sprintf("target %s answered status %s after %s ms, whole: %s", l.text("target"), l.text("status"), l.text("run_ms"), l.text("whole"))
 		}
 	}
 	return "no line tells how it ended: the instance was killed or cut off, or dropped the line"
 }
 
+func failure(l logLine) string {
+	return fmt.Sprintf("%s answered %s: %s (did it run: %s)", l.text("instance"), l.text("kind"), l.text("error"), l.text("did_run"))
+}
+
 // shownFirst are fields that every line has and that stand before the others.
 var shownFirst = []string{"time", "instance", "msg", "request_id", "level", "program"}
 
--- a/internal/process/operator/trace_test.go
+++ b/internal/process/operator/trace_test.go
@@ -25,6 +25,7 @@
 panic: not a line of the log r1
 `)
 	b := write("b.log", `{"msg":"request dispatched","request_id":"r1","instance":"b","target":"t7","time":"2026-01-01T00:00:00.2Z"}
+{"msg":"request refused or failed","request_id":"r1","instance":"b","kind":"no_target","did_run":"no","error":"none","time":"2026-01-01T00:00:00.9Z"}
 `)
 	var out, notes bytes.Buffer
 	app := &App{Stdout: &out, Stderr: &notes}
@@ -32,7 +33,7 @@
 		t.Fatalf("exit code %d: %s", code, notes.String())
 	}
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	want := []string{"request forwarded  to_instance=b", "+   100.0 ms  b  request dispatched  target=t7", "kind=target_failed", "outcome: a answered target_failed: reset (did it run: unknown)"}
+	want := []string{"request forwarded  to_instance=b", "+   100.0 ms  b  request dispatched  target=t7", "kind=target_failed", "kind=no_target", "outcome: a answered target_failed: reset (did it run: unknown)"}
 	if len(lines) != len(want) {
 		t.Fatalf("%d lines:\n%s", len(lines), out.String())
 	}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -205,7 +205,11 @@
 		fields["asked"] = c.trail
 	}
 	if c.service != nil {
-		fields["service"] = c.service.Name
+		fields["service"], fields["version"], fields["sends"] = c.service.Name, c.snap.Version, c.sends
+		fields["wait_ms"], fields["held_ms"] = milliseconds(c.wait), milliseconds(h.Now().Sub(c.received))
+	}
+	if c.route != nil {
+		fields["route"] = c.route.Name
 	}
 	h.Log.WithFields(fields).Info("request refused or failed")
 	return h.errorReply(c, err)
