--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -105,7 +105,11 @@
 func (x *exchange) awaitBody() bool {
 	select {
 	case <-x.body.done:
-		return !x.body.broken
+		if !x.body.broken {
+			return true
+		}
+		<-x.done // the answer says what was wrong with the body
+		return false
 	case <-x.done:
 		return !x.c.isClosing()
 	case <-x.c.ctx.Done():
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -321,3 +321,23 @@
 		t.Errorf("answer %q", got)
 	}
 }
+
+// Guards against a connection that is closed before the answer to a request
+// whose body did not arrive.
+func TestAnswerToABrokenBody(t *testing.T) {
+	addr, _ := start(t, roomy, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		if _, err := io.ReadAll(r.Body); err == nil {
+			t.Error("the body is whole")
+		}
+		time.Sleep(5 * time.Millisecond)
+		w.WriteHeader(http.StatusRequestTimeout)
+	})
+	for range 20 {
+		c := dial(t, addr)
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nonly this")
+		if resp, _ := c.answer(); resp.StatusCode != http.StatusRequestTimeout {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+}
