--- a/internal/request/spill/shares.go
+++ b/internal/request/spill/shares.go
@@ -95,8 +95,9 @@
 	s.common = min(s.common+n*s.most, shareBurst)
 }
 
-// May reports whether a request may run in a region. Where no region has
-// anything left, none is barred.
+// May reports whether a request may run in a region. Where no region has a whole
+// request left, the one that has most may: allowances fade, so that at a low rate
+// there is often none, and a free choice would move more than the share.
 func (s *Shares) May(region string) bool {
 	if s.most <= 0 {
 		return true
@@ -107,7 +108,7 @@
 		return true
 	}
 	for _, a := range s.allow {
-		if a >= 1 {
+		if a >= 1 || a > s.allow[region] {
 			return false
 		}
 	}
--- a/internal/request/spill/shares_test.go
+++ b/internal/request/spill/shares_test.go
@@ -106,3 +106,52 @@
 		t.Errorf("%d of 50 requests at once moved after a time without requests", moved)
 	}
 }
+
+// Guards against entries with few requests each that together move more than the
+// share.
+func TestSharesOfManyEntries(t *testing.T) {
+	const most, perEntry = 0.15, 20.0 // requests a second
+	for _, count := range []int{3, 9, 27} {
+		entries := make([]*Shares, count)
+		for i := range entries {
+			entries[i] = NewShares("north", most, DefaultShiftWindow)
+		}
+		now, gap := epoch, time.Duration(float64(time.Second)/perEntry/float64(count))
+		type ran struct {
+			at  time.Time
+			far bool
+		}
+		var all []ran
+		for n := 0; now.Before(epoch.Add(14 * time.Second)); n++ {
+			now = now.Add(gap)
+			s := entries[n%count]
+			s.Arrived(now)
+			region := "north"
+			if now.Sub(epoch) > 8*time.Second && s.May("south") { // all want to move at once
+				region = "south"
+			}
+			s.Ran(now, region)
+			all = append(all, ran{now, region == "south"})
+		}
+		share := func(from, to time.Time) float64 {
+			far, n := 0.0, 0.0
+			for _, r := range all {
+				if !r.at.Before(from) && r.at.Before(to) {
+					n++
+					if r.far {
+						far++
+					}
+				}
+			}
+			return far / n
+		}
+		worst := 0.0
+		for end := epoch.Add(8 * time.Second); end.Before(now); end = end.Add(100 * time.Millisecond) {
+			worst = max(worst, share(end.Add(-2*time.Second), end)-share(end.Add(-4*time.Second), end.Add(-2*time.Second)))
+		}
+		t.Logf("%d entries: %.3f moved", count, worst)
+		if worst > most {
+			t.Errorf("%d entries: %.3f of the requests moved from one window to the next", count, worst)
+		}
+	}
+}
