--- /dev/null
+++ b/internal/request/proxy/hedge.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+)
+
+// hedged sends the call to the ticket's target and, if the route is safe and
+// the answer is late, to a second one. The first good answer wins.
+func (h *Handler) hedged(ctx context.Context, c *call, t *dispatch.Ticket, unit Unit) (*reply, error) {
+	delay := time.Duration(0)
+	if c.route.Safe {
+		delay = t.HedgeDelay()
+	}
+	if delay <= 0 {
+		s := h.send(ctx, c, t, unit)
+		return h.settle(s)
+	}
+	results := make(chan sent, 2)
+	cancelFirst := h.sendAsync(ctx, c, t, unit, false, results)
+	cancelHedge := func(error) {}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	running := 1
+	for {
+		select {
+		case <-timer.C:
+			if second, extra, ok := h.takeHedge(c, t); ok {
+				cancelHedge = h.sendAsync(ctx, c, second, extra, true, results)
+				running++
+			}
+		case s := <-results:
+			running--
+			if s.err != nil && running > 0 {
+				_, _ = h.settle(s)
+				continue
+			}
+			if running > 0 {
+				cancelLoser := cancelHedge
+				if s.hedge {
+					cancelLoser = cancelFirst
+				}
+				cancelLoser(errHedgeLost)
+				go drop(results)
+			}
+			return h.settle(s)
+		}
+	}
+}
+
+// takeHedge takes a slot and a unit of the shift's cap for a hedge: it is one
+// more request in flight.
+func (h *Handler) takeHedge(c *call, t *dispatch.Ticket) (*dispatch.Ticket, Unit, bool) {
+	unit, ok := h.tryAcquireUnit(c)
+	if !ok {
+		return nil, nil, false
+	}
+	second, ok := t.Hedge()
+	if !ok {
+		unit.Release()
+		return nil, nil, false
+	}
+	h.m.hedged.Inc(1)
+	h.logDecision(c, second, 2)
+	return second, unit, true
+}
+
+// sendAsync runs one attempt in its own goroutine.
+func (h *Handler) sendAsync(ctx context.Context, c *call, t *dispatch.Ticket, unit Unit, hedge bool, results chan<- sent) context.CancelCauseFunc {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		s := h.send(ctx, c, t, unit)
+		if hedge {
+			s.hedge, s.unit = true, unit
+		}
+		inner := s.cancel
+		s.cancel = func(err error) { inner(err); cancel(err) }
+		results <- s
+	}()
+	return cancel
+}
+
+// drop waits for the attempt that lost and gives its slot back.
+func drop(results <-chan sent) {
+	loser := <-results
+	if loser.rep != nil {
+		loser.rep.finish(errHedgeLost)
+	}
+	loser.cancel(errHedgeLost)
+	loser.end(dispatch.Outcome{Result: dispatch.CancelledByCaller, Latency: time.Since(loser.start)}, true)
+}
