dispatch: a failed target without requests stops counting as failed

Cause: a target that is back but gets no request, as at services with few of them, would keep its region exempt from the share that may move.

--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -183,6 +183,16 @@
 	b.outUntil = at + b.backoff
 }
 
+// failedFor after a back-off, a target that got no request since no longer counts
+// as failed: with few requests it may wait for a trial although it works.
+const failedFor = 2 * time.Second
+
+// failedLately reports whether the target is out, or was lately and has answered
+// no request since.
+func (b *backend) failedLately(at time.Duration) bool {
+	return b.failed() && at < b.outUntil+failedFor
+}
+
 // slowness returns how long work takes at the target now by its own report.
 func (b *backend) slowness(at time.Duration) float64 {
 	if b.report.Slowness <= 1 || at-b.reportAt > slownessFor {
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -303,7 +303,7 @@
 	for _, b := range p.targets {
 		if b.open() {
 			slots += b.slots()
-			if b.failed() {
+			if b.failedLately(at) {
 				failed += b.slots()
 			}
 		}
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -199,6 +199,9 @@
 	if got := w.p.Load(w.now).FailedPercent; got != 100 {
 		t.Errorf("%d percent of the slots failed, want 100", got)
 	}
+	if got := w.p.Load(w.now.Add(poolMinBack + failedFor)).FailedPercent; got != 0 {
+		t.Errorf("%d percent of the slots failed long after the back-off, want 0", got)
+	}
 	w.now = w.now.Add(poolMinBack)
 	trial := w.mustStart(w.work("x"))
 	if r, err := w.submit(w.work("x")); err == nil && r.state == running {
