--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,10 +20,11 @@
 // the closer to stop reporting.
 func New(program string) (tally.Scope, http.Handler, io.Closer) {
 	reg := prometheus.NewRegistry()
-	// The figures of the Go runtime's memory are left out: they would be most of the
-	// answer, which is read often and over links that have a price.
+	// Of the Go runtime's figures only one is served: the others would be most of
+	// the answer, which is read often and over links that have a price.
 	reg.MustRegister(
-		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "go_goroutines", Help: "Goroutines that exist."},
+			func() float64 { return float64(runtime.NumGoroutine()) }),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	rep := promreporter.NewReporter(promreporter.Options{Registerer: reg, Gatherer: reg})
