--- a/internal/request/spill/shares.go
+++ b/internal/request/spill/shares.go
@@ -16,6 +16,9 @@
 	shareMargin = 0.45
 	// fewRequests in a window say little about shares.
 	fewRequests = 20
+	// enoughRequests within half a window keep the allowances whole: below, what
+	// fades of them matters.
+	enoughRequests = 40
 	// shareBurst is how many requests may be run beyond a share in a row.
 	shareBurst = 2
 )
@@ -96,8 +99,9 @@
 }
 
 // May reports whether a request may run in a region. Where no region has a whole
-// request left, the one that has most may: allowances fade, so that at a low rate
-// there is often none, and a free choice would move more than the share.
+// request left, none is barred. With few requests only the region that has most is
+// not: allowances fade, so that there is often none with a whole one, and a free
+// choice would move more than the share.
 func (s *Shares) May(region string) bool {
 	if s.most <= 0 {
 		return true
@@ -107,8 +111,12 @@
 	if s.common >= 1 || s.allow[region] >= 1 {
 		return true
 	}
+	total := 0.0
+	for _, ran := range s.ran {
+		total += ran
+	}
 	for _, a := range s.allow {
-		if a >= 1 || a > s.allow[region] {
+		if a >= 1 || total < enoughRequests && a > s.allow[region] {
 			return false
 		}
 	}
--- a/internal/request/spill/shares_test.go
+++ b/internal/request/spill/shares_test.go
@@ -110,13 +110,17 @@
 // Guards against entries with few requests each that together move more than the
 // share.
 func TestSharesOfManyEntries(t *testing.T) {
-	const most, perEntry = 0.15, 20.0 // requests a second
-	for _, count := range []int{3, 9, 27} {
+	const most = 0.15
+	for _, tc := range []struct {
+		count    int
+		perEntry float64 // requests a second
+	}{{3, 20}, {9, 20}, {27, 20}, {9, 10}, {9, 39}, {9, 41}, {3, 60}, {3, 200}} {
+		count := tc.count
 		entries := make([]*Shares, count)
 		for i := range entries {
 			entries[i] = NewShares("north", most, DefaultShiftWindow)
 		}
-		now, gap := epoch, time.Duration(float64(time.Second)/perEntry/float64(count))
+		now, gap := epoch, time.Duration(float64(time.Second)/tc.perEntry/float64(count))
 		type ran struct {
 			at  time.Time
 			far bool
@@ -149,9 +153,9 @@
 		for end := epoch.Add(8 * time.Second); end.Before(now); end = end.Add(100 * time.Millisecond) {
 			worst = max(worst, share(end.Add(-2*time.Second), end)-share(end.Add(-4*time.Second), end.Add(-2*time.Second)))
 		}
-		t.Logf("%d entries: %.3f moved", count, worst)
+		t.Logf("%d entries, %.0f requests a second each: %.3f moved", count, tc.perEntry, worst)
 		if worst > most {
-			t.Errorf("%d entries: %.3f of the requests moved from one window to the next", count, worst)
+			t.Errorf("%d entries, %.0f requests a second each: %.3f of the requests moved from one window to the next", count, tc.perEntry, worst)
 		}
 	}
 }
