controlmain: which replica joined later is told by the replicated state, not by incarnations

In the failing runs the replacement started a second before the others and joined after them, so that it counted as the older one and the lost replica stayed in the quorum; clocks that differ do the same. 8 of 8 runs pass.

--- a/internal/process/controlmain/succession.go
+++ b/internal/process/controlmain/succession.go
@@ -95,7 +95,7 @@
 		}
 		for _, m := range members {
 			p := peerAt(peers, m.GrpcAddr)
-			if m.Role == old.Role && m.DataCentre == old.DataCentre && m.Incarnation > old.Incarnation && p.Voter && p.Active {
+			if m.Role == old.Role && m.DataCentre == old.DataCentre && m.JoinedVersion > old.JoinedVersion && p.Voter && p.Active {
 				out = append(out, old)
 				break
 			}
--- a/internal/process/controlmain/succession_test.go
+++ b/internal/process/controlmain/succession_test.go
@@ -14,8 +14,12 @@
 
 // Guards against the removal of control replicas that nobody has replaced.
 func TestReplaced(t *testing.T) {
-	member := func(dc, addr string, incarnation uint64) *fescuepb.Member {
-		return &fescuepb.Member{Instance: addr, Role: fescuepb.Role_ROLE_CONTROL, DataCentre: dc, GrpcAddr: addr, Incarnation: incarnation}
+	// The clocks of instances differ: incarnations that are times say nothing about
+	// which of two joined first.
+	member := func(dc, addr string, joined uint64) *fescuepb.Member {
+		return &fescuepb.Member{
+			Instance: addr, Role: fescuepb.Role_ROLE_CONTROL, DataCentre: dc, GrpcAddr: addr, Incarnation: 100 - joined, JoinedVersion: joined,
+		}
 	}
 	peer := func(addr string, voter, active bool) replica.PeerStatus {
 		return replica.PeerStatus{ID: addr + "#0", Addr: addr, Voter: voter, Active: active}
