--- a/internal/request/spill/shares.go
+++ b/internal/request/spill/shares.go
@@ -70,6 +70,15 @@
 	s.ran[s.own] += max(0, fewRequests-total)
 }
 
+// totalRan returns the requests that ran lately, in all regions.
+func (s *Shares) totalRan() float64 {
+	total := 0.0
+	for _, ran := range s.ran {
+		total += ran
+	}
+	return total
+}
+
 func (s *Shares) kept(passed time.Duration) float64 {
 	return math.Exp(-2 * passed.Seconds() / s.window.Seconds())
 }
@@ -88,10 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fade(now)
-	total := 0.0
-	for _, ran := range s.ran {
-		total += ran
-	}
+	total := s.totalRan()
 	for region, ran := range s.ran {
 		s.allow[region] = min(s.allow[region]+n*ran/total, shareBurst)
 	}
@@ -111,10 +117,7 @@
 	if s.common >= 1 || s.allow[region] >= 1 {
 		return true
 	}
-	total := 0.0
-	for _, ran := range s.ran {
-		total += ran
-	}
+	total := s.totalRan()
 	for _, a := range s.allow {
 		if a >= 1 || total < enoughRequests && a > s.allow[region] {
 			return false
