logging: lines that the writer holds count towards the bound of routine lines

Cause: the writer takes all that waits before it writes, so the queue could fill again behind a blocked reader: TestAsyncDropsRoutineLinesFirst saw 4,147 routine lines instead of 4,096 in one of its runs.

--- a/internal/process/logging/async.go
+++ b/internal/process/logging/async.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/process/ring"
@@ -66,6 +67,7 @@
 	lines  *ring.Ring[[]byte]
 	limit  *rate.Limiter // of routine lines
 	urgent chan struct{} // holds an item after a line that is not routine
+	held   atomic.Int64  // lines taken from the queue and not written yet
 
 	mu      sync.Mutex
 	dropped dropped
@@ -97,7 +99,7 @@
 // Write takes over one line.
 func (a *asyncWriter) Write(line []byte) (int, error) {
 	routine := len(line) > 0 && line[0] == routineMark
-	fits := !routine || a.lines.Len() < routineLines && a.limit.Allow()
+	fits := !routine || a.waiting() < routineLines && a.limit.Allow()
 	if !fits || !a.lines.Offer(bytes.Clone(line)) {
 		a.drop(routine)
 	}
@@ -110,6 +112,9 @@
 	return len(line), nil
 }
 
+// waiting returns the number of lines that are not written yet.
+func (a *asyncWriter) waiting() int { return a.lines.Len() + int(a.held.Load()) }
+
 func (a *asyncWriter) drop(routine bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -152,12 +157,14 @@
 func (a *asyncWriter) writeAll(w io.Writer, line []byte) {
 	var text []byte
 	for {
+		a.held.Add(1)
 		text = append(text, bytes.TrimPrefix(line, []byte{routineMark})...)
 		if a.lines.Len() == 0 {
 			break
 		}
 		if len(text) > writeBytes {
 			_, _ = w.Write(text)
+			a.held.Store(0)
 			text = text[:0]
 		}
 		line = <-a.lines.C()
@@ -167,4 +174,5 @@
 			d.other, d.routine, time.Now().Format(time.RFC3339Nano))
 	}
 	_, _ = w.Write(text)
+	a.held.Store(0)
 }
