layout: imports run one way; process has its parts as folders

Cause: connection and process imported each other, and process held 22 folders side by side. The YAML duration moves to yamlpos, so that base does not need the document.

--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -9,9 +9,9 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 	"github.com/integrii/flaggy"
 )
 
--- a/cmd/fescue-lab/load.go
+++ b/cmd/fescue-lab/load.go
@@ -7,10 +7,10 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/lab/load"
 	"github.com/fescuejunction/fescuejunction/internal/lab/serve"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
--- a/cmd/fescue-lab/platform.go
+++ b/cmd/fescue-lab/platform.go
@@ -5,10 +5,10 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/lab/platform"
 	"github.com/fescuejunction/fescuejunction/internal/lab/serve"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
 func platformCommand() command {
--- a/cmd/fescue-lab/target.go
+++ b/cmd/fescue-lab/target.go
@@ -8,11 +8,11 @@
 	"github.com/integrii/flaggy"
 	"go.yaml.in/yaml/v3"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/lab/serve"
 	"github.com/fescuejunction/fescuejunction/internal/lab/target"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/yamlpos"
 )
--- a/internal/process/logging/async.go
+++ b/internal/base/logging/async.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 )
--- a/internal/process/metrics/serve_test.go
+++ b/internal/base/metrics/serve_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 )
 
 // Guards against a process that ends, or hangs, because the port of its metrics
--- a/internal/process/settings/reload.go
+++ b/internal/base/settings/reload.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/filewatch"
+	"github.com/fescuejunction/fescuejunction/internal/base/filewatch"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/process/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/yamlpos"
 )
 
@@ -51,7 +50,7 @@
 }
 
 // DurationRange records a problem if value is outside low to high.
-func (c *Check) DurationRange(value document.Duration, low, high time.Duration, path ...any) {
+func (c *Check) DurationRange(value yamlpos.Duration, low, high time.Duration, path ...any) {
 	if value.D() < low || value.D() > high {
 		c.Add(path, "%s is outside the allowed range %s to %s", value.D(), low, high)
 	}
--- a/internal/process/tlsconf/make.go
+++ b/internal/base/tlsconf/make.go
@@ -15,8 +15,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
 const (
--- a/internal/process/tlsconf/tlsconf.go
+++ b/internal/base/tlsconf/tlsconf.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/filewatch"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/filewatch"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 )
 
 // start serves handler and returns the address and the server.
--- a/internal/connection/peer/creds.go
+++ b/internal/connection/peer/creds.go
@@ -4,8 +4,8 @@
 	"context"
 	"net"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
--- a/internal/connection/peer/links.go
+++ b/internal/connection/peer/links.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
--- a/internal/connection/peer/listener.go
+++ b/internal/connection/peer/listener.go
@@ -6,7 +6,7 @@
 	"net"
 	"sync"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"google.golang.org/grpc"
--- a/internal/connection/peer/roles.go
+++ b/internal/connection/peer/roles.go
@@ -5,8 +5,8 @@
 	"strings"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	grpcpeer "google.golang.org/grpc/peer"
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -9,7 +9,7 @@
 	"net/http"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/membership"
+	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
 
 // maxListBytes bounds the list; 10,000 instances take about 2 MB.
--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
--- a/internal/connection/slots/slots_test.go
+++ b/internal/connection/slots/slots_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
--- a/internal/connection/target/probe.go
+++ b/internal/connection/target/probe.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/membership"
+	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
 
 // probeAll starts a probe of every known instance and lets old answers
--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/membership"
+	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
 
 // Status is how a target is, from the list, its own health answer and
--- a/internal/connection/target/watcher.go
+++ b/internal/connection/target/watcher.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
-	"github.com/fescuejunction/fescuejunction/internal/process/membership"
+	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/connection/target/watcher_test.go
+++ b/internal/connection/target/watcher_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/membership"
+	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
 
 // fake is a platform with one target, both over HTTP.
--- a/internal/lab/example/example_test.go
+++ b/internal/lab/example/example_test.go
@@ -8,13 +8,13 @@
 	"strings"
 	"testing"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/lab/example"
 	"github.com/fescuejunction/fescuejunction/internal/lab/platform"
 	"github.com/fescuejunction/fescuejunction/internal/lab/target"
-	"github.com/fescuejunction/fescuejunction/internal/process/controlmain"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/controlmain"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry"
 	"github.com/fescuejunction/fescuejunction/internal/process/operator"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
 const committed = "../../../examples"
--- a/internal/lab/load/settings.go
+++ b/internal/lab/load/settings.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/lab/serve"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
--- a/internal/lab/target/process.go
+++ b/internal/lab/target/process.go
@@ -8,9 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/metrics"
 	"github.com/fescuejunction/fescuejunction/internal/lab/journal"
 	"github.com/fescuejunction/fescuejunction/internal/lab/serve"
-	"github.com/fescuejunction/fescuejunction/internal/process/metrics"
 )
 
 // Run serves the targets of s until ctx ends.
--- a/internal/lab/target/settings.go
+++ b/internal/lab/target/settings.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
--- a/internal/process/control/auth.go
+++ b/internal/process/control/auth.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/operatorauth"
 	"google.golang.org/grpc/metadata"
 )
 
--- a/internal/process/control/blocks.go
+++ b/internal/process/control/blocks.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"google.golang.org/grpc"
 )
--- a/internal/process/chunkstore/store.go
+++ b/internal/process/control/chunkstore/store.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/storage"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/storage"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 )
 
--- a/internal/process/controlmain/budget.go
+++ b/internal/process/control/controlmain/budget.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/budget"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
-	"github.com/fescuejunction/fescuejunction/internal/process/steady"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/budget"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
--- a/internal/process/controlmain/diskfull_test.go
+++ b/internal/process/control/controlmain/diskfull_test.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"testing"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 )
 
 // Guards against a process that ends again and again while its disk is full, and
--- a/internal/process/controlmain/removal.go
+++ b/internal/process/control/controlmain/removal.go
@@ -9,7 +9,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
-	"github.com/fescuejunction/fescuejunction/internal/process/membership"
+	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/process/controlmain/run_test.go
+++ b/internal/process/control/controlmain/run_test.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/follow"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/process/entry/follow"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/uber-go/tally/v4"
--- a/internal/process/controlmain/settings.go
+++ b/internal/process/control/controlmain/settings.go
@@ -5,7 +5,7 @@
 	"net/url"
 	"slices"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 )
 
 // Settings are the static settings of fescue-control.
--- a/internal/process/controlmain/succession.go
+++ b/internal/process/control/controlmain/succession.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/replica"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/replica"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/process/controlmain/succession_test.go
+++ b/internal/process/control/controlmain/succession_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/replica"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/replica"
 	"google.golang.org/grpc/metadata"
 )
 
--- a/internal/process/operatorauth/auth.go
+++ b/internal/process/control/operatorauth/auth.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/filewatch"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/filewatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/metadata"
--- a/internal/process/operatorauth/auth_test.go
+++ b/internal/process/control/operatorauth/auth_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"google.golang.org/grpc/metadata"
 )
 
--- a/internal/process/operatorauth/keys.go
+++ b/internal/process/control/operatorauth/keys.go
@@ -10,8 +10,8 @@
 	"encoding/base64"
 	"encoding/hex"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
 )
 
 // keyBytes is the length of a key. Keys are random, so that a plain hash is
--- a/internal/process/replica/apply.go
+++ b/internal/process/control/replica/apply.go
@@ -3,7 +3,7 @@
 import (
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 // appliedBatch tells the loop that a batch is applied.
--- a/internal/process/replica/cluster_test.go
+++ b/internal/process/control/replica/cluster_test.go
@@ -15,7 +15,7 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 )
 
 // journal is a state machine that records what was applied, in order.
--- a/internal/process/replica/failure_test.go
+++ b/internal/process/control/replica/failure_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/storage"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/storage"
 )
 
 // maxWriteGap is the bound of the design on writes after the loss of a leader.
--- a/internal/process/replica/identity.go
+++ b/internal/process/control/replica/identity.go
@@ -14,8 +14,8 @@
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
-	"github.com/fescuejunction/fescuejunction/internal/process/storage"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/storage"
 )
 
 // An identity is the address of the replica, "#", and a part that differs
--- a/internal/process/replica/loop.go
+++ b/internal/process/control/replica/loop.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 // request runs in the loop and may use raft.
--- a/internal/process/replica/propose.go
+++ b/internal/process/control/replica/propose.go
@@ -11,7 +11,7 @@
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 const (
--- a/internal/process/replica/replica.go
+++ b/internal/process/control/replica/replica.go
@@ -19,9 +19,9 @@
 	"google.golang.org/grpc"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
-	"github.com/fescuejunction/fescuejunction/internal/process/storage"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/storage"
 )
 
 // StateMachine is the replicated state. Its methods are called from one
--- a/internal/process/replica/sender.go
+++ b/internal/process/control/replica/sender.go
@@ -8,7 +8,7 @@
 	"google.golang.org/grpc"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 )
 
 const (
--- a/internal/process/replica/server.go
+++ b/internal/process/control/replica/server.go
@@ -12,7 +12,7 @@
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 // passedOnKey marks a request that a follower has passed to the leader, so
--- a/internal/process/replica/status.go
+++ b/internal/process/control/replica/status.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 // Status describes a replica at one moment.
--- a/internal/process/replica/transport.go
+++ b/internal/process/control/replica/transport.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc/connectivity"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 )
 
 // connectTimeout bounds one attempt to connect. The back-off of gRPC and the
--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/chunkstore"
-	"github.com/fescuejunction/fescuejunction/internal/process/feed"
-	"github.com/fescuejunction/fescuejunction/internal/process/steady"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/chunkstore"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
--- a/internal/process/control/server_test.go
+++ b/internal/process/control/server_test.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/feed"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/operatorauth"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc/codes"
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/feed"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
 )
 
 // acksTimeout bounds how long Status waits for another replica.
--- a/internal/process/storage/load.go
+++ b/internal/process/control/storage/load.go
@@ -4,7 +4,7 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 // load reads the snapshot and the log, and cuts an incomplete last frame.
--- a/internal/process/storage/snapshot.go
+++ b/internal/process/control/storage/snapshot.go
@@ -6,7 +6,7 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 const (
--- a/internal/process/storage/store.go
+++ b/internal/process/control/storage/store.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 const (
--- a/internal/process/storage/store_test.go
+++ b/internal/process/control/storage/store_test.go
@@ -11,9 +11,9 @@
 	"pgregory.net/rapid"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/raft"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 )
 
 // The default run is short and repeatable; -rapid.checks and -rapid.seed
--- a/internal/process/entry/adapters.go
+++ b/internal/process/entry/adapters.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/budget"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/budget"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
--- a/internal/process/follow/cost_test.go
+++ b/internal/process/entry/follow/cost_test.go
@@ -28,7 +28,7 @@
 // and the slopes against followers, sections and section size. Processor
 // time is that of control and the followers together. Run it once:
 //
-//	go test -run - -bench Cost -benchtime 1x ./internal/process/follow
+//	go test -run - -bench Cost -benchtime 1x ./internal/process/entry/follow
 func BenchmarkCost(b *testing.B) {
 	for _, c := range []struct{ followers, sections, shifts int }{
 		{10, 10, 20}, {50, 10, 20}, {150, 10, 20},
--- a/internal/process/follow/degraded.go
+++ b/internal/process/entry/follow/degraded.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/process/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/feed"
-	"github.com/fescuejunction/fescuejunction/internal/process/steady"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
--- a/internal/process/follow/helpers_test.go
+++ b/internal/process/entry/follow/helpers_test.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
-	"github.com/fescuejunction/fescuejunction/internal/process/feed"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/replica"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/replica"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
--- a/internal/process/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/ring"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"github.com/sirupsen/logrus"
 )
--- a/internal/process/group/exchange.go
+++ b/internal/process/entry/group/exchange.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/steady"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 )
 
 // Timeouts of the exchange with another entry.
--- a/internal/process/group/guarded_test.go
+++ b/internal/process/entry/group/guarded_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
--- a/internal/process/lifecycle/lifecycle_test.go
+++ b/internal/process/entry/lifecycle/lifecycle_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 )
 
 // Guards against a draining process that serves again when a version is
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
-	"github.com/fescuejunction/fescuejunction/internal/process/lifecycle"
+	"github.com/fescuejunction/fescuejunction/internal/process/entry/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
--- a/internal/process/operator/app.go
+++ b/internal/process/operator/app.go
@@ -9,7 +9,7 @@
 	"io"
 	"strings"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/integrii/flaggy"
 )
 
--- a/internal/process/operator/client.go
+++ b/internal/process/operator/client.go
@@ -6,7 +6,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
-	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/operatorauth"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
--- a/internal/process/operator/config.go
+++ b/internal/process/operator/config.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 )
 
--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/operatorauth"
 	"google.golang.org/grpc"
 )
 
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -6,10 +6,10 @@
 	"testing"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
-	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
-	"github.com/fescuejunction/fescuejunction/internal/process/settings"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/operatorauth"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
--- a/internal/process/operator/pki.go
+++ b/internal/process/operator/pki.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/process/operatorauth"
-	"github.com/fescuejunction/fescuejunction/internal/process/tlsconf"
+	"github.com/fescuejunction/fescuejunction/internal/base/tlsconf"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/operatorauth"
 	"github.com/integrii/flaggy"
 )
 
--- a/internal/process/budget/client.go
+++ b/internal/process/shared/budget/client.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/steady"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
--- a/internal/process/budget/server.go
+++ b/internal/process/shared/budget/server.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 )
--- a/internal/process/budget/server_test.go
+++ b/internal/process/shared/budget/server_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
--- a/internal/process/feed/sessions_test.go
+++ b/internal/process/shared/feed/sessions_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 )
 
 // sessionsWorld is the sessions of one source with a clock and a counter of the
--- a/internal/request/once/once_test.go
+++ b/internal/request/once/once_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/process/group"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/process/entry/group"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"google.golang.org/protobuf/proto"
--- a/internal/request/proxy/local.go
+++ b/internal/request/proxy/local.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/retry"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/logging"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/sirupsen/logrus"
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/yamlpos"
 )
 
 // PlatformTeam owns the section with regions, links and global limits.
@@ -164,13 +166,7 @@
 }
 
 // Duration is a time.Duration written like "250ms" in YAML.
-type Duration time.Duration
-
-// D returns d as a time.Duration.
-func (d Duration) D() time.Duration { return time.Duration(d) }
-
-// MarshalYAML writes d in Go duration syntax.
-func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+type Duration = yamlpos.Duration
 
 // Document is the whole steering document, by team.
 type Document struct {
--- a/internal/version/document/parse.go
+++ b/internal/version/document/parse.go
@@ -1,9 +1,6 @@
 package document
 
 import (
-	"fmt"
-	"time"
-
 	"github.com/fescuejunction/fescuejunction/internal/yamlpos"
 	"go.yaml.in/yaml/v3"
 )
@@ -11,16 +8,6 @@
 // Problem is one finding of the validation, at a line of a file.
 type Problem = yamlpos.Problem
 
-// UnmarshalYAML reads a duration such as "1.5s".
-func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
-	v, err := time.ParseDuration(n.Value)
-	if err != nil {
-		return fmt.Errorf("line %d: %q is not a duration such as \"250ms\" or \"2s\"", n.Line, n.Value)
-	}
-	*d = Duration(v)
-	return nil
-}
-
 // Encode returns the YAML of a section.
 func Encode(s *Section) ([]byte, error) { return yaml.Marshal(s) }
 
--- /dev/null
+++ b/internal/yamlpos/duration.go
@@ -0,0 +1,27 @@
+package yamlpos
+
+import (
+	"fmt"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Duration is a time.Duration written like "250ms" in YAML.
+type Duration time.Duration
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// MarshalYAML writes d in Go duration syntax.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+
+// UnmarshalYAML reads a duration such as "1.5s".
+func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
+	v, err := time.ParseDuration(n.Value)
+	if err != nil {
+		return fmt.Errorf("line %d: %q is not a duration such as \"250ms\" or \"2s\"", n.Line, n.Value)
+	}
+	*d = Duration(v)
+	return nil
+}
