raft: heartbeats every 100 ms at the start of a term

The first eight heartbeats of a term with a committed entry now follow each other in 100 ms, which is longer than a message is under way between regions.

--- a/internal/process/control/raft/leader.go
+++ b/internal/process/control/raft/leader.go
@@ -51,7 +51,7 @@
 		r.becomeFollower(r.term, "")
 		return
 	}
-	if r.ticks%uint64(r.cfg.HeartbeatTicks) == 0 {
+	if r.ticks%uint64(r.cfg.HeartbeatTicks) == 0 || r.settles() {
 		r.startRound()
 	}
 	for _, p := range r.peers {
@@ -149,6 +149,11 @@
 	r.confirmRounds()
 }
 
+// settles reports whether a heartbeat is due because the term is new.
+func (r *Raft) settles() bool {
+	return r.rounds.settled < settlingRounds && r.committedInTerm() && r.ticks%uint64(r.cfg.SettlingTicks) == 0
+}
+
 func (r *Raft) committedInTerm() bool {
 	t, _ := r.log.term(r.log.committed)
 	return t == r.term
--- a/internal/process/control/raft/raft.go
+++ b/internal/process/control/raft/raft.go
@@ -60,6 +60,11 @@
 	Rand           *rand.Rand // randomizes election timeouts
 	ElectionTicks  int        // timeouts are drawn from [ElectionTicks, 2*ElectionTicks)
 	HeartbeatTicks int
+	// SettlingTicks is the time between the first heartbeats of a term with a
+	// committed entry; HeartbeatTicks if it is 0. Followers that just started act
+	// on a version only after the counter has advanced twice. It must be longer than
+	// a message is under way, or two advances could come from before a cut.
+	SettlingTicks int
 
 	MaxMessageEntries     int    // entries in one append message
 	MaxMessageBytes       int    // bytes of entry data in one append message, at least one entry
@@ -72,6 +77,7 @@
 func (c *Config) setDefaults() {
 	c.ElectionTicks = orDefault(c.ElectionTicks, 10)
 	c.HeartbeatTicks = orDefault(c.HeartbeatTicks, 2)
+	c.SettlingTicks = orDefault(c.SettlingTicks, c.HeartbeatTicks)
 	c.MaxMessageEntries = orDefault(c.MaxMessageEntries, 256)
 	c.MaxMessageBytes = orDefault(c.MaxMessageBytes, 512<<10)
 	c.MaxInflight = orDefault(c.MaxInflight, 32)
--- a/internal/process/control/raft/raft_test.go
+++ b/internal/process/control/raft/raft_test.go
@@ -273,3 +273,31 @@
 		}
 	}
 }
+
+// Guards against followers that wait for several heartbeats before they may act
+// on a version after an election: the counter advances quickly once an entry of
+// the new term is committed, and then at the usual rate.
+func TestCounterAdvancesQuicklyAfterAnElection(t *testing.T) {
+	const heartbeat, settling = 5, 2
+	advances := func(r *Raft, ticks int) int {
+		before := r.counters.known.counter
+		n := 0
+		for range ticks {
+			r.Tick()
+			flush(r)
+			answer(r, "b", beat, r.rounds.seq)
+			if now := r.counters.known.counter; now > before {
+				n, before = n+1, now
+			}
+		}
+		return n
+	}
+	r := newLeader(Config{ElectionTicks: 16, HeartbeatTicks: heartbeat, SettlingTicks: settling}, true)
+	if n := advances(r, 4*settling+1); n < 4 {
+		t.Errorf("the counter advanced %d times in %d ticks, want 4", n, 4*settling+1)
+	}
+	advances(r, 100)
+	if n := advances(r, 20*heartbeat); n > 20 {
+		t.Errorf("the counter advanced %d times in %d ticks, want 20", n, 20*heartbeat)
+	}
+}
--- a/internal/process/control/raft/reads.go
+++ b/internal/process/control/raft/reads.go
@@ -10,6 +10,11 @@
 // for the round.
 const maxRound = math.MaxUint32
 
+// settlingRounds is how many heartbeats of a term follow each other at
+// SettlingTicks: a follower needs three counters, a peer learns each of them a
+// round later, and followers of other regions connect some rounds late.
+const settlingRounds = 8
+
 // maxPendingCounters bounds the counters a follower holds back.
 const maxPendingCounters = 64
 
@@ -40,6 +45,7 @@
 	reads   []pendingRead
 	waiting []uint64 // tokens of reads that wait for a commit in the own term
 	wanted  bool     // a read needs a new round
+	settled int      // rounds started since an entry of the own term was committed, up to settlingRounds
 }
 
 // counterAt is a freshness counter that holds for a state of at least index.
@@ -93,6 +99,9 @@
 	}
 	r.rounds.seq++
 	r.rounds.wanted = false
+	if r.committedInTerm() && r.rounds.settled < settlingRounds {
+		r.rounds.settled++
+	}
 	r.rounds.open = append(r.rounds.open, round{r.rounds.seq, r.log.committed, r.committedInTerm()})
 	for _, peer := range r.Peers() {
 		if p := r.peers[peer.Id]; peer.Id != r.id && p != nil {
--- a/internal/process/control/replica/replica.go
+++ b/internal/process/control/replica/replica.go
@@ -64,6 +64,7 @@
 	defaultElection      = 800 * time.Millisecond
 	defaultSnapshotEvery = 1000
 	heartbeatTicks       = 5
+	settlingTicks        = 2 // 100 ms; the delay between regions is at most 55 ms in both deployments
 	inboxCapacity        = 4096
 	requestCapacity      = 1024
 )
@@ -150,6 +151,7 @@
 		Rand:            rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(id))),
 		ElectionTicks:   max(2*heartbeatTicks, int(cfg.ElectionTimeout/cfg.TickInterval)),
 		HeartbeatTicks:  heartbeatTicks,
+		SettlingTicks:   settlingTicks,
 		TrailingEntries: cfg.SnapshotEvery / 2,
 	}
 }
