raft, replica: faster election after all machines were down

A replica that dials a machine that is not up yet waits a second for the repetition of the first packet, and so neither its requests nor its answers reach that machine; and a voter that was not up when a campaign began was not asked again. An attempt that hangs is now replaced when its peer is heard, and voters that have not answered are asked again every 150 ms.

--- a/internal/process/control/raft/election.go
+++ b/internal/process/control/raft/election.go
@@ -2,6 +2,10 @@
 
 import pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 
+// askAgainTicks is the time between two requests for the same vote, a little
+// more than a round trip between regions with ticks of 50 ms.
+const askAgainTicks = 3
+
 // campaign starts a pre-vote or a vote. A pre-vote changes no term, so that a
 // replica that was cut off does not depose a working leader on its return.
 func (r *Raft) campaign(pre bool) {
@@ -23,13 +27,32 @@
 		r.winCampaign()
 		return
 	}
+	r.askVoters(typ, term)
+}
+
+// askVoters asks the voters that have not answered yet.
+func (r *Raft) askVoters(typ pb.MessageType, term uint64) {
 	for _, p := range r.voters() {
-		if p.Id != r.id {
+		if _, answered := r.votes[p.Id]; !answered {
 			r.send(&pb.RaftMessage{Type: typ, To: p.Id, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
 		}
 	}
 }
 
+// tickCampaign asks again from time to time: after all replicas were down, some
+// voters are up a little later than the others.
+func (r *Raft) tickCampaign() {
+	if r.electionElapsed%askAgainTicks != 0 {
+		return
+	}
+	switch r.role {
+	case PreCandidate:
+		r.askVoters(pb.MessageType_MESSAGE_PRE_VOTE, r.term+1)
+	case Candidate:
+		r.askVoters(pb.MessageType_MESSAGE_VOTE, r.term)
+	}
+}
+
 func (r *Raft) winCampaign() {
 	if r.role == PreCandidate {
 		r.campaign(false)
--- a/internal/process/control/raft/raft.go
+++ b/internal/process/control/raft/raft.go
@@ -169,7 +169,9 @@
 	}
 	if r.electionElapsed >= r.electionTimeout && r.IsVoter() {
 		r.campaign(true)
+		return
 	}
+	r.tickCampaign()
 }
 
 // Step handles a message from another replica. A message for another
--- a/internal/process/control/raft/raft_test.go
+++ b/internal/process/control/raft/raft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -301,3 +302,40 @@
 		t.Errorf("the counter advanced %d times in %d ticks, want 20", n, 20*heartbeat)
 	}
 }
+
+// Guards against a campaign that fails because a voter was not up when it
+// began: voters without an answer are asked again, the others are not.
+func TestVotersAreAskedAgain(t *testing.T) {
+	r := newMember(Config{ElectionTicks: 16, HeartbeatTicks: 5})
+	asked := func() (to []string) {
+		for _, m := range flush(r).Messages {
+			to = append(to, m.To)
+		}
+		slices.Sort(to)
+		return to
+	}
+	ticks := func() {
+		for range askAgainTicks {
+			r.Tick()
+		}
+	}
+	r.campaign(true)
+	if to := asked(); !slices.Equal(to, []string{"b", "c"}) {
+		t.Fatalf("asked %v at first", to)
+	}
+	ticks()
+	if to := asked(); !slices.Equal(to, []string{"b", "c"}) {
+		t.Errorf("asked %v again", to)
+	}
+	r.Step(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_PRE_VOTE_REPLY, From: "b", To: "a", Term: 3, Reject: true})
+	ticks()
+	if to := asked(); !slices.Equal(to, []string{"c"}) {
+		t.Errorf("asked %v after a refusal of b", to)
+	}
+	r.Step(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_PRE_VOTE_REPLY, From: "c", To: "a", Term: 4})
+	asked()
+	ticks()
+	if to := asked(); r.Role() != Candidate || !slices.Equal(to, []string{"b", "c"}) {
+		t.Errorf("%v asked %v again for votes", r.Role(), to)
+	}
+}
--- a/internal/process/control/replica/server.go
+++ b/internal/process/control/replica/server.go
@@ -45,6 +45,7 @@
 			return toStatus(stream.Context(), err)
 		}
 		if whole != nil {
+			r.transport.heard(addrOf(whole.From))
 			// A full inbox drops the message, like the network may.
 			r.inbox.Offer(whole)
 		}
--- a/internal/process/control/replica/transport.go
+++ b/internal/process/control/replica/transport.go
@@ -19,6 +19,11 @@
 // that fails is replaced.
 const connectTimeout = time.Second
 
+// stuckAfter is how long an attempt to connect may take while the peer sends:
+// two round trips between regions and a margin. The first packet of an attempt
+// that began before the peer's machine was up is repeated after a second only.
+const stuckAfter = 250 * time.Millisecond
+
 // transport sends messages to the other replicas and holds one connection to
 // each address.
 type transport struct {
@@ -29,6 +34,7 @@
 
 	mu      sync.Mutex
 	conns   map[string]*grpc.ClientConn
+	since   map[string]time.Time  // when the connection to an address was created
 	senders map[senderKey]*sender // owned by the loop
 }
 
@@ -43,6 +49,7 @@
 	return &transport{
 		ctx: ctx, wg: wg, dial: dial, log: log,
 		conns:   map[string]*grpc.ClientConn{},
+		since:   map[string]time.Time{},
 		senders: map[senderKey]*sender{},
 	}
 }
@@ -89,10 +96,22 @@
 	if err != nil {
 		return nil, err
 	}
-	t.conns[addr] = c
+	t.conns[addr], t.since[addr] = c, time.Now()
 	return c, nil
 }
 
+// heard replaces an attempt to connect to addr that hangs although the peer
+// there sends messages.
+func (t *transport) heard(addr string) {
+	t.mu.Lock()
+	c, since := t.conns[addr], t.since[addr]
+	t.mu.Unlock()
+	if c != nil && c.GetState() == connectivity.Connecting && time.Since(since) > stuckAfter {
+		t.log.WithField("peer", addr).Info("connection attempt replaced: the peer is up")
+		t.reset(addr, c)
+	}
+}
+
 // connect starts connecting to the peers that have no connection.
 func (t *transport) connect(s *Status) {
 	for _, p := range s.Peers {
@@ -112,25 +131,27 @@
 
 // ready returns an established connection to addr.
 func (t *transport) ready(ctx context.Context, addr string) (*grpc.ClientConn, error) {
-	c, err := t.conn(addr)
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	for {
-		state := c.GetState()
-		if state == connectivity.Ready {
-			return c, nil
+		c, err := t.conn(addr)
+		if err != nil {
+			return nil, err
 		}
-		if state == connectivity.Shutdown || state == connectivity.TransientFailure {
+		switch state := c.GetState(); state {
+		case connectivity.Ready:
+			return c, nil
+		case connectivity.TransientFailure:
 			t.reset(addr, c)
 			return nil, fmt.Errorf("no connection to %s: %s", addr, state)
-		}
-		c.Connect()
-		if !c.WaitForStateChange(ctx, state) {
+		case connectivity.Shutdown: // replaced meanwhile
 			t.reset(addr, c)
-			return nil, fmt.Errorf("no connection to %s within %s", addr, connectTimeout)
+		default:
+			c.Connect()
+			if !c.WaitForStateChange(ctx, state) {
+				t.reset(addr, c)
+				return nil, fmt.Errorf("no connection to %s within %s", addr, connectTimeout)
+			}
 		}
 	}
 }
@@ -141,6 +162,7 @@
 	defer t.mu.Unlock()
 	if t.conns[addr] == c {
 		delete(t.conns, addr)
+		delete(t.since, addr)
 	}
 	c.Close()
 }
