--- a/internal/process/control/raft/election.go
+++ b/internal/process/control/raft/election.go
@@ -10,11 +10,11 @@
 // replica that was cut off does not depose a working leader on its return.
 func (r *Raft) campaign(pre bool) {
 	r.leader = ""
-	r.resetElection()
-	r.votes = map[string]bool{r.id: true}
 	if pre {
 		r.campaigns++
 	}
+	r.resetElection()
+	r.votes = map[string]bool{r.id: true}
 	typ, term := pb.MessageType_MESSAGE_PRE_VOTE, r.term+1
 	r.role = PreCandidate
 	if !pre {
--- a/internal/process/control/raft/raft_test.go
+++ b/internal/process/control/raft/raft_test.go
@@ -339,3 +339,15 @@
 		t.Errorf("%v asked %v again for votes", r.Role(), to)
 	}
 }
+
+// Guards against a first campaign after the start that ends before the others
+// answered: a second one yields to every other replica.
+func TestFirstCampaignWaitsForAnswers(t *testing.T) {
+	for range 20 {
+		r := newMember(Config{ElectionTicks: 16, HeartbeatTicks: 5})
+		r.campaign(true)
+		if r.electionTimeout < 8 {
+			t.Errorf("the campaign ends after %d ticks, want 8 or more", r.electionTimeout)
+		}
+	}
+}
