--- a/internal/base/metrics/serve.go
+++ b/internal/base/metrics/serve.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/httpserve"
 	"github.com/sirupsen/logrus"
 )
 
@@ -20,17 +19,10 @@
 	if addr == "" {
 		return
 	}
-	lis, err := net.Listen("tcp", addr)
-	if err != nil {
-		log.WithError(err).WithField("metrics_addr", addr).Warn("metrics are not served at their own address")
-		return
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h)
 	srv := &http.Server{Handler: mux, ReadTimeout: serveTimeout, WriteTimeout: serveTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-		log.WithError(err).WithField("metrics_addr", addr).Warn("metrics are no longer served at their own address")
+	if err := httpserve.Until(ctx, addr, srv, 0); err != nil {
+		log.WithError(err).WithField("metrics_addr", addr).Warn("metrics are not served at their own address")
 	}
 }
--- a/internal/process/control/controlmain/admin.go
+++ b/internal/process/control/controlmain/admin.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/base/httpserve"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"google.golang.org/protobuf/encoding/protojson"
 )
@@ -15,10 +14,6 @@
 
 // serveAdmin serves /metrics, /healthz and /status until ctx ends.
 func serveAdmin(ctx context.Context, s *Settings, srv *control.Server, metricsHandler http.Handler) error {
-	lis, err := net.Listen("tcp", s.AdminAddr)
-	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on admin_addr")
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metricsHandler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
@@ -29,10 +24,7 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) { writeStatus(w, r, srv) })
-	h := &http.Server{Handler: mux, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	return ignoreCancel(ctx, h.Serve(lis))
+	return httpserve.Until(ctx, s.AdminAddr, &http.Server{Handler: mux, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}, 0)
 }
 
 func writeStatus(w http.ResponseWriter, r *http.Request, srv *control.Server) {
--- a/internal/process/control/controlmain/extension.go
+++ b/internal/process/control/controlmain/extension.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/base/httpserve"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
@@ -38,18 +37,6 @@
 	if addr == "" || h == nil {
 		return nil
 	}
-	lis, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", addr)
-	}
 	srv := &http.Server{Handler: h, ReadTimeout: extensionReadTimeout, IdleTimeout: extensionIdleTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		stopping, cancel := context.WithTimeout(context.Background(), extensionStop)
-		defer cancel()
-		if srv.Shutdown(stopping) != nil {
-			_ = srv.Close()
-		}
-	})
-	defer stop()
-	return ignoreCancel(ctx, srv.Serve(lis))
+	return httpserve.Until(ctx, addr, srv, extensionStop)
 }
