--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -3,10 +3,12 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/version/membership"
@@ -19,10 +21,13 @@
 	Instances []membership.Listed `json:"instances"`
 }
 
-// Client reads the list by HTTP.
+// Client reads the list by HTTP. It is not safe for concurrent use.
 type Client struct {
 	URL  string
 	HTTP *http.Client
+
+	text []byte // of the last list, which seldom changes
+	last []membership.Listed
 }
 
 // Fetch reads the whole list once.
@@ -39,9 +44,16 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errkind.New(errkind.NotFound, "the platform answered %s", resp.Status)
 	}
-	var l list
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&l); err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "decode the platform's list")
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "read the platform's list")
+	}
+	if c.text == nil || !bytes.Equal(text, c.text) {
+		var l list
+		if err := json.Unmarshal(text, &l); err != nil {
+			return nil, errkind.Wrap(errkind.BadRequest, err, "decode the platform's list")
+		}
+		c.text, c.last = text, l.Instances
 	}
-	return l.Instances, nil
+	return slices.Clone(c.last), nil
 }
