--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -208,10 +208,3 @@
 	p.grpc.Stop()
 	return err
 }
-
-func ignoreCancel(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
