controlmain: one loop for what only the leader does

The removal of replaced replicas had its own copy of the loop and of the map of since when something is missing, beside those of sessions, list and targets. No change of behaviour.

--- a/internal/process/control/controlmain/removal.go
+++ b/internal/process/control/controlmain/removal.go
@@ -41,31 +41,18 @@
 		r.p.log.Info("platform_url is not set: entries whose instance is lost stay members")
 		return
 	}
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		if r.leads() {
-			r.read(ctx)
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	duty := func() {
+		r.begin()
+		r.read(ctx)
 	}
+	r.p.whileLeading(ctx, listInterval, duty, func() { r.seen = nil })
 }
 
-// leads reports whether this replica leads. A new leader starts without
-// evidence.
-func (r *remover) leads() bool {
-	if !r.p.lead.IsLeader() {
-		r.seen = nil
-		return false
-	}
+// begin lets a new leader start without evidence.
+func (r *remover) begin() {
 	if term := r.p.lead.Term(); r.seen == nil || r.term != term {
 		r.term, r.seen, r.kept = term, membership.NewDepartures(), map[string]string{}
 	}
-	return true
 }
 
 func (r *remover) read(ctx context.Context) {
--- a/internal/process/control/controlmain/succession.go
+++ b/internal/process/control/controlmain/succession.go
@@ -21,24 +21,11 @@
 // leader's does anything. It is owned by its goroutine.
 type succession struct {
 	p      *process
-	silent map[string]time.Time // peer identity to since when it is not heard
+	silent absences // of peers, by identity
 }
 
 func (s *succession) run(ctx context.Context) {
-	ticker := time.NewTicker(successionInterval)
-	defer ticker.Stop()
-	for {
-		if s.p.lead.IsLeader() {
-			s.check(ctx, time.Now())
-		} else {
-			s.silent = nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	s.p.whileLeading(ctx, successionInterval, func() { s.check(ctx, time.Now()) }, func() { s.silent = nil })
 }
 
 func (s *succession) check(ctx context.Context, now time.Time) {
@@ -62,16 +49,12 @@
 
 // note keeps since when each peer is not heard.
 func (s *succession) note(peers []replica.PeerStatus, now time.Time) {
-	silent := map[string]time.Time{}
+	silent := absences{}
 	for _, peer := range peers {
 		if peer.Active || peer.Addr == s.p.settings.GRPCAddr {
 			continue
 		}
-		since, known := s.silent[peer.ID]
-		if !known {
-			since = now
-		}
-		silent[peer.ID] = since
+		silent[peer.ID] = s.silent.since(peer.ID, now)
 	}
 	s.silent = silent
 }
--- a/internal/process/control/controlmain/targets.go
+++ b/internal/process/control/controlmain/targets.go
@@ -32,18 +32,7 @@
 }
 
 func (r *targetReader) run(ctx context.Context) {
-	ticker := time.NewTicker(targetsInterval)
-	defer ticker.Stop()
-	for {
-		if r.p.lead.IsLeader() {
-			r.read(ctx)
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	r.p.whileLeading(ctx, targetsInterval, func() { r.read(ctx) }, func() {})
 }
 
 func (r *targetReader) read(ctx context.Context) {
--- a/internal/process/control/controlmain/vouch.go
+++ b/internal/process/control/controlmain/vouch.go
@@ -21,40 +21,23 @@
 // goroutine.
 type voucher struct {
 	p    *process
-	gone map[string]time.Time // serving instance to since when it is gone
+	gone absences // of serving instances
 }
 
 func (v *voucher) run(ctx context.Context) {
-	ticker := time.NewTicker(vouchInterval)
-	defer ticker.Stop()
-	for {
-		if v.p.lead.IsLeader() {
-			v.check(ctx, time.Now())
-		} else {
-			v.gone = nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	v.p.whileLeading(ctx, vouchInterval, func() { v.check(ctx, time.Now()) }, func() { v.gone = nil })
 }
 
 func (v *voucher) check(ctx context.Context, now time.Time) {
 	members := v.p.machine.Members()
 	serving := v.serving(members)
-	gone := map[string]time.Time{}
+	gone := absences{}
 	for _, m := range members {
 		if m.Session == 0 || m.Silent || serving[m.Via] {
 			continue
 		}
-		since, known := v.gone[m.Via]
-		if !known {
-			since = now
-		}
-		gone[m.Via] = since
-		if now.Sub(since) >= vouchAfter {
+		gone[m.Via] = v.gone.since(m.Via, now)
+		if now.Sub(gone[m.Via]) >= vouchAfter {
 			v.report(ctx, m)
 		}
 	}
