--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// OptionalAddr is Addr without a loopback rule, for an address that may be empty.
+func (c *Check) OptionalAddr(addr string, path ...any) {
+	if addr != "" {
+		c.Addr(addr, false, path...)
+	}
+}
+
 // DurationRange records a problem if value is outside low to high.
 func (c *Check) DurationRange(value yamlpos.Duration, low, high time.Duration, path ...any) {
 	if value.D() < low || value.D() > high {
--- a/internal/process/control/controlmain/settings.go
+++ b/internal/process/control/controlmain/settings.go
@@ -70,9 +70,7 @@
 	}
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	c.Addr(s.AdminAddr, false, "admin_addr")
-	if s.MetricsAddr != "" {
-		c.Addr(s.MetricsAddr, false, "metrics_addr")
-	}
+	c.OptionalAddr(s.MetricsAddr, "metrics_addr")
 	s.checkReplicas(c)
 	checkURL(c, s.PlatformURL, "platform_url")
 	if s.OperatorKeys == "" && !s.TLS.PlaintextLoopback && s.OperatorAddr == "" {
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -82,15 +82,11 @@
 		c.Add([]any{"platform_url"}, "a value is required unless need_host_routes is set")
 	}
 	c.Addr(s.CallerAddr, false, "caller_addr")
-	if s.HealthAddr != "" {
-		c.Addr(s.HealthAddr, false, "health_addr")
-	}
+	c.OptionalAddr(s.HealthAddr, "health_addr")
 	c.Addr(s.PeerAddr, s.TLS.PlaintextLoopback, "peer_addr")
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
 	c.Addr(s.AdminAddr, false, "admin_addr")
-	if s.MetricsAddr != "" {
-		c.Addr(s.MetricsAddr, false, "metrics_addr")
-	}
+	c.OptionalAddr(s.MetricsAddr, "metrics_addr")
 	if len(s.Control) == 0 {
 		c.Add([]any{"control"}, "at least one address is required")
 	}
