--- a/internal/process/control/raft/reads.go
+++ b/internal/process/control/raft/reads.go
@@ -99,10 +99,11 @@
 	}
 	r.rounds.seq++
 	r.rounds.wanted = false
-	if r.committedInTerm() && r.rounds.settled < settlingRounds {
+	current := r.committedInTerm()
+	if current && r.rounds.settled < settlingRounds {
 		r.rounds.settled++
 	}
-	r.rounds.open = append(r.rounds.open, round{r.rounds.seq, r.log.committed, r.committedInTerm()})
+	r.rounds.open = append(r.rounds.open, round{r.rounds.seq, r.log.committed, current})
 	for _, peer := range r.Peers() {
 		if p := r.peers[peer.Id]; peer.Id != r.id && p != nil {
 			r.send(&pb.RaftMessage{
--- a/internal/process/control/replica/transport.go
+++ b/internal/process/control/replica/transport.go
@@ -33,11 +33,16 @@
 	log  *logrus.Entry
 
 	mu      sync.Mutex
-	conns   map[string]*grpc.ClientConn
-	since   map[string]time.Time  // when the connection to an address was created
+	conns   map[string]connection // by address
 	senders map[senderKey]*sender // owned by the loop
 }
 
+// connection is a connection to a peer, whatever its state.
+type connection struct {
+	*grpc.ClientConn
+	since time.Time // of its creation
+}
+
 // senderKey separates snapshots from other messages, so that a snapshot does
 // not delay heartbeats.
 type senderKey struct {
@@ -48,8 +53,7 @@
 func newTransport(ctx context.Context, wg *sync.WaitGroup, dial func(string) (*grpc.ClientConn, error), log *logrus.Entry) *transport {
 	return &transport{
 		ctx: ctx, wg: wg, dial: dial, log: log,
-		conns:   map[string]*grpc.ClientConn{},
-		since:   map[string]time.Time{},
+		conns:   map[string]connection{},
 		senders: map[senderKey]*sender{},
 	}
 }
@@ -86,8 +90,8 @@
 func (t *transport) conn(addr string) (*grpc.ClientConn, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c := t.conns[addr]; c != nil {
-		return c, nil
+	if c := t.conns[addr]; c.ClientConn != nil {
+		return c.ClientConn, nil
 	}
 	if t.ctx.Err() != nil {
 		return nil, errStopping
@@ -96,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t.conns[addr], t.since[addr] = c, time.Now()
+	t.conns[addr] = connection{c, time.Now()}
 	return c, nil
 }
 
@@ -104,11 +108,11 @@
 // there sends messages.
 func (t *transport) heard(addr string) {
 	t.mu.Lock()
-	c, since := t.conns[addr], t.since[addr]
+	c := t.conns[addr]
 	t.mu.Unlock()
-	if c != nil && c.GetState() == connectivity.Connecting && time.Since(since) > stuckAfter {
+	if c.ClientConn != nil && c.GetState() == connectivity.Connecting && time.Since(c.since) > stuckAfter {
 		t.log.WithField("peer", addr).Info("connection attempt replaced: the peer is up")
-		t.reset(addr, c)
+		t.reset(addr, c.ClientConn)
 	}
 }
 
@@ -160,9 +164,8 @@
 func (t *transport) reset(addr string, c *grpc.ClientConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conns[addr] == c {
+	if t.conns[addr].ClientConn == c {
 		delete(t.conns, addr)
-		delete(t.since, addr)
 	}
 	c.Close()
 }
