dispatch: rank targets for an object once per request

Each target without the object hashed all others again, which is quadratic in the number of targets. The order is now worked out once, when it is first needed. No change of behaviour.

--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,7 @@
 // expected first; its target is nil if none may be used.
 func (p *Pool) best(at time.Duration, r *Request) forecast {
 	var best forecast
+	var order placeOrder
 	for _, b := range p.targets {
 		if !b.usable(at) || p.set.AvoidCold && b.cold.cold(at) {
 			continue
@@ -62,7 +64,7 @@
 		if slices.Contains(r.work.Exclude, b.info.ID) {
 			continue
 		}
-		f := p.forecast(at, r, b)
+		f := p.forecast(at, r, b, &order)
 		if best.target == nil || f.cost < best.cost {
 			best = f
 		}
@@ -70,7 +72,7 @@
 	return best
 }
 
-func (p *Pool) forecast(at time.Duration, r *Request, b *backend) forecast {
+func (p *Pool) forecast(at time.Duration, r *Request, b *backend, order *placeOrder) forecast {
 	f := forecast{target: b, distance: -1}
 	if d, known := b.memory.distance(r.work.Object); known {
 		f.distance = d
@@ -91,7 +93,7 @@
 	}
 	f.cost += time.Duration(float64(spreadCost) * float64(len(b.running)+b.waiting) / float64(b.slots()))
 	if !f.atHand && r.work.Object != "" {
-		f.cost += p.placing(at, r, b)
+		f.cost += p.placing(at, r, b, order)
 	}
 	if b.untried && f.wait == 0 {
 		f.cost -= trialBonus(at-b.joinedAt, atHand, f.run)
@@ -132,21 +134,38 @@
 // placing is what it costs to give a target an object that it does not have.
 // Targets are preferred by rendezvous hashing, so that a dispatcher that has
 // just started sends an object where the one before it did.
-func (p *Pool) placing(at time.Duration, r *Request, b *backend) time.Duration {
-	place := 0
-	own := placeRank(r.work.Object, b)
-	for _, other := range p.targets {
-		if other != b && other.usable(at) && placeRank(r.work.Object, other) > own {
-			place++
-		}
+func (p *Pool) placing(at time.Duration, r *Request, b *backend, order *placeOrder) time.Duration {
+	if *order == nil {
+		*order = p.placeOrder(at, r.work.Object)
 	}
-	cost := min(time.Duration(place)*placeCost, maxPlaceCost)
+	cost := min(time.Duration(order.place(placeRank(r.work.Object, b)))*placeCost, maxPlaceCost)
 	if atHand, without := r.runs.typical(); b.memory.since(at-recentObjects) >= p.keeps.most() {
 		cost += time.Duration(evictShare * float64(without-atHand))
 	}
 	return cost
 }
 
+// placeOrder holds the ranks of the usable targets for an object, the highest
+// last. It is worked out once for a request, and only if a target lacks the
+// object: each rank is a hash.
+type placeOrder []uint64
+
+func (p *Pool) placeOrder(at time.Duration, object string) placeOrder {
+	order := make(placeOrder, 0, len(p.targets))
+	for _, b := range p.targets {
+		if b.usable(at) {
+			order = append(order, placeRank(object, b))
+		}
+	}
+	slices.Sort(order)
+	return order
+}
+
+// place returns how many usable targets are preferred to one with this rank.
+func (o placeOrder) place(rank uint64) int {
+	return len(o) - sort.Search(len(o), func(i int) bool { return o[i] > rank })
+}
+
 func placeRank(object string, b *backend) uint64 {
 	return xxhash.Sum64String(object + "\x00" + b.info.ID)
 }
