control, proxy: log the age of the list of targets and the inputs of a move between regions

The leader warned once that it cannot read the list and never said how old the list in force is; a request that left its region did not say under which allowances, or that the limit did not apply.

The warning is repeated every 2 s with the duration and the age; metrics targets_read, targets_read_failures and targets_age_seconds; a routine line for each move.

--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -85,7 +85,7 @@
 	group.Go(func() error { (&replacedReplicaRemover{p: p}).run(ctx); return nil })
 	group.Go(func() error { return p.loadRegions(ctx) })
 	group.Go(func() error { p.reload(ctx, reloaded); return nil })
-	p.startExtensions(ctx, group, ext)
+	p.startExtensions(ctx, group, ext, scope)
 	group.Go(func() error { return p.stopWhenDone(ctx) })
 	log.WithField("grpc_addr", lis.Addr().String()).Info("control replica started")
 	err = group.Wait()
@@ -109,7 +109,7 @@
 }
 
 // startExtensions starts the interfaces that ext adds.
-func (p *process) startExtensions(ctx context.Context, group *errgroup.Group, ext Extension) {
+func (p *process) startExtensions(ctx context.Context, group *errgroup.Group, ext Extension, scope tally.Scope) {
 	if ext.Operator != nil {
 		h := ext.Operator(p.server.Steering(), p.log)
 		group.Go(func() error { return serveHTTP(ctx, p.settings.OperatorAddr, h) })
@@ -119,7 +119,7 @@
 		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h) })
 	}
 	if ext.Targets != nil {
-		r := &targetReader{p: p, source: ext.Targets(p.settings, p.log)}
+		r := &targetReader{p: p, source: ext.Targets(p.settings, p.log), metrics: scope}
 		group.Go(func() error { r.run(ctx); return nil })
 	}
 }
--- a/internal/process/control/controlmain/targets.go
+++ b/internal/process/control/controlmain/targets.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -14,6 +16,9 @@
 	// delay of the list itself, it limits how late a leaving target is known.
 	targetsInterval = 500 * time.Millisecond
 	targetsTimeout  = 1500 * time.Millisecond
+	// staleTargetsWarningInterval is how often the log repeats that the list of targets
+	// cannot be read.
+	staleTargetsWarningInterval = 2 * time.Second
 )
 
 // TargetSource reads the platform's list of targets.
@@ -27,34 +32,41 @@
 // the leader, because calls that read the list are costly. It is not safe for
 // concurrent use.
 type targetReader struct {
-	p              *process
-	source         TargetSource
-	lastReadFailed bool
+	p        *process
+	source   TargetSource
+	metrics  tally.Scope
+	readAt   time.Time // start of the last successful reading as leader
+	warnedAt time.Time // when the log last said that the list cannot be read; zero after a success
 }
 
 func (r *targetReader) run(ctx context.Context) {
-	r.p.runWhileLeading(ctx, targetsInterval, func() { r.read(ctx) }, func() {})
+	r.p.runWhileLeading(ctx, targetsInterval, func() { r.read(ctx) }, func() { r.readAt, r.warnedAt = time.Time{}, time.Time{} })
 }
 
 // read reads the list and commits its changes, if there are any.
 func (r *targetReader) read(ctx context.Context) {
+	start := steady.Now()
+	if r.readAt.IsZero() {
+		r.readAt = start // the age counts from the begin of leadership
+	}
 	reading, cancel := context.WithTimeout(ctx, targetsTimeout)
 	defer cancel()
 	list, err := r.source.List(reading)
 	if ctx.Err() != nil {
 		return
 	}
+	took := steady.Since(start)
+	r.metrics.Timer("targets_read").Record(took)
 	if err != nil {
-		if !r.lastReadFailed {
-			r.p.log.WithError(err).Warn("cannot read the list of targets; the last one remains in force")
-		}
-		r.lastReadFailed = true
-		return
+		r.metrics.Counter("targets_read_failures").Inc(1)
+	} else {
+		r.readAt = start
 	}
-	if r.lastReadFailed {
-		r.p.log.WithField("targets", len(list)).Info("list of targets can be read again")
+	r.metrics.Gauge("targets_age_seconds").Update(steady.Since(r.readAt).Seconds())
+	r.logReading(took, len(list), err)
+	if err != nil {
+		return
 	}
-	r.lastReadFailed = false
 	change := targetChanges(r.p.machine.Targets(), list)
 	if len(change.Set) == 0 && len(change.Removed) == 0 {
 		return
@@ -62,6 +74,21 @@
 	r.commit(ctx, change)
 }
 
+// logReading logs, at a bounded rate, that the list cannot be read and how old the one
+// in force is, and once when it can be read again.
+func (r *targetReader) logReading(took time.Duration, targets int, err error) {
+	now := steady.Now()
+	log := r.p.log.WithFields(logrus.Fields{"took_ms": took.Milliseconds(), "age_ms": now.Sub(r.readAt).Milliseconds()})
+	switch {
+	case err != nil && now.Sub(r.warnedAt) >= staleTargetsWarningInterval:
+		r.warnedAt = now
+		log.WithError(err).Warn("cannot read the list of targets; the last one remains in force")
+	case err == nil && !r.warnedAt.IsZero():
+		r.warnedAt = time.Time{}
+		log.WithField("targets", targets).Info("list of targets can be read again")
+	}
+}
+
 // commit commits a change and logs each changed target.
 func (r *targetReader) commit(ctx context.Context, change *fescuepb.TargetsChange) {
 	err := r.p.server.RecordTargets(ctx, change)
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
+	"github.com/sirupsen/logrus"
 )
 
 // Guarded finds the dispatchers of services with guarded_slots. The targets of
@@ -158,6 +160,7 @@
 	var err error = errkind.New(errkind.NoTarget, "no entry of region %q is known", region)
 	for _, m := range h.Guarded.RegionEntries(region, c.id) {
 		start := h.Now()
+		h.logMove(c, region)
 		var rep *reply
 		rep, err = h.forward(ctx, c, m, false)
 		h.Places.Observe(h.Now(), region, c.service.Name, regionOutcome(rep, err, h.Now().Sub(start)))
@@ -169,6 +172,17 @@
 	return nil, err
 }
 
+// logMove logs why the request may run in another region.
+func (h *Handler) logMove(c *call, region string) {
+	fields := logrus.Fields{"request_id": c.id, "service": c.service.Name, "region": region, "mode": c.step.Mode.String()}
+	if !c.remote {
+		a := h.Shares.Allowances(region)
+		fields["shift_unlimited"], fields["shift_region"], fields["shift_own_region"] = c.step.Unlimited, a.Region, a.OwnRegion
+		fields["shift_shared"], fields["shift_recent"] = a.Shared, a.Recent
+	}
+	logging.Routine(h.Log, fields, "request moves to another region")
+}
+
 // regionOutcome describes a forward to another region, with the load that the
 // answer or the refusal reports. The round trip is the time until the answer less
 // the time that the other entry needed.
--- a/internal/request/spill/region.go
+++ b/internal/request/spill/region.go
@@ -33,6 +33,9 @@
 	OwnRegion bool          // the region is the sender's own
 	Expected  time.Duration // estimated time until the response
 	RoundTrip time.Duration // network round trip to the region; 0 for the own region
+	// Unlimited is set if the share of requests that may move did not apply, because
+	// too few slots of the own region are left.
+	Unlimited bool
 }
 
 // RegionQuery describes a request for which a region is to be chosen.
@@ -93,7 +96,7 @@
 	options := orderWithinShiftLimit(c.regionOptions(now, snap, q), shiftAllowed)
 	for _, mode := range []Mode{InTime, AnySlot} {
 		for _, o := range options {
-			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + q.Load.Run, RoundTrip: o.roundTrip}
+			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + q.Load.Run, RoundTrip: o.roundTrip, Unlimited: shiftAllowed == nil}
 			if !q.Tried[attempt.AttemptKey] && eligible(mode, o, q) {
 				return attempt, true
 			}
--- a/internal/request/spill/region_shift.go
+++ b/internal/request/spill/region_shift.go
@@ -142,6 +142,23 @@
 	return true
 }
 
+// ShiftAllowances are the inputs of a decision of a RegionShiftLimiter, for log lines.
+type ShiftAllowances struct {
+	Region    float64 // allowance of the chosen region
+	OwnRegion float64
+	Shared    float64
+	Recent    float64 // recent requests, decayed with a time constant of half a window
+}
+
+// Allowances returns the present allowances for a region.
+func (l *RegionShiftLimiter) Allowances(region string) ShiftAllowances {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ShiftAllowances{
+		Region: l.allowances[region], OwnRegion: l.allowances[l.ownRegion], Shared: l.sharedAllowance, Recent: l.totalRecentRuns(),
+	}
+}
+
 // RecordRun records that a request runs in a region. The returned function takes
 // the record back if the region refused the request.
 func (l *RegionShiftLimiter) RecordRun(now time.Time, region string) (undo func(now time.Time)) {
