control: read a long list of targets by data centre, with a time limit for each page

Cause: one reading of all pages had 1.5 s. The pages are read one after the other and the leader was in another region than the list, so 12 pages of 125 ms did not fit. The reading failed each time and was thrown away whole; no change of targets was committed until a leader near the list took over. Class of fault: a fixed time limit on work that grows with the size of the system. Ruled out by the log: late commits and a late feed (changes of the operator were in force at all entries within 0.1 s in the same seconds).

The time limit is now one of each page. A list whose pages take longer than 250 ms together is read by data centre, all in parallel, and a data centre that cannot be read keeps its targets without holding up the others. The calls stay within the platform's rate, which was configured but not used. A reading that outlives the term of its leader is not committed.

--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -119,7 +119,7 @@
 		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h) })
 	}
 	if ext.Targets != nil {
-		r := &targetReader{p: p, source: ext.Targets(p.settings, p.log), metrics: scope}
+		r := newTargetReader(p, ext.Targets(p.settings, p.log), scope)
 		group.Go(func() error { r.run(ctx); return nil })
 	}
 }
--- /dev/null
+++ b/internal/process/control/controlmain/targetlist_test.go
@@ -0,0 +1,125 @@
+package controlmain
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+)
+
+// fakeList is a list of targets with pages of one target.
+type fakeList struct {
+	delay   time.Duration // of each page
+	targets map[string]int
+	failing string // data centre whose second page cannot be read
+	stalled bool   // pages of failing are never answered
+
+	mu    sync.Mutex
+	calls int
+}
+
+func (l *fakeList) Page(ctx context.Context, dc, token string) (*TargetPage, error) {
+	l.mu.Lock()
+	l.calls++
+	l.mu.Unlock()
+	time.Sleep(l.delay)
+	var all []*fescuepb.Target
+	for _, name := range []string{"a", "b", "c"} {
+		for i := range l.targets[name] {
+			if dc == "" || dc == name {
+				all = append(all, &fescuepb.Target{Id: fmt.Sprintf("%s%d", name, i), DataCentre: name})
+			}
+		}
+	}
+	first := 0
+	_, _ = fmt.Sscan(token, &first) // the first page has no token
+	if l.stalled && dc == l.failing {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if first == 1 && l.failing != "" && (dc == "" || dc == l.failing) {
+		return nil, errkind.New(errkind.Timeout, "page of the test fails")
+	}
+	page := &TargetPage{Targets: all[first : first+1]}
+	if first+1 < len(all) {
+		page.Next = fmt.Sprint(first + 1)
+	}
+	return page, nil
+}
+
+var listedNames = []string{"a", "b", "c"}
+
+// Guards against skipped pages, and against a list that takes the longer the more pages
+// it has, although its data centres can be read in parallel.
+func TestLongListIsReadByDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeList{delay: 100 * time.Millisecond, targets: map[string]int{"a": 4, "b": 3, "c": 5}}
+		r := newListReader(l, 0, logging.Discard())
+		for reading, want := range []time.Duration{1200 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond} {
+			start := time.Now()
+			list, err := r.read(t.Context(), listedNames)
+			if err != nil || len(list.targets) != 12 || time.Since(start) != want {
+				t.Errorf("reading %d: %d targets after %v, %v", reading, len(list.targets), time.Since(start), err)
+			}
+		}
+		l.delay = 5 * time.Millisecond
+		for range 2 {
+			l.calls = 0
+			if list, err := r.read(t.Context(), listedNames); err != nil || len(list.targets) != 12 {
+				t.Errorf("%v, %v", list, err)
+			}
+		}
+		if r.byDataCentre {
+			t.Error("a list that can be read fast as a whole is still read by data centre")
+		}
+	})
+}
+
+// Guards against a data centre that cannot be read and hides the others, and against
+// targets of an incomplete reading that count as all targets.
+func TestListReadInPart(t *testing.T) {
+	for name, l := range map[string]*fakeList{
+		"error":     {failing: "b"},
+		"no answer": {failing: "b", stalled: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			l.delay, l.targets = 100*time.Millisecond, map[string]int{"a": 2, "b": 3, "c": 2}
+			r := newListReader(l, 0, logging.Discard())
+			if list, err := r.read(t.Context(), listedNames); !l.stalled && (err == nil || list.covers("a")) {
+				t.Errorf("%s: a list without its second page counts as read", name)
+			}
+			r.byDataCentre = true
+			start := time.Now()
+			list, err := r.read(t.Context(), listedNames)
+			if err == nil || list.covers("b") || !list.covers("a") || !list.covers("c") || len(list.targets) != 4 {
+				t.Errorf("%s: %v covered, %d targets, %v", name, list.dataCentres, len(list.targets), err)
+			}
+			if took := time.Since(start); took > 2*pageTimeout {
+				t.Errorf("%s: reading took %v", name, took)
+			}
+		})
+	}
+}
+
+// Guards against more calls in a second than the platform permits.
+func TestListStaysWithinRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 20
+		l := &fakeList{targets: map[string]int{"a": 30, "b": 30, "c": 30}}
+		r := newListReader(l, perSecond, logging.Discard())
+		r.byDataCentre = true
+		start := time.Now()
+		if _, err := r.read(t.Context(), listedNames); err != nil {
+			t.Error(err)
+		}
+		if most := perSecond * (time.Since(start).Seconds() + 1); float64(l.calls) > most || l.calls != 90 {
+			t.Errorf("%d calls in %v", l.calls, time.Since(start))
+		}
+	})
+}
--- a/internal/process/control/controlmain/targets.go
+++ b/internal/process/control/controlmain/targets.go
@@ -15,43 +15,39 @@
 	// targetsInterval is how often the list of targets is read. Together with the
 	// delay of the list itself, it limits how late a leaving target is known.
 	targetsInterval = 500 * time.Millisecond
-	targetsTimeout  = 1500 * time.Millisecond
 	// staleTargetsWarningInterval is how often the log repeats that the list of targets
 	// cannot be read.
 	staleTargetsWarningInterval = 2 * time.Second
 )
 
-// TargetSource reads the platform's list of targets.
-type TargetSource interface {
-	// List returns all targets that can be used or are leaving. It omits entries of
-	// the list that cannot be parsed.
-	List(ctx context.Context) ([]*fescuepb.Target, error)
-}
-
 // targetReader reads the list of targets and commits its changes. It reads only at
 // the leader, because calls that read the list are costly. It is not safe for
 // concurrent use.
 type targetReader struct {
 	p        *process
-	source   TargetSource
+	list     *listReader
 	metrics  tally.Scope
-	readAt   time.Time // start of the last successful reading as leader
+	readAt   time.Time // start of the last complete reading, or of the first one as leader
 	warnedAt time.Time // when the log last said that the list cannot be read; zero after a success
 }
 
+func newTargetReader(p *process, source TargetSource, metrics tally.Scope) *targetReader {
+	return &targetReader{p: p, list: newListReader(source, p.settings.TargetsCallsPerSecond, p.log), metrics: metrics}
+}
+
 func (r *targetReader) run(ctx context.Context) {
 	r.p.runWhileLeading(ctx, targetsInterval, func() { r.read(ctx) }, func() { r.readAt, r.warnedAt = time.Time{}, time.Time{} })
 }
 
-// read reads the list and commits its changes, if there are any.
+// read reads the list and commits its changes, if there are any. If some data centres
+// cannot be read, it commits the changes of the others.
 func (r *targetReader) read(ctx context.Context) {
 	start := steady.Now()
 	if r.readAt.IsZero() {
-		r.readAt = start // the age counts from the begin of leadership
+		r.readAt = start
 	}
-	reading, cancel := context.WithTimeout(ctx, targetsTimeout)
-	defer cancel()
-	list, err := r.source.List(reading)
+	term := r.p.leadership.Term()
+	list, err := r.list.read(ctx, listedDataCentres(r.p.settings.DataCentres, r.p.machine.Targets()))
 	if ctx.Err() != nil {
 		return
 	}
@@ -63,9 +59,9 @@
 		r.readAt = start
 	}
 	r.metrics.Gauge("targets_age_seconds").Update(steady.Since(r.readAt).Seconds())
-	r.logReading(took, len(list), err)
-	if err != nil {
-		return
+	r.logReading(took, list, err)
+	if !r.p.leadership.IsLeader() || r.p.leadership.Term() != term {
+		return // a newer leader may have committed a newer reading
 	}
 	change := targetChanges(r.p.machine.Targets(), list)
 	if len(change.Set) == 0 && len(change.Removed) == 0 {
@@ -76,16 +72,18 @@
 
 // logReading logs, at a bounded rate, that the list cannot be read and how old the one
 // in force is, and once when it can be read again.
-func (r *targetReader) logReading(took time.Duration, targets int, err error) {
+func (r *targetReader) logReading(took time.Duration, list *targetList, err error) {
 	now := steady.Now()
-	log := r.p.log.WithFields(logrus.Fields{"took_ms": took.Milliseconds(), "age_ms": now.Sub(r.readAt).Milliseconds()})
+	log := r.p.log.WithFields(logrus.Fields{
+		"took_ms": took.Milliseconds(), "pages": list.pages, "targets": len(list.targets), "age_ms": now.Sub(r.readAt).Milliseconds(),
+	})
 	switch {
 	case err != nil && now.Sub(r.warnedAt) >= staleTargetsWarningInterval:
 		r.warnedAt = now
 		log.WithError(err).Warn("cannot read the list of targets; the last one remains in force")
 	case err == nil && !r.warnedAt.IsZero():
 		r.warnedAt = time.Time{}
-		log.WithField("targets", targets).Info("list of targets can be read again")
+		log.Info("list of targets can be read again")
 	}
 }
 
@@ -106,16 +104,16 @@
 	}
 }
 
-// targetChanges returns the change that turns the committed targets into the listed
-// ones.
-func targetChanges(committed, listed []*fescuepb.Target) *fescuepb.TargetsChange {
+// targetChanges returns the change that turns the committed targets of the data
+// centres that were read into the listed ones.
+func targetChanges(committed []*fescuepb.Target, list *targetList) *fescuepb.TargetsChange {
 	old := make(map[string]*fescuepb.Target, len(committed))
 	for _, t := range committed {
 		old[t.Id] = t
 	}
 	change := &fescuepb.TargetsChange{}
 	listedIDs := map[string]bool{}
-	for _, t := range listed {
+	for _, t := range list.targets {
 		if listedIDs[t.Id] {
 			continue // listed on two pages, because the list changed in between
 		}
@@ -125,7 +123,7 @@
 		}
 	}
 	for _, t := range committed {
-		if !listedIDs[t.Id] {
+		if !listedIDs[t.Id] && list.covers(t.DataCentre) {
 			change.Removed = append(change.Removed, t.Id)
 		}
 	}
--- a/internal/process/control/controlmain/targets_test.go
+++ b/internal/process/control/controlmain/targets_test.go
@@ -31,9 +31,25 @@
 		"restarted":                 {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.BornUnixMs = 9 })}, 1, 0},
 		"different ID":              {[]*fescuepb.Target{target(func(t *fescuepb.Target) { t.Id = "t2" })}, 1, 1},
 	} {
-		change := targetChanges([]*fescuepb.Target{target(func(*fescuepb.Target) {})}, tc.listed)
+		change := targetChanges([]*fescuepb.Target{target(func(*fescuepb.Target) {})}, &targetList{targets: tc.listed})
 		if len(change.Set) != tc.set || len(change.Removed) != tc.removed {
 			t.Errorf("%s: %d set and %d removed, want %d and %d", name, len(change.Set), len(change.Removed), tc.set, tc.removed)
 		}
 	}
 }
+
+// Guards against a data centre that cannot be read and loses its targets, or keeps the
+// changes of the other data centres from being committed.
+func TestTargetChangesOfReadDataCentres(t *testing.T) {
+	committed := []*fescuepb.Target{
+		{Id: "a1", DataCentre: "a"}, {Id: "a2", DataCentre: "a"}, {Id: "b1", DataCentre: "b"}, {Id: "moved", DataCentre: "b"},
+	}
+	list := &targetList{
+		targets:     []*fescuepb.Target{{Id: "a1", DataCentre: "a", Leaving: true}, {Id: "moved", DataCentre: "a"}},
+		dataCentres: map[string]bool{"a": true},
+	}
+	change := targetChanges(committed, list)
+	if len(change.Set) != 2 || len(change.Removed) != 1 || change.Removed[0] != "a2" {
+		t.Errorf("set %v, removed %v", change.Set, change.Removed)
+	}
+}
