spill, proxy: the share of a region counts the requests that run, and only these

Cause: RegionShiftLimiter added the allowances of a request at its arrival and took them back at its refusal. Requests that wait for a slot of a busy region therefore lent their allowances to other regions, and more of them wait when traffic rises; a cap applied to what was added, but not to what was taken back, so that refusals pushed the allowance of the own region below zero and opened the other regions. And a request that ran and timed out was taken out of the distribution, as if its region had refused it.

A request now adds and takes allowances in one step, when it runs, and is taken back only with proof that it did not run. If no region has enough, the one with most is open instead of all. A request that moves because its region failed takes no allowance, so that the limit is not used up when the region is back.

--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -38,9 +38,6 @@
 func (h *Handler) runInRegions(ctx context.Context, c *call) (*reply, error) {
 	var refusal error = errkind.New(errkind.NoTarget, "no region takes requests of service %q", c.service.Name)
 	tried := map[spill.AttemptKey]bool{}
-	if !c.remote {
-		h.Shares.RecordArrival(h.Now())
-	}
 	for range maxRegionAttempts {
 		step, ok := h.Places.NextAttempt(h.Now(), c.snap, h.spillQuery(c, tried))
 		if !ok || ctx.Err() != nil {
@@ -55,7 +52,7 @@
 		if err == nil {
 			return rep, nil
 		}
-		h.uncountShare(c)
+		h.settleShare(c, err)
 		c.refusals = append(c.refusals, step.Region+", "+step.Mode.String()+": "+err.Error())
 		refusal = earlierRetry(refusal, err)
 		if !h.mayTryNextRegion(ctx, c, sendsBefore, err) {
@@ -67,9 +64,6 @@
 	if c.mayHaveRun != nil {
 		return nil, c.mayHaveRun // a later refusal would state that the request did not run
 	}
-	if !c.remote {
-		h.Shares.RecordRefusal(h.Now())
-	}
 	return nil, refusal
 }
 
@@ -77,16 +71,17 @@
 // A request from another data centre is counted by the entry that forwarded it.
 func (h *Handler) countShare(c *call) {
 	if !c.remote && c.releaseShare == nil {
-		c.releaseShare = h.Shares.RecordRun(h.Now(), c.step.Region)
+		c.releaseShare = h.Shares.RecordRun(h.Now(), c.step.Region, c.step.Unlimited)
 	}
 }
 
-// uncountShare undoes countShare for a request that another region may run.
-func (h *Handler) uncountShare(c *call) {
-	if c.releaseShare != nil {
+// settleShare ends the count of a request for which a region returned err. The request
+// remains counted unless err proves that it did not run there.
+func (h *Handler) settleShare(c *call, err error) {
+	if c.releaseShare != nil && errkind.Of(err).Response().DidRun == errkind.No {
 		c.releaseShare(h.Now())
-		c.releaseShare = nil
 	}
+	c.releaseShare = nil
 }
 
 // mayTryNextRegion decides whether another region may be asked after err.
@@ -134,7 +129,7 @@
 		Objective: c.objective.Sub(now), Deadline: c.timeLeft(now), Remote: c.remote, Allowed: c.route.AllowedIn, Tried: tried,
 	}
 	if !c.remote {
-		q.ShiftAllowed = h.Shares.Allows
+		q.ShiftAllowed = func(region string) bool { return h.Shares.Allows(now, region) }
 	}
 	if s := h.Guarded.Slots(c.service.Name); s != nil {
 		q.Load = s.Load()
--- a/internal/request/spill/region_shift.go
+++ b/internal/request/spill/region_shift.go
@@ -14,19 +14,22 @@
 	// shiftCreditFactor is the part of the configured share that is credited to
 	// the shared allowance. As requests move, the allowances of the regions
 	// follow the new distribution, so that about twice the credit moves within a
-	// window. The remaining tenth covers differences between entries.
-	shiftCreditFactor = 0.45
+	// window. The remaining fifth covers differences between entries.
+	shiftCreditFactor = 0.39
 	// minWeightedRequests is the minimum for the sum of the recent requests;
 	// missing ones count as run in the own region. Fewer requests say little
 	// about the distribution over regions.
-	minWeightedRequests = 20
-	// sparseRequests is the sum of recent requests (decayed over half a window)
-	// below which an entry counts as having few requests. The decay of the
-	// allowances between two requests is then not negligible.
-	sparseRequests = 40
-	// maxAllowance caps each allowance, and with it the number of requests that
-	// may exceed a share in a row.
+	minWeightedRequests = 10
+	// allowanceDecay is the rate at which the allowances of the regions decay,
+	// relative to the weight of earlier requests. An entry with few requests needs
+	// several of them until a region's share adds up to one.
+	allowanceDecay = 0.25
+	// maxAllowance caps the allowance of each region, and with it the number of
+	// requests that may exceed its share in a row.
 	maxAllowance = 2
+	// maxSharedAllowance caps the shared allowance. The requests of many entries with
+	// few requests each may use it at the same moment.
+	maxSharedAllowance = 1
 )
 
 // RegionShiftLimiter limits how fast the requests of an entry move between
@@ -35,11 +38,11 @@
 // that suddenly gets many requests has cold caches and refuses part of them. It
 // is safe for concurrent use.
 //
-// The limiter works like a set of token buckets. Each arriving request adds one
-// allowance in total to the regions, split by their shares of the recent
-// requests, and maxCredit to a shared allowance. A request that is run takes 1
-// from the allowance of its region, or from the shared one if that of the
-// region is below 1.
+// The limiter works like a set of token buckets. Each request that runs adds one
+// allowance in total to the regions, split by their shares of the recent requests,
+// and maxCredit to a shared allowance. It takes 1 from the allowance of its region,
+// or from the shared one if that of the region is below 1. Requests that run nowhere
+// change nothing: they are not part of the distribution.
 type RegionShiftLimiter struct {
 	ownRegion string
 	maxCredit float64 // added to the shared allowance per request; 0: no limit
@@ -58,7 +61,7 @@
 func NewRegionShiftLimiter(ownRegion string, maxShare float64, window time.Duration) *RegionShiftLimiter {
 	return &RegionShiftLimiter{
 		ownRegion: ownRegion, maxCredit: maxShare * shiftCreditFactor, window: window,
-		recentRuns: map[string]float64{ownRegion: minWeightedRequests}, allowances: map[string]float64{ownRegion: maxAllowance}, sharedAllowance: maxAllowance / 2,
+		recentRuns: map[string]float64{ownRegion: minWeightedRequests}, allowances: map[string]float64{ownRegion: maxAllowance}, sharedAllowance: maxSharedAllowance,
 	}
 }
 
@@ -72,10 +75,11 @@
 	}
 	l.updatedAt = now
 	kept := l.decayFactor(passed)
+	allowanceKept := math.Pow(kept, allowanceDecay)
 	total := 0.0
 	for region := range l.recentRuns {
 		l.recentRuns[region] *= kept
-		l.allowances[region] *= kept
+		l.allowances[region] *= allowanceKept
 		total += l.recentRuns[region]
 	}
 	l.recentRuns[l.ownRegion] += max(0, minWeightedRequests-total)
@@ -96,46 +100,29 @@
 	return math.Exp(-2 * passed.Seconds() / l.window.Seconds())
 }
 
-// RecordArrival records a request for which a region is to be chosen.
-func (l *RegionShiftLimiter) RecordArrival(now time.Time) { l.addAllowances(now, 1) }
-
-// RecordRefusal takes back RecordArrival for a request that ran in no region.
-func (l *RegionShiftLimiter) RecordRefusal(now time.Time) { l.addAllowances(now, -1) }
-
-// addAllowances adds the allowances of n requests; a negative n takes them back.
-func (l *RegionShiftLimiter) addAllowances(now time.Time, n float64) {
+// Allows reports whether a request may run in a region: if the allowance of the
+// region or the shared one suffices, or if no region has enough and this one has most.
+func (l *RegionShiftLimiter) Allows(now time.Time, region string) bool {
 	if l.maxCredit <= 0 {
-		return
+		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
-	total := l.totalRecentRuns()
-	for region, ran := range l.recentRuns {
-		l.allowances[region] = min(l.allowances[region]+n*ran/total, maxAllowance)
-	}
-	l.sharedAllowance = min(l.sharedAllowance+n*l.maxCredit, maxAllowance)
+	return l.sharedAllowance+l.maxCredit >= 1 || l.coveredByRegion(region)
 }
 
-// Allows reports whether a request may run in a region: if the allowance of the
-// region or the shared one is at least 1, or if no region has an allowance of 1.
-// For an entry with few requests the last case permits only the region with the
-// largest allowance: there the decay often leaves every region below 1, and a
-// free choice would then move more than the permitted share. Entries with more
-// requests keep the free choice, because otherwise requests of a failing region
-// would stay there.
-func (l *RegionShiftLimiter) Allows(region string) bool {
-	if l.maxCredit <= 0 {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.sharedAllowance >= 1 || l.allowances[region] >= 1 {
+// coveredByRegion reports whether a request in the region takes its allowance: if
+// it is at least 1 with the part that the request adds, or if no region has enough and
+// this one has most.
+func (l *RegionShiftLimiter) coveredByRegion(region string) bool {
+	total := l.totalRecentRuns()
+	own := l.allowances[region] + l.recentRuns[region]/total
+	if own >= 1 {
 		return true
 	}
-	total := l.totalRecentRuns()
-	for _, a := range l.allowances {
-		if a >= 1 || total < sparseRequests && a > l.allowances[region] {
+	for other, a := range l.allowances {
+		if a+l.recentRuns[other]/total > own {
 			return false
 		}
 	}
@@ -159,32 +146,49 @@
 	}
 }
 
-// RecordRun records that a request runs in a region. The returned function takes
+// RecordRun records that a request runs in a region. A request that moves without
+// limit, because its own region failed, uses no allowance. The returned function takes
 // the record back if the region refused the request.
-func (l *RegionShiftLimiter) RecordRun(now time.Time, region string) (undo func(now time.Time)) {
+func (l *RegionShiftLimiter) RecordRun(now time.Time, region string, unlimited bool) (undo func(now time.Time)) {
 	if l.maxCredit <= 0 {
 		return func(time.Time) {}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
+	covered := l.sharedAllowance+l.maxCredit < 1 || l.allowances[region]+l.recentRuns[region]/l.totalRecentRuns() >= 1
+	if !unlimited {
+		l.addAllowances(1)
+		l.charge(region, covered, 1)
+	}
 	l.recentRuns[region]++
-	ownAllowance := l.allowances[region] >= 1
-	l.charge(region, ownAllowance, 1)
 	return func(then time.Time) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		l.decay(then)
 		l.recentRuns[region] = max(0, l.recentRuns[region]-l.decayFactor(then.Sub(now)))
-		l.charge(region, ownAllowance, -1)
+		if !unlimited {
+			l.charge(region, covered, -1)
+			l.addAllowances(-1)
+		}
+	}
+}
+
+// addAllowances adds the allowances of a request, or takes them back if n is -1.
+func (l *RegionShiftLimiter) addAllowances(n float64) {
+	total := l.totalRecentRuns()
+	for region, ran := range l.recentRuns {
+		l.allowances[region] = min(l.allowances[region]+n*ran/total, maxAllowance)
 	}
+	l.sharedAllowance = min(l.sharedAllowance+n*l.maxCredit, maxSharedAllowance)
 }
 
 // charge takes n from the region's own allowance or from the shared one; a
 // negative n gives it back.
-func (l *RegionShiftLimiter) charge(region string, fromOwnAllowance bool, n float64) {
-	if fromOwnAllowance {
+func (l *RegionShiftLimiter) charge(region string, fromRegion bool, n float64) {
+	if fromRegion {
 		l.allowances[region] = min(l.allowances[region]-n, maxAllowance)
 		return
 	}
-	l.sharedAllowance = min(l.sharedAllowance-n, maxAllowance)
+	l.sharedAllowance = min(l.sharedAllowance-n, maxSharedAllowance)
 }
