dispatch: a busy target whose requests time out does not count as failed

In a busy region the running times come close to the timeouts of the routes, so half of the slots were in back-off, which counts as a failed region and lifts the limit on moves; the back-off also took away slots where they were short. Evidence: shift_unlimited in the log of moves, 517 of them within the 2 s of the break, while 78 and 73 requests of the two services timed out and no target was down.

A timeout is now a result of its own. It makes a target look slow, and starts a back-off only after five in a row that span 2 s, as a target that does not answer at all gives them. Requests sent with less than their expected running time left say nothing.

TestPoolBacksOffFromSilentTarget guards the other side.

--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -113,6 +113,7 @@
 	Failed                          // the target failed, or its response broke off
 	CancelledByCaller               // the caller disconnected, or the other request of a hedged pair answered first
 	ServerError                     // the target answered with a status of 500 or above
+	TimedOut                        // the deadline passed before the target had answered
 )
 
 // Outcome describes the end of a dispatched request.
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -32,8 +32,13 @@
 	// poolFailuresBeforeBackoff is the number of consecutive failures that start
 	// a back-off.
 	poolFailuresBeforeBackoff = 2
-	poolMinBackoff            = 100 * time.Millisecond
-	poolMaxBackoff            = 2 * time.Second
+	// A target with requests that time out may only be busy: busy targets answer some
+	// of their requests. A back-off starts after timeoutsBeforeBackoff in a row that
+	// take at least silentBeforeBackoff.
+	timeoutsBeforeBackoff = 5
+	silentBeforeBackoff   = 2 * time.Second
+	poolMinBackoff        = 100 * time.Millisecond
+	poolMaxBackoff        = 2 * time.Second
 )
 
 // backend is the state that a Pool keeps about a target. Times are durations
@@ -56,7 +61,9 @@
 	failureShare   float64 // moving average of the share of its requests that failed
 	failureShareAt time.Duration
 
-	failures     int // consecutive
+	failures     int           // consecutive
+	timeouts     int           // consecutive
+	silentSince  time.Duration // end of the first of these timeouts
 	backoff      time.Duration
 	backoffUntil time.Duration
 }
@@ -67,7 +74,7 @@
 	restarted := b.info.Incarnation != info.Incarnation || b.info.Addr != info.Addr
 	if restarted && b.info.ID != "" {
 		b.objects.clear()
-		b.logSlowdown, b.failureShare, b.failures, b.backoffUntil, b.backoff = 0, 0, 0, 0, 0
+		b.logSlowdown, b.failureShare, b.failures, b.timeouts, b.backoffUntil, b.backoff = 0, 0, 0, 0, 0, 0
 	}
 	b.cold.update(at, info)
 	if b.listed && b.info.State != Active && info.State == Active {
@@ -125,7 +132,7 @@
 func (b *backend) observe(at time.Duration, r *Request, o Outcome) {
 	switch o.Result {
 	case OK:
-		b.failures, b.backoff = 0, 0
+		b.failures, b.timeouts, b.backoff = 0, 0, 0
 		b.recordFailure(at, 0)
 		if r.expectedRun > 0 {
 			b.recordSlowdown(at, float64(o.Latency)/float64(r.expectedRun))
@@ -137,6 +144,8 @@
 	case Unreachable:
 		b.recordFailure(at, 1)
 		b.startBackoff(at)
+	case TimedOut:
+		b.observeTimeout(at, r, o)
 	case Shed:
 		b.recordFailure(at, shedFailure)
 	case Failed, ServerError:
@@ -147,6 +156,25 @@
 	}
 }
 
+// observeTimeout takes over that the deadline of r passed. A request that had less than
+// its expected running time says nothing about the target.
+func (b *backend) observeTimeout(at time.Duration, r *Request, o Outcome) {
+	if o.Latency < r.expectedRun {
+		return
+	}
+	b.recordFailure(at, 1)
+	if r.expectedRun > 0 {
+		b.recordSlowdown(at, float64(o.Latency)/float64(r.expectedRun))
+	}
+	if b.timeouts == 0 {
+		b.silentSince = at
+	}
+	b.timeouts++
+	if b.failed() || b.timeouts >= timeoutsBeforeBackoff && at-b.silentSince >= silentBeforeBackoff {
+		b.startBackoff(at)
+	}
+}
+
 // shedFailure is the part of a failure that a shed request counts as. It is less
 // than 1 because the request did not run and may still be answered by another
 // target.
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -238,6 +238,28 @@
 	}
 }
 
+// Guards against a target that never answers and does not count as failed, so that its
+// requests stay in the region.
+func TestPoolBacksOffFromSilentTarget(t *testing.T) {
+	w := newPoolHarness(t, poolTargetInfo("1", 4))
+	w.warmUp("x")
+	for range timeoutsBeforeBackoff {
+		r := w.mustStart(w.work("x"))
+		w.now = w.now.Add(600 * time.Millisecond)
+		w.pool.Done(w.now, r, Outcome{Result: TimedOut, Latency: 600 * time.Millisecond})
+	}
+	if got := w.pool.Load(w.now).FailedPercent; got != 100 {
+		t.Errorf("%d percent of the slots failed, want 100", got)
+	}
+	w.now = w.now.Add(poolMinBackoff)
+	trial := w.mustStart(w.work("x"))
+	w.now = w.now.Add(600 * time.Millisecond)
+	w.pool.Done(w.now, trial, Outcome{Result: TimedOut, Latency: 600 * time.Millisecond})
+	if r, err := w.submit(w.work("x")); err == nil && r.state == running {
+		t.Error("a request started right after a trial that timed out")
+	}
+}
+
 // Guards against targets that join and never get a request, because all objects
 // are cached at other targets.
 func TestPoolUsesNewTargets(t *testing.T) {
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -109,7 +109,7 @@
 	case Shed:
 		t.startBackoff(at, shedBackoff)
 		t.halfOpen = false
-	case Failed, ServerError:
+	case Failed, ServerError, TimedOut:
 		if t.failures++; t.failures >= failuresBeforeBackoff {
 			t.startBackoff(at, minBackoff)
 		}
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -202,6 +202,8 @@
 		return dispatch.Unreachable
 	case errkind.Cancelled, errkind.DeadlineUnmeetable:
 		return dispatch.CancelledByCaller
+	case errkind.DeadlineExceeded:
+		return dispatch.TimedOut
 	}
 	return dispatch.Failed
 }
