target: limit the head of a target's response

A target in trouble may send bytes without end where a head is due. They were kept in memory until the deadline: net/http limits neither the status line nor the header lines of a response, and interim responses were skipped without a count.

A head, with the interim responses before it, now has at most 256 KiB; what is longer ends the connection and counts as a failure of the target.

--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -67,3 +67,29 @@
 	})
 	return errors.Join(err, sockoptErr)
 }
+
+// headLimiter limits how many bytes are read from a connection while the head of a
+// response is due.
+type headLimiter struct {
+	raw   net.Conn
+	left  int
+	armed bool
+}
+
+// arm limits the bytes read until disarm.
+func (l *headLimiter) arm(limit int) { l.left, l.armed = limit, true }
+
+func (l *headLimiter) disarm() { l.armed = false }
+
+// Read reads from the connection. It fails once the limit is reached.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.armed {
+		return l.raw.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.raw.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -119,6 +119,8 @@
 // readHead reads the head of the response to the request. It skips late
 // responses to earlier requests.
 func (x *exchange) readHead() (*http.Response, error) {
+	x.c.head.arm(maxHeadBytes)
+	defer x.c.head.disarm()
 	for stale := 0; ; {
 		resp, err := http.ReadResponse(x.c.r, x.req)
 		if err != nil {
@@ -136,9 +138,11 @@
 		if stale++; stale > maxSkippedResponses || resp.Close {
 			return nil, errLateResponses
 		}
+		x.c.head.disarm()
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1)); err != nil || n > maxSkippedBytes {
 			return nil, errors.Join(errLateResponses, err)
 		}
+		x.c.head.arm(maxHeadBytes)
 	}
 }
 
--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -31,6 +31,10 @@
 	idleTimeoutMargin = 1500 * time.Millisecond
 	sweepInterval     = time.Second // of closing expired idle connections
 	readBufferSize    = 4 << 10     // bytes
+	// maxHeadBytes limits the head of a response, with the interim responses before
+	// it. Without a limit, a target that sends bytes without end would fill the memory
+	// until the deadline.
+	maxHeadBytes = 256 << 10
 )
 
 // Transport is an http.RoundTripper for HTTP/1.1 with a connection pool. It
@@ -56,6 +60,7 @@
 type conn struct {
 	raw        net.Conn
 	addr       string
+	head       *headLimiter // source of r
 	r          *bufio.Reader
 	expires    time.Time // when the target may close it while it is idle
 	earlierIDs []string  // identifiers of the last requests, at most maxSkippedResponses
@@ -109,7 +114,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{raw: raw, addr: addr, r: bufio.NewReaderSize(raw, readBufferSize)}
+	head := &headLimiter{raw: raw}
+	c := &conn{raw: raw, addr: addr, head: head, r: bufio.NewReaderSize(head, readBufferSize)}
 	traceGotConn(ctx, c, false)
 	return c, nil
 }
--- a/internal/connection/target/transport_test.go
+++ b/internal/connection/target/transport_test.go
@@ -303,3 +303,49 @@
 		t.Errorf("%d connections, want 2: the target may close the connection within the margin", conns.Load())
 	}
 }
+
+// Guards against a target that sends bytes without end where a response head is due:
+// they must not be kept in memory until the deadline.
+func TestEndlessHeads(t *testing.T) {
+	const most = 32 << 20 // bytes; far more than a head and the buffers of a connection
+	for name, text := range map[string]struct{ start, repeated string }{
+		"no response":          {"", strings.Repeat("x", 1<<10)},
+		"status line":          {"HTTP/1.1 200 ", strings.Repeat("x", 1<<10)},
+		"header line":          {"HTTP/1.1 200 OK\r\nField: ", strings.Repeat("x", 1<<10)},
+		"continued line":       {"HTTP/1.1 200 OK\r\nField: x\r\n", " " + strings.Repeat("x", 1<<10) + "\r\n"},
+		"header lines":         {"HTTP/1.1 200 OK\r\n", "Field: " + strings.Repeat("x", 1<<10) + "\r\n"},
+		"interim responses":    {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"responses to request": {"", "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			addr, _ := startScriptedTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 2\r\n\r\nok")
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, text.start)
+				total := 0
+				for block := strings.Repeat(text.repeated, 1+(64<<10)/len(text.repeated)); err == nil && total < most; {
+					var n int
+					n, err = io.WriteString(c, block)
+					total += n
+				}
+				sent <- total
+			})
+			tr := newTransport(t)
+			if _, _, err := sendRequest(t, tr, addr, "earlier", ""); err != nil {
+				t.Fatal(err)
+			}
+			if got, _, err := sendRequest(t, tr, addr, "later", ""); err == nil {
+				t.Errorf("accepted as the response %q", got)
+			}
+			if n := <-sent; n >= most {
+				t.Errorf("the connection was kept until the target had sent %d bytes", n)
+			}
+		})
+	}
+}
