dispatch: short timeouts of a silent target count towards its back-off

Since a timeout counts only if the request had its expected running time. That estimate grows with each timeout, so that a target which never answers requests with short timeouts stopped counting after a few and was not backed off; found in review. The usual running time of the route is compared now. TestPoolBacksOffFromSilentTarget failed with timeouts of 130 ms before.

--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -157,9 +157,10 @@
 }
 
 // observeTimeout takes over that the deadline of r passed. A request that had less than
-// its expected running time says nothing about the target.
+// the usual running time says nothing about the target. The expected one does not serve
+// here: it grows with each timeout.
 func (b *backend) observeTimeout(at time.Duration, r *Request, o Outcome) {
-	if o.Latency < r.expectedRun {
+	if o.Latency < r.runStats.all.meanOrZero() {
 		return
 	}
 	b.recordFailure(at, 1)
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -239,24 +239,29 @@
 }
 
 // Guards against a target that never answers and does not count as failed, so that its
-// requests stay in the region.
+// requests stay in the region: also where the timeouts are short, so that the target does
+// not look much slower than usual.
 func TestPoolBacksOffFromSilentTarget(t *testing.T) {
-	w := newPoolHarness(t, poolTargetInfo("1", 4))
-	w.warmUp("x")
-	for range timeoutsBeforeBackoff {
-		r := w.mustStart(w.work("x"))
-		w.now = w.now.Add(600 * time.Millisecond)
-		w.pool.Done(w.now, r, Outcome{Result: TimedOut, Latency: 600 * time.Millisecond})
-	}
-	if got := w.pool.Load(w.now).FailedPercent; got != 100 {
-		t.Errorf("%d percent of the slots failed, want 100", got)
-	}
-	w.now = w.now.Add(poolMinBackoff)
-	trial := w.mustStart(w.work("x"))
-	w.now = w.now.Add(600 * time.Millisecond)
-	w.pool.Done(w.now, trial, Outcome{Result: TimedOut, Latency: 600 * time.Millisecond})
-	if r, err := w.submit(w.work("x")); err == nil && r.state == running {
-		t.Error("a request started right after a trial that timed out")
+	for _, timeout := range []time.Duration{600 * time.Millisecond, 130 * time.Millisecond} {
+		w := newPoolHarness(t, poolTargetInfo("1", 4))
+		w.warmUp("x")
+		timeOut := func() {
+			r := w.mustStart(w.work("x"))
+			w.now = w.now.Add(timeout)
+			w.pool.Done(w.now, r, Outcome{Result: TimedOut, Latency: timeout})
+		}
+		for end := w.now.Add(silentBeforeBackoff + 2*timeout); w.now.Before(end) && w.pool.Load(w.now).FailedPercent == 0; {
+			timeOut()
+		}
+		if got := w.pool.Load(w.now).FailedPercent; got != 100 {
+			t.Errorf("timeout %v: %d percent of the slots failed, want 100", timeout, got)
+			continue
+		}
+		w.now = w.now.Add(poolMinBackoff)
+		timeOut()
+		if r, err := w.submit(w.work("x")); err == nil && r.state == running {
+			t.Errorf("timeout %v: a request started right after a trial that timed out", timeout)
+		}
 	}
 }
 
