--- a/internal/process/control/controlmain/targetlist.go
+++ b/internal/process/control/controlmain/targetlist.go
@@ -79,18 +79,24 @@
 // read reads the list, either as a whole or by data centre. With an error, the result
 // has the data centres that could be read.
 func (r *listReader) read(ctx context.Context, dataCentres []string) (*targetList, error) {
-	list, err := &targetList{}, error(nil)
+	read := r.readWhole
 	if r.byDataCentre {
-		list, err = r.readParts(ctx, dataCentres)
-	} else if whole := r.readPart(ctx, ""); whole.err != nil {
-		list.dataCentres, list.pageTime, err = map[string]bool{}, whole.pageTime, whole.err
-	} else {
-		list = &whole.targetList
+		read = r.readParts
 	}
+	list, err := read(ctx, dataCentres)
 	r.chooseMode(list, len(dataCentres))
 	return list, err
 }
 
+// readWhole reads the pages of all data centres one after the other.
+func (r *listReader) readWhole(ctx context.Context, _ []string) (*targetList, error) {
+	part := r.readPart(ctx, "")
+	if part.err != nil {
+		return &targetList{dataCentres: map[string]bool{}, pages: part.pages, pageTime: part.pageTime}, part.err
+	}
+	return &part.targetList, nil
+}
+
 // chooseMode decides how the list is read next time.
 func (r *listReader) chooseMode(list *targetList, dataCentres int) {
 	limit := sequentialTime
@@ -114,7 +120,8 @@
 		wg.Go(func() { parts[i] = r.readPart(ctx, dc) })
 	}
 	wg.Wait()
-	list, errs := &targetList{dataCentres: map[string]bool{}}, []error(nil)
+	list := &targetList{dataCentres: map[string]bool{}}
+	var errs []error
 	for i, dc := range dataCentres {
 		list.pages += parts[i].pages
 		list.pageTime += parts[i].pageTime
--- a/internal/request/spill/region_shift.go
+++ b/internal/request/spill/region_shift.go
@@ -117,18 +117,24 @@
 // this one has most.
 func (l *RegionShiftLimiter) coveredByRegion(region string) bool {
 	total := l.totalRecentRuns()
-	own := l.allowances[region] + l.recentRuns[region]/total
-	if own >= 1 {
+	available := l.available(region, total)
+	if available >= 1 {
 		return true
 	}
-	for other, a := range l.allowances {
-		if a+l.recentRuns[other]/total > own {
+	for other := range l.allowances {
+		if l.available(other, total) > available {
 			return false
 		}
 	}
 	return true
 }
 
+// available returns the allowance of a region with the part that the next request
+// adds. total is the sum of the recent requests.
+func (l *RegionShiftLimiter) available(region string, total float64) float64 {
+	return l.allowances[region] + l.recentRuns[region]/total
+}
+
 // ShiftAllowances are the inputs of a decision of a RegionShiftLimiter, for log lines.
 type ShiftAllowances struct {
 	Region    float64 // allowance of the chosen region
@@ -156,10 +162,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
-	covered := l.sharedAllowance+l.maxCredit < 1 || l.allowances[region]+l.recentRuns[region]/l.totalRecentRuns() >= 1
+	// If neither allowance suffices, that of the region becomes negative.
+	fromRegion := l.available(region, l.totalRecentRuns()) >= 1 || l.sharedAllowance+l.maxCredit < 1
 	if !unlimited {
 		l.addAllowances(1)
-		l.charge(region, covered, 1)
+		l.charge(region, fromRegion, 1)
 	}
 	l.recentRuns[region]++
 	return func(then time.Time) {
@@ -168,7 +175,7 @@
 		l.decay(then)
 		l.recentRuns[region] = max(0, l.recentRuns[region]-l.decayFactor(then.Sub(now)))
 		if !unlimited {
-			l.charge(region, covered, -1)
+			l.charge(region, fromRegion, -1)
 			l.addAllowances(-1)
 		}
 	}
