--- a/cmd/fescue-control/main.go
+++ b/cmd/fescue-control/main.go
@@ -5,11 +5,10 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/signals"
 	"github.com/fescuejunction/fescuejunction/internal/process/control/controlmain"
 	"github.com/integrii/flaggy"
 )
@@ -35,9 +34,8 @@
 	if err := settings.Load(config, &s); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log, flush := logging.NewAsync(os.Stdout, s.Log.Level, "fescue-control", s.Instance)
 	defer flush()
-	return controlmain.Run(ctx, &s, settings.Watch[controlmain.Settings](ctx, config, log), controlmain.Extension{}, log)
+	reloaded := settings.Watch[controlmain.Settings](context.Background(), config, signals.Reload(), log)
+	return controlmain.Run(signals.StopContext(), &s, reloaded, controlmain.Extension{}, log)
 }
--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -6,11 +6,10 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/base/signals"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry"
 	"github.com/integrii/flaggy"
 )
@@ -35,9 +34,8 @@
 	if err := settings.Load(config, &s); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log, flush := logging.NewAsync(os.Stdout, s.Log.Level, "fescue-entry", s.Instance)
 	defer flush()
-	return entry.Run(ctx, &s, settings.Watch[entry.Settings](ctx, config, log), entry.Extension{}, log)
+	reloaded := settings.Watch[entry.Settings](context.Background(), config, signals.Reload(), log)
+	return entry.Run(signals.StopContext(), &s, reloaded, entry.Extension{}, log)
 }
--- a/internal/base/settings/reload.go
+++ b/internal/base/settings/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/filewatch"
@@ -20,22 +18,20 @@
 	Checker
 }
 
-// Watch reads the settings file again on SIGHUP and when it changes, until ctx
-// ends, and sends the valid settings on the channel. If the settings are invalid,
-// it logs the problems and sends nothing, so that the earlier ones stay in force.
-func Watch[T any, P checkerPointer[T]](ctx context.Context, file string, log *logrus.Entry) <-chan P {
+// Watch reads the settings file again when reload receives a signal and when the
+// file changes, until ctx ends, and sends the valid settings on the channel. If the
+// settings are invalid, it logs the problems and sends nothing, so that the earlier
+// ones stay in force.
+func Watch[T any, P checkerPointer[T]](ctx context.Context, file string, reload <-chan os.Signal, log *logrus.Entry) <-chan P {
 	out := make(chan P)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	watcher := filewatch.New(file)
 	go func() {
-		defer signal.Stop(hup)
 		ticker := time.NewTicker(reloadInterval)
 		defer ticker.Stop()
 		for {
 			reason := "signal"
 			select {
-			case <-hup:
+			case <-reload:
 			case now := <-ticker.C:
 				if !watcher.Changed(now) {
 					continue
--- /dev/null
+++ b/internal/base/signals/signals_test.go
@@ -0,0 +1,155 @@
+package signals_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/base/signals"
+)
+
+// childVariable makes the test binary run as the process that gets the signals.
+const childVariable = "FESCUE_SIGNALS_TEST_CHILD"
+
+// waitLimit is far above what a step of the child takes on a busy machine.
+const waitLimit = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childVariable) != "" {
+		runChild()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// runChild starts up until it reads a line, then reports the stop and each
+// reload, and ends when its input ends.
+func runChild() {
+	in := bufio.NewReader(os.Stdin)
+	fmt.Println("starting")
+	_, _ = in.ReadString('\n')
+	ctx := signals.StopContext()
+	go func() {
+		<-ctx.Done()
+		fmt.Println("stop")
+	}()
+	go func() {
+		for range signals.Reload() {
+			fmt.Println("reload")
+		}
+	}()
+	fmt.Println("running")
+	_, _ = io.Copy(io.Discard, in)
+}
+
+// child is a process under test.
+type child struct {
+	t     *testing.T
+	cmd   *exec.Cmd
+	in    io.WriteCloser
+	lines chan string
+}
+
+func startChild(t *testing.T) *child {
+	t.Helper()
+	c := &child{t: t, cmd: exec.Command(os.Args[0]), lines: make(chan string, 64)}
+	c.cmd.Env = append(os.Environ(), childVariable+"=1")
+	c.cmd.Stderr = os.Stderr
+	var err error
+	if c.in, err = c.cmd.StdinPipe(); err != nil {
+		t.Fatal(err)
+	}
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.cmd.Process.Kill() })
+	go func() {
+		defer close(c.lines)
+		for s := bufio.NewScanner(out); s.Scan(); {
+			c.lines <- strings.TrimSpace(s.Text())
+		}
+	}()
+	return c
+}
+
+func (c *child) signal(sig syscall.Signal) {
+	c.t.Helper()
+	if err := c.cmd.Process.Signal(sig); err != nil {
+		c.t.Fatalf("send %v: %v", sig, err)
+	}
+}
+
+// expect waits for the lines, which may be printed in any order.
+func (c *child) expect(want ...string) {
+	c.t.Helper()
+	missing := map[string]bool{}
+	for _, line := range want {
+		missing[line] = true
+	}
+	limit := time.After(waitLimit)
+	for len(missing) > 0 {
+		select {
+		case line, open := <-c.lines:
+			if !open {
+				c.t.Fatalf("the process ended without printing %v", missing)
+			}
+			delete(missing, line)
+		case <-limit:
+			c.t.Fatalf("the process did not print %v", missing)
+		}
+	}
+}
+
+// exit ends the process and checks that no signal ended it before.
+func (c *child) exit() {
+	c.t.Helper()
+	_ = c.in.Close()
+	for range c.lines {
+	}
+	if err := c.cmd.Wait(); err != nil {
+		c.t.Errorf("the process ended with %v", err)
+	}
+}
+
+// Guards against a signal during start-up that ends the process or is lost.
+func TestSignalsDuringStart(t *testing.T) {
+	c := startChild(t)
+	c.expect("starting")
+	c.signal(syscall.SIGHUP)
+	c.signal(syscall.SIGTERM)
+	if _, err := io.WriteString(c.in, "\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.expect("running", "reload", "stop")
+	c.exit()
+}
+
+// Guards against a process that a SIGHUP or a second SIGTERM ends while it stops
+// gracefully with requests in flight.
+func TestSignalsDuringStop(t *testing.T) {
+	c := startChild(t)
+	c.expect("starting")
+	if _, err := io.WriteString(c.in, "\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.expect("running")
+	c.signal(syscall.SIGTERM)
+	c.expect("stop")
+	for range 3 {
+		c.signal(syscall.SIGTERM)
+		c.signal(syscall.SIGINT)
+		c.signal(syscall.SIGHUP)
+		c.expect("reload")
+	}
+	c.exit()
+}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -68,9 +68,8 @@
 		return err
 	}
 	p.assemble()
-	go p.reload(ctx, reloaded)
 	go metrics.Serve(ctx, s.MetricsAddr, metricsHandler, log)
-	return p.serve(ctx, metricsHandler)
+	return p.serve(ctx, reloaded, metricsHandler)
 }
 
 // reload applies the reloaded settings until ctx ends: the addresses of control and
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -30,8 +30,9 @@
 )
 
 // serve starts the servers and background tasks, waits until ctx ends or one of
-// them fails, and stops them. When ctx ends, it first stops gracefully.
-func (p *process) serve(ctx context.Context, metricsHandler http.Handler) error {
+// them fails, and stops them. When ctx ends, it first stops gracefully. Reloaded
+// settings are applied during the stop as well.
+func (p *process) serve(ctx context.Context, reloaded <-chan *Settings, metricsHandler http.Handler) error {
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, run := errgroup.WithContext(run)
@@ -56,6 +57,7 @@
 	group.Go(func() error { return g.Serve(lis) })
 	group.Go(func() error { return p.follower.Run(run) })
 	group.Go(func() error { return p.applySnapshots(run) })
+	group.Go(func() error { p.reload(run, reloaded); return nil })
 	if p.settings.PlatformURL != "" {
 		group.Go(func() error { p.targets.Run(run); return nil })
 	}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -33,6 +33,7 @@
 	"await":    cmdAwait,
 	"shutdown": cmdShutdown,
 	"sigterm":  signalCommand(syscall.SIGTERM),
+	"sighup":   signalCommand(syscall.SIGHUP),
 	"sigkill":  signalCommand(syscall.SIGKILL),
 	"freeze":   signalCommand(syscall.SIGSTOP),
 	"thaw":     signalCommand(syscall.SIGCONT),
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -107,7 +107,7 @@
 // signalCommand returns the command NAME... that sends sig to processes.
 func signalCommand(sig syscall.Signal) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, neg bool, args []string) {
-		usage(ts, !neg && len(args) > 0, "sigterm|sigkill|freeze|thaw NAME...")
+		usage(ts, !neg && len(args) > 0, "sigterm|sighup|sigkill|freeze|thaw NAME...")
 		for _, name := range args {
 			ts.Check(findProcess(ts, name).cmd.Process.Signal(sig))
 		}
