--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -57,6 +57,7 @@
 	phase          phase
 	inProgress     int           // requests in progress
 	lastWritten    chan struct{} // closed when the responses to all requests so far are written
+	lastHasHead    bool          // the head of the response to the last request is written
 	noMoreRequests bool          // only the requests in progress are still answered
 	closed         bool          // nothing more is read or written
 }
@@ -239,7 +240,7 @@
 	x.body = newBody(x, req)
 	x.req.Body = x.body
 	x.callerCloses = req.Close || !req.ProtoAtLeast(1, 1)
-	c.lastWritten = x.written
+	c.lastWritten, c.lastHasHead = x.written, false
 	c.noMoreRequests = c.noMoreRequests || draining
 	c.inProgress++
 	return x
@@ -258,20 +259,26 @@
 }
 
 // takeNoFurtherRequests makes the connection end with the requests in progress,
-// if there are any.
+// if the response to the last of them can still announce it. Otherwise the
+// caller may send another request, which must be answered.
 func (c *conn) takeNoFurtherRequests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.noMoreRequests = c.noMoreRequests || c.inProgress > 0
+	c.noMoreRequests = c.noMoreRequests || c.inProgress > 0 && !c.lastHasHead
 }
 
-// isLastResponse reports whether the response whose written channel is next is
-// the last one of the connection: no further request is accepted, and no
-// accepted request follows it.
-func (c *conn) isLastResponse(next chan struct{}) bool {
+// startHead records that the head of the response whose written channel is
+// written is about to be written. It reports whether this is the last response of
+// the connection: no further request is accepted, and no accepted request follows
+// it.
+func (c *conn) startHead(written chan struct{}) (last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.noMoreRequests && c.lastWritten == next
+	if c.lastWritten != written {
+		return false
+	}
+	c.lastHasHead = true
+	return c.noMoreRequests
 }
 
 // closeIfIdle closes the connection if no request is being read or in progress,
--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -141,7 +141,8 @@
 		_ = x.c.raw.SetWriteDeadline(x.writeDeadline)
 	}
 	x.setFraming(status)
-	x.closeAfter = x.closeAfter || x.callerCloses || x.c.isLastResponse(x.written)
+	last := x.c.startHead(x.written)
+	x.closeAfter = x.closeAfter || x.callerCloses || last
 	if x.closeAfter {
 		x.header.Set("Connection", "close")
 	}
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -265,6 +265,35 @@
 	}
 }
 
+// Guards against a request that is neither answered nor refused for the rest of a
+// planned stop: the head of the response before it was written before the stop
+// began, so it did not say that the connection closes.
+func TestDrainBetweenHeadAndEndOfResponse(t *testing.T) {
+	headWritten, release := make(chan struct{}), make(chan struct{})
+	addr, s := startServer(t, generousLimits, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/long" {
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		close(headWritten)
+		<-release
+	})
+	c := dial(t, addr)
+	c.send(getRequest("/long"))
+	<-headWritten
+	s.Drain()
+	close(release)
+	if resp, _ := c.readResponse(); resp.Close {
+		t.Error("the response closes the connection although its head was written before the stop")
+	}
+	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+	c.send(getRequest("/next"))
+	if resp, _ := c.readResponse(); !resp.Close {
+		t.Error("the first response after the stop began does not close the connection")
+	}
+}
+
 // Guards against a draining server whose connections with pipelined requests stay
 // open, and against closing such a connection before all accepted requests are
 // answered.
