--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -55,16 +55,16 @@
 
 	mu             sync.Mutex
 	phase          phase
-	inProgress     int           // requests in progress
-	lastWritten    chan struct{} // closed when the responses to all requests so far are written
-	lastHasHead    bool          // the head of the response to the last request is written
-	noMoreRequests bool          // only the requests in progress are still answered
-	closed         bool          // nothing more is read or written
+	inProgress     map[*exchange]struct{} // requests that are read but not answered
+	lastWritten    chan struct{}          // closed when the responses to all requests so far are written
+	lastHasHead    bool                   // the head of the response to the last request is written
+	noMoreRequests bool                   // only the requests in progress are still answered
+	closed         bool                   // nothing more is read or written
 }
 
 // newConn returns the state of an accepted connection.
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{s: s, raw: raw, limited: &limitedReader{r: raw}, pipelineSlots: make(chan struct{}, maxPipelined)}
+	c := &conn{s: s, raw: raw, limited: &limitedReader{r: raw}, pipelineSlots: make(chan struct{}, maxPipelined), inProgress: map[*exchange]struct{}{}}
 	c.r = bufio.NewReaderSize(c.limited, readBufferSize)
 	c.w = bufio.NewWriterSize(raw, writeBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -144,7 +144,7 @@
 		return errConnClosed
 	}
 	c.phase = waitingForRequest
-	if c.inProgress == 0 {
+	if len(c.inProgress) == 0 {
 		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
 	} else {
 		_ = c.raw.SetReadDeadline(time.Time{})
@@ -235,25 +235,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x := &exchange{c: c, previousWritten: c.lastWritten, written: make(chan struct{}), done: make(chan struct{}), header: http.Header{}}
-	x.ctx, x.cancel = context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, x))
+	x.ctx, x.cancel = context.WithCancelCause(context.WithValue(c.ctx, exchangeKey{}, x))
 	x.req = req.WithContext(x.ctx)
 	x.body = newBody(x, req)
 	x.req.Body = x.body
 	x.callerCloses = req.Close || !req.ProtoAtLeast(1, 1)
 	c.lastWritten, c.lastHasHead = x.written, false
 	c.noMoreRequests = c.noMoreRequests || draining
-	c.inProgress++
+	c.inProgress[x] = struct{}{}
 	return x
 }
 
 // exchangeDone removes a request from those in progress, after its response was
 // written or the connection ended.
-func (c *conn) exchangeDone() {
+func (c *conn) exchangeDone(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inProgress--
+	delete(c.inProgress, x)
 	<-c.pipelineSlots
-	if c.inProgress == 0 && c.phase == waitingForRequest && !c.closed {
+	if len(c.inProgress) == 0 && c.phase == waitingForRequest && !c.closed {
 		_ = c.raw.SetReadDeadline(time.Now().Add(c.s.Limits().IdleTimeout))
 	}
 }
@@ -264,7 +264,7 @@
 func (c *conn) takeNoFurtherRequests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.noMoreRequests = c.noMoreRequests || c.inProgress > 0 && !c.lastHasHead
+	c.noMoreRequests = c.noMoreRequests || len(c.inProgress) > 0 && !c.lastHasHead
 }
 
 // startHead records that the head of the response whose written channel is
@@ -286,13 +286,23 @@
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inProgress > 0 || c.phase != waitingForRequest {
+	if len(c.inProgress) > 0 || c.phase != waitingForRequest {
 		return false
 	}
 	c.closeLocked()
 	return true
 }
 
+// cancelRequests cancels the requests in progress with the given cause. They can
+// still be answered.
+func (c *conn) cancelRequests(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for x := range c.inProgress {
+		x.cancel(cause)
+	}
+}
+
 // abort closes the connection immediately and cancels its requests.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -19,7 +19,7 @@
 	req          *http.Request
 	body         *body
 	ctx          context.Context
-	cancel       context.CancelFunc
+	cancel       context.CancelCauseFunc
 	callerCloses bool // the request asks to close the connection after the response
 
 	previousWritten chan struct{} // closed when the responses to all earlier requests are written
@@ -50,14 +50,16 @@
 	if !ok {
 		return nil // the request did not arrive through this package
 	}
-	return x.awaitTurn()
+	return x.awaitTurn(x.ctx)
 }
 
-func (x *exchange) awaitTurn() error {
+// awaitTurn blocks until the responses to all earlier requests are written. It
+// returns an error if ctx ends first.
+func (x *exchange) awaitTurn(ctx context.Context) error {
 	select {
 	case <-x.previousWritten:
-	case <-x.ctx.Done():
-		return x.ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 	if x.c.isClosed() {
 		return errConnClosed
@@ -76,7 +78,7 @@
 	if ok && !x.body.discardRest() {
 		x.closeAfter = true
 	}
-	x.cancel()
+	x.cancel(nil)
 	if !ok {
 		x.c.abort()
 	}
@@ -84,7 +86,7 @@
 		x.c.linger()
 		x.c.abort()
 	}
-	x.c.exchangeDone()
+	x.c.exchangeDone(x)
 	close(x.written)
 }
 
@@ -132,7 +134,7 @@
 	if x.headWritten || x.writeErr != nil {
 		return
 	}
-	if err := x.awaitTurn(); err != nil {
+	if err := x.awaitTurn(x.c.ctx); err != nil {
 		x.writeErr = err
 		return
 	}
@@ -313,7 +315,7 @@
 // unless the response to this one has begun.
 func (b *body) sendContinue() error {
 	b.expectsContinue = false
-	if err := b.x.awaitTurn(); err != nil {
+	if err := b.x.awaitTurn(b.x.c.ctx); err != nil {
 		return err
 	}
 	if b.x.headWritten {
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -133,9 +133,18 @@
 	}
 }
 
+// ErrShutdown is the cause with which Shutdown cancels the requests that are not
+// answered in time.
+var ErrShutdown = errors.New("the server shuts down")
+
+// FinalResponseTime is how long Shutdown waits, after its context has ended, for
+// the responses to the requests that it cancels.
+const FinalResponseTime = 200 * time.Millisecond
+
 // Shutdown stops accepting connections, closes idle ones and waits until the
-// requests in progress are answered. If ctx ends first, it closes the remaining
-// connections and returns the error of ctx.
+// requests in progress are answered. If ctx ends first, it cancels the remaining
+// requests with ErrShutdown, waits up to FinalResponseTime for their responses,
+// closes the remaining connections and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	s.mu.Lock()
@@ -144,19 +153,30 @@
 		_ = s.lis.Close()
 	}
 	s.mu.Unlock()
+	if s.awaitIdle(ctx) {
+		return nil
+	}
+	s.cancelRequests()
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), FinalResponseTime)
+	defer cancel()
+	s.awaitIdle(final)
+	s.closeAll()
+	return ctx.Err()
+}
+
+// awaitIdle closes connections as they become idle. It reports whether none is left
+// before ctx ends.
+func (s *Server) awaitIdle(ctx context.Context) bool {
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
-	for {
-		if s.closeIdle() == 0 {
-			return nil
-		}
+	for s.closeIdle() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			s.closeAll()
-			return ctx.Err()
+			return false
 		}
 	}
+	return true
 }
 
 const shutdownPollInterval = 5 * time.Millisecond
@@ -174,6 +194,14 @@
 	return len(s.conns)
 }
 
+func (s *Server) cancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancelRequests(ErrShutdown)
+	}
+}
+
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -294,6 +294,33 @@
 	}
 }
 
+// Guards against a planned stop that closes the connections of the requests still in
+// progress at its end before these requests can be answered.
+func TestShutdownLetsCancelledRequestsAnswer(t *testing.T) {
+	started := make(chan struct{}, 2)
+	addr, s := startServer(t, generousLimits, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, context.Cause(r.Context()).Error())
+	})
+	c := dial(t, addr)
+	c.send(getRequest("/1") + getRequest("/2"))
+	<-started
+	<-started
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	shutdownDone := make(chan error, 1)
+	go func() { shutdownDone <- s.Shutdown(ended) }()
+	for _, last := range []bool{false, true} {
+		if resp, body := c.readResponse(); body != ErrShutdown.Error() || resp.Close != last {
+			t.Errorf("response %q, close %v, want the cause of the shutdown and close %v", body, resp.Close, last)
+		}
+	}
+	if err := <-shutdownDone; !errors.Is(err, context.Canceled) {
+		t.Errorf("Shutdown returned %v", err)
+	}
+}
+
 // Guards against a draining server whose connections with pipelined requests stay
 // open, and against closing such a connection before all accepted requests are
 // answered.
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -21,6 +21,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/shared/budget"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
+	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
@@ -38,6 +39,7 @@
 	store      *snapshot.Store
 	blocks     atomic.Pointer[blocks.Table]
 	lifecycle  *lifecycle.Machine
+	stopState  atomic.Pointer[proxy.Stop] // nil while no planned stop is in progress
 	follower   *follow.Follower
 	targets    *target.Watcher
 	groups     *group.Manager
@@ -196,6 +198,14 @@
 	return p.lifecycle.Is(lifecycle.Draining) || p.lifecycle.Is(lifecycle.Stopped)
 }
 
+// stopProgress returns the progress of a planned stop.
+func (p *process) stopProgress() proxy.Stop {
+	if s := p.stopState.Load(); s != nil {
+		return *s
+	}
+	return proxy.Stop{}
+}
+
 // fireEvent applies an event to the lifecycle. An event that the current state does
 // not allow, such as a confirmation during a stop, is only logged.
 func (p *process) fireEvent(event string) {
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -65,7 +65,7 @@
 func (p *process) requestServers() (callers, peers *caller.Server) {
 	cfg := proxy.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
-		Ready: p.ready, Groups: p.groups, Guarded: p.guarded,
+		Ready: p.ready, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   spill.NewRegionShiftLimiter(p.settings.Region, p.settings.RegionShift, spill.DefaultRegionShiftWindow),
 		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/lifecycle"
+	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -23,12 +24,12 @@
 	exitMargin = 250 * time.Millisecond
 )
 
-// timeout returns how long the graceful stop may take, without the last report to
-// control. If Grace is not set, it is long enough for the longest request that is
+// timeout returns how long requests may run during the graceful stop. The last
+// responses and the last report to control follow. If Grace is not set, it is long enough for the longest request that is
 // accepted during Linger. A document may allow requests of more than a minute.
 func (s Stop) timeout(snap *snapshot.Snapshot) time.Duration {
 	if s.Grace > 0 {
-		return s.Grace.AsDuration() - leaveTimeout - exitMargin
+		return s.Grace.AsDuration() - caller.FinalResponseTime - leaveTimeout - exitMargin
 	}
 	longest := document.DefaultLongestDeadline
 	if snap != nil {
@@ -50,8 +51,10 @@
 // and waits until no requests are in flight.
 func (p *process) stop(servers []endpoint) {
 	p.log.Info("planned stop: leaving look-ups and handing over dispatched services")
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Stop.timeout(p.store.Load()))
+	end := time.Now().Add(p.settings.Stop.timeout(p.store.Load()))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	p.stopState.Store(&proxy.Stop{Deadline: end})
 	p.fireEvent(lifecycle.Stop)
 	p.groups.Stop()
 	for _, l := range servers {
@@ -66,6 +69,7 @@
 		}
 	}()
 	<-lingered
+	p.stopState.Store(&proxy.Stop{Deadline: end, Refusing: true})
 	var down sync.WaitGroup
 	for _, l := range servers {
 		down.Go(func() {
--- a/internal/process/entry/stop_test.go
+++ b/internal/process/entry/stop_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -37,8 +38,8 @@
 // flight, and against requests that are accepted too late to end in time.
 func TestStopWithinGrace(t *testing.T) {
 	stop := Stop{Linger: document.Duration(defaultLinger), Grace: document.Duration(6 * time.Second)}
-	if got := stop.timeout(nil) + leaveTimeout; got >= 6*time.Second {
-		t.Errorf("the stop takes %v of 6s, with the last report to control", got)
+	if got := stop.timeout(nil) + caller.FinalResponseTime + leaveTimeout; got >= 6*time.Second {
+		t.Errorf("the stop takes %v of 6s, with the last responses and the last report to control", got)
 	}
 	if got := stop.linger(); got > 3*time.Second {
 		t.Errorf("requests are accepted for %v of 6s", got)
--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -100,7 +100,7 @@
 	for {
 		t, err := d.Acquire(ctx, c.dispatchWork())
 		if err != nil {
-			return nil, err
+			return nil, h.stoppedWaiting(ctx, err)
 		}
 		if c.service.GuardedSlots {
 			h.countShare(c)
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -79,6 +79,7 @@
 	Store         *snapshot.Store
 	Dialect       dialect.Dialect
 	Ready         func() bool // reports whether a confirmed version of the document is in force
+	Stopping      func() Stop // returns the progress of a planned stop; nil if there never is one
 	Groups        Groups
 	Guarded       Guarded
 	Caps          Caps
@@ -201,7 +202,10 @@
 	if err != nil {
 		return c, err
 	}
-	return c, c.readBody(w, r, h.Bodies)
+	if err := c.readBody(w, r, h.Bodies); err != nil {
+		return c, err
+	}
+	return c, h.admitDuringStop(c)
 }
 
 // fail logs and counts an error and returns its error answer.
@@ -261,7 +265,8 @@
 func (h *Handler) serve(ctx context.Context, c *call) (*reply, error) {
 	if !c.route.Safe {
 		if err := caller.AwaitTurn(ctx); err != nil {
-			return nil, errkind.Wrap(errkind.Cancelled, err, "the caller's connection ended before its earlier requests were answered")
+			err = errkind.Wrap(errkind.Cancelled, err, "the caller's connection ended before its earlier requests were answered")
+			return nil, h.stoppedWaiting(ctx, err)
 		}
 	}
 	if !c.remote { // the entry that forwarded a remote request has counted it already
--- a/internal/request/proxy/once.go
+++ b/internal/request/proxy/once.go
@@ -74,7 +74,7 @@
 	c.startRecorded = true
 	// The request continues if its caller disconnects, so that the outcome is
 	// known when the caller sends it again.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	ctx, cancel := untilStopped(ctx, c.deadline)
 	defer cancel()
 	rep, err := h.run(ctx, c)
 	if err != nil {
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -151,6 +151,7 @@
 	groups *testGroups
 	ledger *testLedger
 	addr   string // address of the entry
+	server *caller.Server
 	client *http.Client
 }
 
@@ -167,6 +168,7 @@
 	srv := &caller.Server{Handler: w.h, Log: w.h.Log, Limits: func() caller.Limits {
 		return caller.Limits{HeaderBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	}}
+	w.server = srv
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(lis) }()
 	t.Cleanup(func() {
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -109,6 +109,8 @@
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "the budget lease expired while the request was being sent")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errkind.Wrap(errkind.DeadlineExceeded, err, "no answer before the deadline")
+	case stopped(ctx):
+		return errkind.Wrap(errkind.DeadlineExceeded, err, "no answer before the end of the planned stop")
 	case ctx.Err() != nil:
 		return errkind.Wrap(errkind.Cancelled, err, "the request was cancelled")
 	}
@@ -162,7 +164,7 @@
 
 // readError classifies an error of reading an answer's body.
 func readError(ctx context.Context, err error) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || stopped(ctx) {
 		return errkind.Wrap(errkind.DeadlineExceeded, err, "the answer was not complete before the deadline")
 	}
 	return errkind.Wrap(errkind.AnswerBroken, err, "the answer broke off")
--- /dev/null
+++ b/internal/request/proxy/stop_test.go
@@ -0,0 +1,86 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
+)
+
+// Guards against a request whose body ends late in a planned stop, that is sent to
+// a target and then cut at the end of the stop.
+func TestRequestCompletedAfterLingerIsRefused(t *testing.T) {
+	var runs atomic.Int32
+	w := newTestEntry(t, false, target(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	var refusing atomic.Bool
+	w.h.Stopping = func() Stop { return Stop{Deadline: time.Now().Add(time.Minute), Refusing: refusing.Load()} }
+	body, sender := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(sender, "first ")
+		refusing.Store(true)
+		_, _ = io.WriteString(sender, "last")
+		_ = sender.Close()
+	}()
+	req := w.request("POST", "/", "")
+	req.Body, req.ContentLength = body, int64(len("first last"))
+	w.expectError(req, errkind.Stopping, errkind.No)
+	if runs.Load() != 0 {
+		t.Error("the target got the request")
+	}
+}
+
+// Guards against a target that works on a request, accepted during a planned stop,
+// longer than the process can deliver the answer.
+func TestDeadlineEndsWithPlannedStop(t *testing.T) {
+	const left = 300 * time.Millisecond
+	var stated atomic.Int64
+	w := newTestEntry(t, false, target(t, func(_ http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.ParseInt(r.Header.Get(dialect.HeaderDeadline), 10, 64)
+		stated.Store(ms)
+		<-r.Context().Done()
+	}))
+	end := time.Now().Add(left)
+	w.h.Stopping = func() Stop { return Stop{Deadline: end} }
+	w.expectError(w.request("GET", "/", ""), errkind.DeadlineExceeded, errkind.Unknown)
+	if ms := stated.Load(); ms <= 0 || ms > left.Milliseconds() {
+		t.Errorf("the target was given %d ms, the stop ends after %v", ms, left)
+	}
+}
+
+// Guards against a planned stop that ends requests without an answer: queued ones
+// must be refused as not run, running ones get an answer that leaves it open.
+func TestEveryRequestIsAnsweredAtTheEndOfAPlannedStop(t *testing.T) {
+	for _, path := range []string{"/", "/safe", "/claim"} {
+		t.Run(path, func(t *testing.T) {
+			started := make(chan struct{}, 10)
+			w := newTestEntry(t, false, target(t, func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+			}))
+			var answered sync.WaitGroup
+			send := func(kind errkind.Kind, didRun errkind.DidRun) {
+				answered.Go(func() { w.expectError(w.request("POST", path, "", "Idempotency-Key", "k"), kind, didRun) })
+			}
+			const slots = 2
+			for range slots {
+				send(errkind.DeadlineExceeded, errkind.Unknown)
+				<-started
+			}
+			send(errkind.Stopping, errkind.No)
+			for w.d.Load().Queued == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			end, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = w.server.Shutdown(end) // reports that requests were in progress
+			answered.Wait()
+		})
+	}
+}
