--- a/cmd/fescue-control/main.go
+++ b/cmd/fescue-control/main.go
@@ -37,5 +37,5 @@
 	log, flush := logging.NewAsync(os.Stdout, s.Log.Level, "fescue-control", s.Instance)
 	defer flush()
 	reloaded := settings.Watch[controlmain.Settings](context.Background(), config, signals.Reload(), log)
-	return controlmain.Run(signals.StopContext(), &s, reloaded, controlmain.Extension{}, log)
+	return controlmain.Run(signals.StopContext(log), &s, reloaded, controlmain.Extension{}, log)
 }
--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -37,5 +37,5 @@
 	log, flush := logging.NewAsync(os.Stdout, s.Log.Level, "fescue-entry", s.Instance)
 	defer flush()
 	reloaded := settings.Watch[entry.Settings](context.Background(), config, signals.Reload(), log)
-	return entry.Run(signals.StopContext(), &s, reloaded, entry.Extension{}, log)
+	return entry.Run(signals.StopContext(log), &s, reloaded, entry.Extension{}, log)
 }
--- a/internal/base/signals/signals.go
+++ b/internal/base/signals/signals.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/sirupsen/logrus"
 )
 
 // The signals are registered while the packages are initialised and stay
@@ -33,13 +35,16 @@
 func Reload() <-chan os.Signal { return reload }
 
 // StopContext returns a context that ends at the first SIGTERM or SIGINT. Later
-// ones have no effect, because the graceful stop is limited in time by itself.
+// ones are only logged, because the graceful stop is limited in time by itself.
 // It must be called once.
-func StopContext() context.Context {
+func StopContext(log *logrus.Entry) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		<-stop
+		log.WithField("signal", (<-stop).String()).Info("stop requested by a signal")
 		cancel()
+		for sig := range stop {
+			log.WithField("signal", sig.String()).Info("signal ignored: the stop is in progress")
+		}
 	}()
 	return ctx
 }
--- a/internal/base/signals/signals_test.go
+++ b/internal/base/signals/signals_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/base/signals"
 )
 
@@ -34,7 +35,7 @@
 	in := bufio.NewReader(os.Stdin)
 	fmt.Println("starting")
 	_, _ = in.ReadString('\n')
-	ctx := signals.StopContext()
+	ctx := signals.StopContext(logging.Discard())
 	go func() {
 		<-ctx.Done()
 		fmt.Println("stop")
