--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -8,6 +8,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -34,7 +35,11 @@
 	// is HeaderTooLarge, SlowSender or BadRequest. If Refusal is nil, the response
 	// has the status of the kind and no body.
 	Refusal func(err error) (status int, header http.Header, body []byte)
-	Log     *logrus.Entry
+	// FinalResponseTime is how long Shutdown waits, after its context has ended, for
+	// the responses to the requests that it cancels. 0 means FinalResponseTime of
+	// the package.
+	FinalResponseTime time.Duration
+	Log               *logrus.Entry
 
 	mu       sync.Mutex
 	lis      net.Listener
@@ -137,13 +142,12 @@
 // answered in time.
 var ErrShutdown = errors.New("the server shuts down")
 
-// FinalResponseTime is how long Shutdown waits, after its context has ended, for
-// the responses to the requests that it cancels.
+// FinalResponseTime is the default of Server.FinalResponseTime.
 const FinalResponseTime = 200 * time.Millisecond
 
 // Shutdown stops accepting connections, closes idle ones and waits until the
 // requests in progress are answered. If ctx ends first, it cancels the remaining
-// requests with ErrShutdown, waits up to FinalResponseTime for their responses,
+// requests with ErrShutdown, waits up to s.FinalResponseTime for their responses,
 // closes the remaining connections and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
@@ -157,7 +161,7 @@
 		return nil
 	}
 	s.cancelRequests()
-	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), FinalResponseTime)
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(s.FinalResponseTime, FinalResponseTime))
 	defer cancel()
 	s.awaitIdle(final)
 	s.closeAll()
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -107,7 +107,10 @@
 // callerServer returns a server for requests that are routed to targets. refuser
 // answers requests whose header cannot be read.
 func (p *process) callerServer(h http.Handler, refuser *proxy.Handler) *caller.Server {
-	return &caller.Server{Handler: h, Limits: p.callerLimits, Refusal: refuser.RefuseHead, Log: p.log}
+	return &caller.Server{
+		Handler: h, Limits: p.callerLimits, Refusal: refuser.RefuseHead,
+		FinalResponseTime: p.settings.Stop.final().responses, Log: p.log,
+	}
 }
 
 // callerLimits returns the limits on callers in the document in force, or the
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -22,14 +22,40 @@
 	leaveTimeout = 250 * time.Millisecond
 	// exitMargin is the time for the exit of the process after that report.
 	exitMargin = 250 * time.Millisecond
+	// maxFinalShare bounds the share of Grace that is kept for the time after the
+	// last request. Requests must be able to run into the last sixth of Grace.
+	maxFinalShare = 1.0 / 8
 )
 
-// timeout returns how long requests may run during the graceful stop. The last
-// responses and the last report to control follow. If Grace is not set, it is long enough for the longest request that is
-// accepted during Linger. A document may allow requests of more than a minute.
+// finalTimes are the times at the end of Grace in which no request runs any more.
+type finalTimes struct {
+	responses time.Duration // for the responses to the requests that are cancelled
+	leave     time.Duration // for the last report to control
+	exit      time.Duration // for the exit of the process
+}
+
+func (f finalTimes) total() time.Duration { return f.responses + f.leave + f.exit }
+
+// final returns the times after the last request. They shrink with a short Grace.
+func (s Stop) final() finalTimes {
+	f := finalTimes{responses: caller.FinalResponseTime, leave: leaveTimeout, exit: exitMargin}
+	most := maxFinalShare * float64(s.Grace)
+	if s.Grace <= 0 || float64(f.total()) <= most {
+		return f
+	}
+	scale := most / float64(f.total())
+	for _, d := range []*time.Duration{&f.responses, &f.leave, &f.exit} {
+		*d = time.Duration(scale * float64(*d))
+	}
+	return f
+}
+
+// timeout returns how long requests may run during the graceful stop; the times of
+// final follow. If Grace is not set, it is long enough for the longest request that
+// is accepted during Linger. A document may allow requests of more than a minute.
 func (s Stop) timeout(snap *snapshot.Snapshot) time.Duration {
 	if s.Grace > 0 {
-		return s.Grace.AsDuration() - caller.FinalResponseTime - leaveTimeout - exitMargin
+		return s.Grace.AsDuration() - s.final().total()
 	}
 	longest := document.DefaultLongestDeadline
 	if snap != nil {
@@ -38,11 +64,12 @@
 	return s.Linger.AsDuration() + longest + stopMargin
 }
 
-// linger returns how long requests are still accepted: at most half of Grace, less
-// exitMargin, if Grace is set.
+// linger returns how long requests are still accepted. If Grace is set, that is at
+// most half of it, and a little less than Linger, because the process may learn late
+// that it has to stop.
 func (s Stop) linger() time.Duration {
 	if s.Grace > 0 {
-		return min(s.Linger.AsDuration(), s.Grace.AsDuration()/2-exitMargin)
+		return min(s.Linger.AsDuration(), s.Grace.AsDuration()/2) - s.final().exit
 	}
 	return s.Linger.AsDuration()
 }
@@ -80,7 +107,7 @@
 	}
 	down.Wait()
 	p.fireEvent(lifecycle.Finished)
-	leaving, done := context.WithTimeout(context.Background(), leaveTimeout)
+	leaving, done := context.WithTimeout(context.Background(), p.settings.Stop.final().leave)
 	defer done()
 	if err := p.follower.Leave(leaving, true); err != nil {
 		p.log.WithError(err).Warn("control did not record the exit of the entry")
--- a/internal/process/entry/stop_test.go
+++ b/internal/process/entry/stop_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
-	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -34,14 +33,22 @@
 	}
 }
 
-// Guards against a process that is killed at the end of Grace with requests in
-// flight, and against requests that are accepted too late to end in time.
+// Guards against three faults: a process that is killed at the end of Grace with
+// requests in flight, requests that are accepted too late to end in time, and
+// requests that are cut before the last sixth of Grace. With times after the last
+// request that did not depend on Grace, a Grace of 4 s or less had the last fault.
 func TestStopWithinGrace(t *testing.T) {
-	stop := Stop{Linger: document.Duration(defaultLinger), Grace: document.Duration(6 * time.Second)}
-	if got := stop.timeout(nil) + caller.FinalResponseTime + leaveTimeout; got >= 6*time.Second {
-		t.Errorf("the stop takes %v of 6s, with the last responses and the last report to control", got)
-	}
-	if got := stop.linger(); got > 3*time.Second {
-		t.Errorf("requests are accepted for %v of 6s", got)
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		stop := Stop{Linger: document.Duration(defaultLinger), Grace: document.Duration(grace)}
+		requests, final := stop.timeout(nil), stop.final()
+		if end := requests + final.responses + final.leave; end >= grace || final.responses <= 0 || final.leave <= 0 {
+			t.Errorf("grace %v: the stop takes %v, with %v for the last responses and %v for the last report to control", grace, end, final.responses, final.leave)
+		}
+		if requests <= grace*5/6 {
+			t.Errorf("grace %v: requests are cut after %v", grace, requests)
+		}
+		if got := stop.linger(); got <= 0 || got > grace/2 || got >= defaultLinger {
+			t.Errorf("grace %v: requests are accepted for %v", grace, got)
+		}
 	}
 }
