--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -59,9 +59,13 @@
 	lastWritten    chan struct{}          // closed when the responses to all requests so far are written
 	lastHasHead    bool                   // the head of the response to the last request is written
 	noMoreRequests bool                   // only the requests in progress are still answered
+	ending         bool                   // idle; closes unless a request has been read already
 	closed         bool                   // nothing more is read or written
 }
 
+// expired is a deadline in the past. It ends a read that waits for bytes.
+var expired = time.Unix(1, 0)
+
 // newConn returns the state of an accepted connection.
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{s: s, raw: raw, limited: &limitedReader{r: raw}, pipelineSlots: make(chan struct{}, maxPipelined), inProgress: map[*exchange]struct{}{}}
@@ -144,9 +148,12 @@
 		return errConnClosed
 	}
 	c.phase = waitingForRequest
-	if len(c.inProgress) == 0 {
+	switch {
+	case c.ending:
+		_ = c.raw.SetReadDeadline(expired)
+	case len(c.inProgress) == 0:
 		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
-	} else {
+	default:
 		_ = c.raw.SetReadDeadline(time.Time{})
 	}
 	c.mu.Unlock()
@@ -158,14 +165,17 @@
 
 // startReading marks that a request has begun to arrive and sets the deadline
 // for its head. It returns errNoMoreRequests if the connection accepts no
-// further request.
+// further request, and errConnClosed if it was closed meanwhile.
 func (c *conn) startReading(timeout time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.noMoreRequests {
+	switch {
+	case c.closed:
+		return errConnClosed
+	case c.noMoreRequests:
 		return errNoMoreRequests
 	}
-	c.phase = readingRequest
+	c.phase, c.ending = readingRequest, false
 	_ = c.raw.SetReadDeadline(time.Now().Add(timeout))
 	return nil
 }
@@ -281,16 +291,17 @@
 	return c.noMoreRequests
 }
 
-// closeIfIdle closes the connection if no request is being read or in progress,
-// and reports whether it did.
-func (c *conn) closeIfIdle() bool {
+// endIfIdle makes the connection end if no request is being read or in progress.
+// The goroutine that reads requests closes it: only that goroutine knows whether
+// it has read bytes of a request, which must then be answered.
+func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.inProgress) > 0 || c.phase != waitingForRequest {
-		return false
+	if c.closed || c.phase != waitingForRequest || len(c.inProgress) > 0 {
+		return
 	}
-	c.closeLocked()
-	return true
+	c.ending = true
+	_ = c.raw.SetReadDeadline(expired)
 }
 
 // cancelRequests cancels the requests in progress with the given cause. They can
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -168,12 +168,12 @@
 	return ctx.Err()
 }
 
-// awaitIdle closes connections as they become idle. It reports whether none is left
+// awaitIdle ends connections as they become idle. It reports whether none is left
 // before ctx ends.
 func (s *Server) awaitIdle(ctx context.Context) bool {
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
-	for s.closeIdle() > 0 {
+	for s.endIdle() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -185,15 +185,13 @@
 
 const shutdownPollInterval = 5 * time.Millisecond
 
-// closeIdle closes the connections without a request and returns the number of
-// remaining ones.
-func (s *Server) closeIdle() int {
+// endIdle makes the connections without a request end and returns the number of
+// connections that are still open.
+func (s *Server) endIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.closeIfIdle() {
-			delete(s.conns, c)
-		}
+		c.endIfIdle()
 	}
 	return len(s.conns)
 }
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -321,6 +322,69 @@
 	}
 }
 
+// pausingListener accepts connections whose first Read reports on read that it has
+// taken bytes, and returns them when release is closed.
+type pausingListener struct {
+	net.Listener
+	read, release chan struct{}
+}
+
+func (l pausingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausingConn{Conn: c, l: l}, nil
+}
+
+type pausingConn struct {
+	net.Conn
+	l    pausingListener
+	once sync.Once
+}
+
+func (c *pausingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.once.Do(func() {
+			close(c.l.read)
+			<-c.l.release
+		})
+	}
+	return n, err
+}
+
+// Guards against a request that the process has taken from a kept connection when a
+// planned stop closes the connections without a request: it got no answer, although
+// it could be handled.
+func TestRequestTakenWhileIdleConnectionsCloseIsAnswered(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	paused := pausingListener{lis, make(chan struct{}), make(chan struct{})}
+	s := &Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Limits: func() Limits { return generousLimits }, Log: logging.Discard()}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(paused) }()
+	c := dial(t, lis.Addr().String())
+	c.send(getRequest("/"))
+	<-paused.read
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	for !s.isClosed() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * shutdownPollInterval) // lets Shutdown look at the connection
+	close(paused.release)
+	if resp, _ := c.readResponse(); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, close %v; want 200 and close", resp.StatusCode, resp.Close)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	<-served
+}
+
 // Guards against a draining server whose connections with pipelined requests stay
 // open, and against closing such a connection before all accepted requests are
 // answered.
