--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -119,7 +119,7 @@
 }
 
 // readRequest reads the head of the next request. The error is errConnClosed,
-// errNoMoreRequests or one that headError classified.
+// errNoMoreRequests, one of kind Stopping or one that headError classified.
 func (c *conn) readRequest() (*http.Request, error) {
 	limits := c.s.Limits()
 	c.limited.setLimit(int64(limits.HeaderBytes) + readBufferSize)
@@ -130,6 +130,9 @@
 		return nil, err
 	}
 	req, err := http.ReadRequest(c.r)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.s.isClosed() {
+		return nil, errkind.Wrap(errkind.Stopping, ErrShutdown, "request head is not complete")
+	}
 	if err != nil {
 		return nil, headError(err)
 	}
@@ -304,14 +307,17 @@
 	_ = c.raw.SetReadDeadline(expired)
 }
 
-// cancelRequests cancels the requests in progress with the given cause. They can
-// still be answered.
+// cancelRequests cancels the requests in progress with the given cause, and ends the
+// wait for the rest of a request. All of them can still be answered.
 func (c *conn) cancelRequests(cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for x := range c.inProgress {
 		x.cancel(cause)
 	}
+	if c.phase == readingRequest {
+		_ = c.raw.SetReadDeadline(expired)
+	}
 }
 
 // abort closes the connection immediately and cancels its requests.
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -32,8 +32,8 @@
 	Handler http.Handler
 	Limits  func() Limits // returns the limits currently in force
 	// Refusal returns the response to an unreadable request head. The kind of err
-	// is HeaderTooLarge, SlowSender or BadRequest. If Refusal is nil, the response
-	// has the status of the kind and no body.
+	// is HeaderTooLarge, SlowSender, BadRequest or Stopping. If Refusal is nil, the
+	// response has the status of the kind and no body.
 	Refusal func(err error) (status int, header http.Header, body []byte)
 	// FinalResponseTime is how long Shutdown waits, after its context has ended, for
 	// the responses to the requests that it cancels. 0 means FinalResponseTime of
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -322,6 +322,32 @@
 	}
 }
 
+// Guards against a planned stop that closes the connections of requests whose head or
+// body is incomplete at its end, without an answer.
+func TestShutdownAnswersIncompleteRequests(t *testing.T) {
+	for name, text := range map[string]string{
+		"head": "GET / HTTP/1.1\r\nHost: h\r\n",
+		"body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, s := startServer(t, generousLimits, func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err != nil {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+			c := dial(t, addr)
+			c.send(text)
+			time.Sleep(50 * time.Millisecond) // lets the server read it
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = s.Shutdown(ended) // reports that a request was in progress
+			if resp, _ := c.readResponse(); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+				t.Errorf("status %d, close %v; want 503 and close", resp.StatusCode, resp.Close)
+			}
+		})
+	}
+}
+
 // pausingListener accepts connections whose first Read reports on read that it has
 // taken bytes, and returns them when release is closed.
 type pausingListener struct {
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -203,7 +203,7 @@
 		return c, err
 	}
 	if err := c.readBody(w, r, h.Bodies); err != nil {
-		return c, err
+		return c, h.stoppedWaiting(r.Context(), err)
 	}
 	return c, h.admitDuringStop(c)
 }
--- a/internal/request/proxy/stop_test.go
+++ b/internal/request/proxy/stop_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,6 +39,28 @@
 	}
 }
 
+// Guards against a request whose body is incomplete at the end of a planned stop, and
+// that gets no answer or one that does not say that it did not run.
+func TestIncompleteBodyAtTheEndOfAPlannedStopIsRefused(t *testing.T) {
+	w := newTestEntry(t, false, target(t, func(http.ResponseWriter, *http.Request) { t.Error("the target got the request") }))
+	conn, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nFescue-Service: rota\r\nFescue-Shift: s1\r\nContent-Length: 10\r\n\r\npart")
+	time.Sleep(50 * time.Millisecond) // lets the entry wait for the rest
+	end, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = w.server.Shutdown(end) // reports that a request was in progress
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") || !strings.Contains(string(answer), `"kind":"stopping","message"`) ||
+		!strings.Contains(string(answer), `"did_run":"no"`) {
+		t.Errorf("got %q, %v; want a refusal as stopping, not run", answer, err)
+	}
+}
+
 // Guards against a target that works on a request, accepted during a planned stop,
 // longer than the process can deliver the answer.
 func TestDeadlineEndsWithPlannedStop(t *testing.T) {
