--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,7 +35,7 @@
 		if readErr != nil {
 			return nil, err
 		}
-		x.reusable = false
+		resp.Close = true
 		return x.wrapResponse(resp), nil
 	}
 	resp, err := x.readHead()
@@ -148,14 +147,33 @@
 
 // isLate reports whether a response belongs to an earlier request on the
 // connection. A response that names a request which the connection has not
-// carried lately is not skipped, because the right one may never follow. The
-// caller of RoundTrip detects it by its identifier.
+// carried is not skipped, because the right one may never follow. The caller of
+// RoundTrip detects it by its identifier.
 func (x *exchange) isLate(resp *http.Response) bool {
+	id := x.responseID(resp)
+	return id != x.id() && x.c.carried(id)
+}
+
+// responseID returns the identifier that a response names, or "" if it names none.
+func (x *exchange) responseID(resp *http.Response) string {
 	if x.t.ResponseID == nil {
-		return false
+		return ""
+	}
+	return x.t.ResponseID(resp)
+}
+
+// checkName reports whether the response may belong to the request by its
+// identifier. A response without one does not if an earlier response on the
+// connection had one. The response to the request may then still follow.
+func (x *exchange) checkName(resp *http.Response) bool {
+	switch x.responseID(resp) {
+	case "":
+		return !x.c.named
+	case x.id():
+		x.c.named = true
+		return true
 	}
-	id := x.t.ResponseID(resp)
-	return id != x.id() && slices.Contains(x.c.earlierIDs, id)
+	return x.t.RequestID == nil
 }
 
 // id returns the identifier of the request, or "" if it has none.
@@ -171,7 +189,7 @@
 // wrapResponse makes the end of the response body release the connection. A
 // response without a body releases it at once.
 func (x *exchange) wrapResponse(resp *http.Response) *http.Response {
-	x.reusable = x.reusableAfter(resp)
+	x.reusable = x.checkName(resp) && x.reusableAfter(resp)
 	x.c.expires = time.Now().Add(idleTimeout(resp.Header))
 	if resp.Body == http.NoBody || resp.ContentLength == 0 && x.requestWritten() {
 		x.release(x.reusable && x.requestWritten())
@@ -225,8 +243,8 @@
 		watched := x.stopCancelHook()
 		// Bytes that have already arrived belong to no request, so a connection
 		// with buffered bytes is closed.
-		if reuse && watched && x.c.r.Buffered() == 0 && time.Now().Before(x.c.expires) {
-			x.c.addRequestID(x.id())
+		x.c.addRequestID(x.id())
+		if reuse && watched && x.c.r.Buffered() == 0 && time.Now().Before(x.c.expires) && len(x.c.earlier) < maxRequests {
 			x.t.putIdle(x.c)
 			return
 		}
--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -17,6 +19,9 @@
 	maxSkippedResponses = 4
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 1 << 20
+	// maxRequests bounds the requests of a connection, and so the memory for their
+	// identifiers.
+	maxRequests = 1024
 	// maxInlineBody is the largest body, in bytes, that is written before the
 	// response is read. A larger body is written concurrently: a target may
 	// respond before it reads the rest of the body, and a transport that first
@@ -46,8 +51,10 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// RequestID returns the identifier of a request and ResponseID the one that
 	// a response names, or "" if there is none. They let the transport skip a
-	// late response to an earlier request on the same connection. If they are
-	// nil, every response is accepted.
+	// late or repeated response to an earlier request on the same connection. A
+	// connection never carries two requests with the same identifier, whose
+	// responses could not be told apart. If the functions are nil, every response
+	// is accepted.
 	RequestID  func(req *http.Request) string
 	ResponseID func(resp *http.Response) string
 
@@ -58,24 +65,27 @@
 
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
-	raw        net.Conn
-	addr       string
-	head       *headLimiter // source of r
-	r          *bufio.Reader
-	expires    time.Time // when the target may close it while it is idle
-	earlierIDs []string  // identifiers of the last requests, at most maxSkippedResponses
+	raw     net.Conn
+	addr    string
+	head    *headLimiter // source of r
+	r       *bufio.Reader
+	expires time.Time // when the target may close it while it is idle
+	earlier []uint64  // hashes of the identifiers of all earlier requests, at most maxRequests
+	named   bool      // a response has named its request
 }
 
 // addRequestID records the identifier of a request that the connection has
 // carried.
 func (c *conn) addRequestID(id string) {
-	if id == "" {
-		return
-	}
-	if len(c.earlierIDs) == maxSkippedResponses {
-		c.earlierIDs = slices.Delete(c.earlierIDs, 0, 1)
+	if id != "" {
+		c.earlier = append(c.earlier, xxhash.Sum64String(id))
 	}
-	c.earlierIDs = append(c.earlierIDs, id)
+}
+
+// carried reports whether the connection has carried an earlier request with the
+// identifier.
+func (c *conn) carried(id string) bool {
+	return id != "" && slices.Contains(c.earlier, xxhash.Sum64String(id))
 }
 
 // RoundTrip sends a request and returns its response as soon as the response
@@ -83,11 +93,12 @@
 // read to its end.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
-	c, err := t.getConn(ctx, req.URL.Host)
+	x := &exchange{t: t, req: req}
+	c, err := t.getConn(ctx, req.URL.Host, x.id())
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{t: t, c: c, req: req}
+	x.c = c
 	x.stopCancelHook = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	resp, err := x.run()
 	if err != nil {
@@ -97,10 +108,11 @@
 	return resp, nil
 }
 
-// getConn returns an idle connection that is still usable, or opens a new one.
-func (t *Transport) getConn(ctx context.Context, addr string) (*conn, error) {
+// getConn returns an idle connection that is still usable and has not carried a
+// request with the identifier id, or opens a new one.
+func (t *Transport) getConn(ctx context.Context, addr, id string) (*conn, error) {
 	for {
-		c := t.takeIdle(addr)
+		c := t.takeIdle(addr, id)
 		if c == nil {
 			break
 		}
@@ -126,18 +138,21 @@
 	}
 }
 
-func (t *Transport) takeIdle(addr string) *conn {
+// takeIdle returns the idle connection that was used last, of those that have not
+// carried a request with the identifier id, or nil.
+func (t *Transport) takeIdle(addr, id string) *conn {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
 	list := t.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.carried(id) {
+			t.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	t.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // sweep closes the idle connections that have expired, at most once per
