--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -50,7 +52,10 @@
 	untried  bool // joined after the first request of the pool and has had no request
 	running  []*Request
 	waiting  int // queued requests whose preferred target it is
+	ahead    int // result of Pool.countAhead
+	idHash   uint64
 	objects  objectLRU
+	derived  targetEstimate
 	cold     coldLimiter
 
 	report   Report
@@ -68,6 +73,32 @@
 	backoffUntil time.Duration
 }
 
+// targetEstimate holds estimates that do not depend on the request. They are costly, and
+// a pool needs them for each request and target.
+type targetEstimate struct {
+	validUntil  time.Duration
+	slowdown    float64 // result of expectedSlowdown
+	failureCost time.Duration
+}
+
+// estimateTTL is how long a targetEstimate is used if no request starts or ends at the
+// target. It is short compared with running times.
+const estimateTTL = 5 * time.Millisecond
+
+// estimate returns the estimates for the target, which may be up to estimateTTL old.
+func (b *backend) estimate(at time.Duration) *targetEstimate {
+	if at >= b.derived.validUntil {
+		b.derived = targetEstimate{
+			validUntil: at + estimateTTL, slowdown: b.expectedSlowdown(at),
+			failureCost: time.Duration(b.decayedFailureShare(at) * float64(failureCost)),
+		}
+	}
+	return &b.derived
+}
+
+// forgetEstimate makes the next estimate a new one.
+func (b *backend) forgetEstimate() { b.derived.validUntil = 0 }
+
 // update takes over new information about the target. A restart clears the
 // measurements of the previous incarnation.
 func (b *backend) update(at time.Duration, info TargetInfo) {
@@ -76,6 +107,8 @@
 		b.objects.clear()
 		b.logSlowdown, b.failureShare, b.failures, b.timeouts, b.backoffUntil, b.backoff = 0, 0, 0, 0, 0, 0
 	}
+	b.forgetEstimate()
+	b.idHash = xxhash.Sum64String(info.ID)
 	b.cold.update(at, info)
 	if b.listed && b.info.State != Active && info.State == Active {
 		// The target got no requests while it was not active, so it may have
@@ -107,6 +140,7 @@
 	r.startedCold = b.cold.isCold(at)
 	b.cold.consume(at)
 	b.objects.touch(at, r.work.Object)
+	b.forgetEstimate()
 	b.untried = false
 	r.pos = len(b.running)
 	b.running = append(b.running, r)
@@ -121,6 +155,7 @@
 	b.running[last] = nil
 	b.running = b.running[:last]
 	r.pos = -1
+	b.forgetEstimate()
 	if o.Report.Slots > 0 {
 		b.report, b.reportAt = o.Report, at
 	}
@@ -287,7 +322,8 @@
 		}
 		return time.Duration((1 - b.cold.tokens) / b.cold.rate * float64(time.Second))
 	}
-	remaining := make([]time.Duration, 0, len(b.running))
+	var buffer [32]time.Duration // avoids an allocation for targets with few slots
+	remaining := buffer[:0]
 	for _, r := range b.running {
 		expected := max(r.expectedRun, typical/4)
 		remaining = append(remaining, max(expected-(at-r.started), expected/8))
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,12 +35,11 @@
 
 // forecast is the expected course of a request at one target.
 type forecast struct {
-	target   *backend
-	wait     time.Duration // expected waiting time for a slot
-	run      time.Duration
-	cost     time.Duration // value by which targets are compared; the lowest is best
-	distance int           // of the request's object; -1: the target has not handled it
-	cached   bool
+	target *backend
+	wait   time.Duration // expected waiting time for a slot
+	run    time.Duration
+	cost   time.Duration // value by which targets are compared; the lowest is best
+	cached bool          // the target is expected to have the object of the request cached
 }
 
 // Reasons for the choice of a target, for the log.
@@ -60,12 +58,10 @@
 // if no target may be used.
 func (p *Pool) bestForecast(at time.Duration, r *Request) forecast {
 	var best forecast
-	var order rendezvousOrder
+	order := rendezvousOrder{object: r.work.Object}
+	p.countAhead(r)
 	for _, b := range p.targets {
-		if !b.usable(at) || p.settings.AvoidCold && b.cold.isCold(at) {
-			continue
-		}
-		if slices.Contains(r.work.Exclude, b.info.ID) {
+		if !p.mayUse(at, r, b) {
 			continue
 		}
 		f := p.forecast(at, r, b, &order)
@@ -76,12 +72,34 @@
 	return best
 }
 
-func (p *Pool) forecast(at time.Duration, r *Request, b *backend, order *rendezvousOrder) forecast {
-	f := forecast{target: b, distance: -1}
-	if d, known := b.objects.reuseDistance(r.work.Object); known {
-		f.distance = d
-		f.cached = d < p.capacity.objects()
+// mayUse reports whether the target b may get r now.
+func (p *Pool) mayUse(at time.Duration, r *Request, b *backend) bool {
+	if !b.usable(at) || p.settings.AvoidCold && b.cold.isCold(at) {
+		return false
+	}
+	return !slices.Contains(r.work.Exclude, b.info.ID)
+}
+
+// countAhead sets for each target the number of queued requests that prefer it and go
+// before r.
+func (p *Pool) countAhead(r *Request) {
+	for _, b := range p.targets {
+		b.ahead = 0
 	}
+	for _, q := range p.queue {
+		if q == r || moreUrgent(q, r) > 0 {
+			return
+		}
+		q.choice.target.ahead++
+	}
+}
+
+// forecast estimates the course of r at the target b behind b.ahead requests.
+func (p *Pool) forecast(at time.Duration, r *Request, b *backend, order *rendezvousOrder) forecast {
+	p.forecasts++
+	f := forecast{target: b}
+	b.objects.setLimit(p.capacity.objects())
+	f.cached, _ = b.objects.within(r.work.Object)
 	cachedRun, typical := r.runStats.typical()
 	switch {
 	case r.work.Object == "":
@@ -89,9 +107,10 @@
 	case f.cached:
 		typical = cachedRun
 	}
-	f.run = time.Duration(float64(typical) * b.expectedSlowdown(at))
-	f.wait = b.expectedWait(at, p.ahead(r, b), f.run)
-	f.cost = f.wait + f.run + time.Duration(b.decayedFailureShare(at)*float64(failureCost))
+	e := b.estimate(at)
+	f.run = time.Duration(float64(typical) * e.slowdown)
+	f.wait = b.expectedWait(at, b.ahead, f.run)
+	f.cost = f.wait + f.run + e.failureCost
 	if b.info.DataCentre != r.work.FromDataCentre {
 		f.cost += otherDataCentreCost
 	}
@@ -118,62 +137,68 @@
 	return 0
 }
 
-// ahead returns the number of queued requests that prefer the target b and go
-// before r.
-func (p *Pool) ahead(r *Request, b *backend) int {
-	if b.waiting == 0 {
-		return 0
-	}
-	n := 0
-	for _, q := range p.queue {
-		if q == r || moreUrgent(q, r) > 0 {
-			break
-		}
-		if q.preferred == b {
-			n++
-		}
-	}
-	return n
-}
-
 // placementCost returns the cost of sending the object of r to a target that
 // does not have it cached. Targets are ranked by rendezvous hashing, so that a
 // dispatcher that has just started sends an object to the same target as its
 // predecessor did.
 func (p *Pool) placementCost(at time.Duration, r *Request, b *backend, order *rendezvousOrder) time.Duration {
-	if *order == nil {
-		*order = p.rendezvousOrder(at, r.work.Object)
+	if !order.computed {
+		order.compute(at, p.targets)
 	}
-	cost := min(time.Duration(order.position(rendezvousHash(r.work.Object, b)))*rankCost, maxRankCost)
-	if cachedRun, uncachedRun := r.runStats.typical(); b.objects.countSince(at-recentObjectWindow) >= p.capacity.objects() {
+	cost := min(time.Duration(order.position(b))*rankCost, maxRankCost)
+	if cachedRun, uncachedRun := r.runStats.typical(); b.objects.fullSince(at - recentObjectWindow) {
 		cost += time.Duration(evictionCostShare * float64(uncachedRun-cachedRun))
 	}
 	return cost
 }
 
-// rendezvousOrder holds the rendezvous hashes of the usable targets for an
-// object in ascending order; the highest is the most preferred. It is computed
-// at most once per request, and only if a target does not have the object
-// cached, because each element costs a hash.
-type rendezvousOrder []uint64
+// rankedTargets is the number of targets whose position in the rendezvous order matters;
+// all others cost maxRankCost.
+const rankedTargets = int(maxRankCost / rankCost)
 
-func (p *Pool) rendezvousOrder(at time.Duration, object string) rendezvousOrder {
-	order := make(rendezvousOrder, 0, len(p.targets))
-	for _, b := range p.targets {
-		if b.usable(at) {
-			order = append(order, rendezvousHash(object, b))
+// rendezvousOrder holds the highest rendezvous hashes of the usable targets for an
+// object; the highest is the most preferred. It is computed at most once per forecast of
+// a request, and only if a target does not have the object cached, because each target
+// costs a hash.
+type rendezvousOrder struct {
+	object     string
+	objectHash uint64
+	computed   bool
+	highest    [rankedTargets]uint64 // descending
+}
+
+func (o *rendezvousOrder) compute(at time.Duration, targets []*backend) {
+	o.computed, o.objectHash = true, xxhash.Sum64String(o.object)
+	for _, b := range targets {
+		if !b.usable(at) {
+			continue
+		}
+		hash := rendezvousHash(o.objectHash, b.idHash)
+		for i, h := range o.highest {
+			if hash > h {
+				o.highest[i], hash = hash, h
+			}
 		}
 	}
-	slices.Sort(order)
-	return order
 }
 
-// position returns the number of usable targets that are preferred to the one
-// with this rank.
-func (o rendezvousOrder) position(rank uint64) int {
-	return len(o) - sort.Search(len(o), func(i int) bool { return o[i] > rank })
+// position returns the number of usable targets that are preferred to b, at most
+// rankedTargets.
+func (o *rendezvousOrder) position(b *backend) int {
+	hash := rendezvousHash(o.objectHash, b.idHash)
+	for i, h := range o.highest {
+		if hash >= h {
+			return i
+		}
+	}
+	return rankedTargets
 }
 
-func rendezvousHash(object string, b *backend) uint64 {
-	return xxhash.Sum64String(object + "\x00" + b.info.ID)
+// rendezvousHash combines the hashes of an object and of a target's identifier, with the
+// finalizer of SplitMix64.
+func rendezvousHash(object, target uint64) uint64 {
+	x := object ^ target
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -42,8 +42,9 @@
 	// The fields below are used only by Pool.
 	due           time.Duration // the earlier of the objective and the deadline
 	runStats      *runStats
-	preferred     *backend // best target, while the request is queued
-	backend       *backend // target that the request was started on
+	choice        forecast      // best target, while the request is queued
+	chosenAt      time.Duration // time of the choice
+	backend       *backend      // target that the request was started on
 	expectedRun   time.Duration
 	reuseDistance int  // of its object when it was started; -1: the target had not handled the object
 	startedCold   bool // started while the target was cold
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -26,8 +26,11 @@
 	capacity capacityEstimate
 	decided  []*Request
 	seq      uint64
-	inFlight int
-	stopped  bool
+	cursor   int // position in the queue of the next request that Tick reconsiders
+	// forecasts counts the forecasts made, which take most of the processor time of a pool.
+	forecasts uint64
+	inFlight  int
+	stopped   bool
 }
 
 // NewPool returns a pool without targets.
@@ -157,20 +160,29 @@
 	case len(p.queue) >= p.settings.QueueLimit:
 		return refuse(errQueueFull, best.wait)
 	}
-	p.enqueue(r, best.target)
+	p.enqueue(at, r, best)
 	return nil
 }
 
 // hasObjective reports whether r has a latency objective.
 func (r *Request) hasObjective() bool { return !r.work.Objective.IsZero() }
 
-func (p *Pool) enqueue(r *Request, preferred *backend) {
-	r.state, r.preferred = queued, preferred
-	preferred.waiting++
+func (p *Pool) enqueue(at time.Duration, r *Request, choice forecast) {
+	r.state = queued
+	p.choose(at, r, choice)
 	i, _ := slices.BinarySearchFunc(p.queue, r, moreUrgent)
 	p.queue = slices.Insert(p.queue, i, r)
 }
 
+// choose sets the preferred target of a queued request.
+func (p *Pool) choose(at time.Duration, r *Request, choice forecast) {
+	if previous := r.choice.target; previous != nil {
+		previous.waiting--
+	}
+	choice.target.waiting++
+	r.choice, r.chosenAt = choice, at
+}
+
 // moreUrgent compares requests by priority, then by the time at which the answer
 // is due, then by arrival. It returns a negative value if a goes before b.
 func moreUrgent(a, b *Request) int {
@@ -178,14 +190,19 @@
 }
 
 func (p *Pool) dequeue(r *Request) {
-	r.preferred.waiting--
-	r.preferred = nil
-	p.queue = slices.DeleteFunc(p.queue, func(q *Request) bool { return q == r })
+	r.choice.target.waiting--
+	r.choice = forecast{}
+	if i, found := slices.BinarySearchFunc(p.queue, r, moreUrgent); found {
+		p.queue = slices.Delete(p.queue, i, i+1)
+	}
 }
 
 func (p *Pool) start(at time.Duration, r *Request, choice forecast) {
 	r.state, r.started, r.backend, r.info = running, at, choice.target, choice.target.info
-	r.expectedRun, r.reuseDistance = choice.run, choice.distance
+	r.expectedRun, r.reuseDistance = choice.run, -1
+	if distance, known := choice.target.objects.reuseDistance(r.work.Object); known {
+		r.reuseDistance = distance
+	}
 	r.reason = choice.reason()
 	choice.target.start(at, r)
 	p.inFlight++
@@ -220,7 +237,7 @@
 	if !r.backend.listed {
 		p.removeUnlisted()
 	}
-	p.dispatchQueued(at)
+	p.fill(at, r.backend)
 }
 
 // updateRunStats updates the typical running times of r's route and the estimate
@@ -245,11 +262,61 @@
 	}
 }
 
-// dispatchQueued starts each queued request whose best target has a free slot,
+// maxComparisons bounds how many queued requests that prefer another target are compared
+// with a target at the end of a request there.
+const maxComparisons = 16
+
+// fill starts queued requests on the free slots of the target b, the most urgent first:
+// those that prefer it, and those that would end there sooner than at the target that
+// they wait for. The others are looked at by Tick: to compare all targets for each queued
+// request at the end of each request takes more time than the requests themselves.
+func (p *Pool) fill(at time.Duration, b *backend) {
+	b.ahead = 0
+	compared := 0
+	for i := 0; i < len(p.queue) && b.usable(at) && len(b.running) < b.slots(); {
+		r := p.queue[i]
+		if r.choice.target != b {
+			if compared++; compared > maxComparisons {
+				i++
+				continue
+			}
+		}
+		f, ok := p.takes(at, b, r)
+		if !ok {
+			i++
+			continue
+		}
+		p.dequeue(r)
+		p.start(at, r, f)
+		p.decided = append(p.decided, r)
+	}
+}
+
+// takes returns the forecast of the queued request r at the target b, and whether r
+// should start there now.
+func (p *Pool) takes(at time.Duration, b *backend, r *Request) (forecast, bool) {
+	if r.deadline <= at || !p.mayUse(at, r, b) {
+		return forecast{}, false
+	}
+	order := rendezvousOrder{object: r.work.Object}
+	f := p.forecast(at, r, b, &order)
+	if f.wait > 0 {
+		return f, false
+	}
+	waited := min(at-r.chosenAt, r.choice.wait)
+	return f, r.choice.target == b || f.cost < r.choice.cost-waited
+}
+
+// dispatchQueued compares the targets for each queued request.
+func (p *Pool) dispatchQueued(at time.Duration) {
+	p.reconsider(at, slices.Clone(p.queue))
+}
+
+// reconsider starts each of the queued requests whose best target has a free slot,
 // and refuses those that can no longer meet their objective or deadline. For the
 // others it updates the preferred target.
-func (p *Pool) dispatchQueued(at time.Duration) {
-	for _, r := range slices.Clone(p.queue) {
+func (p *Pool) reconsider(at time.Duration, requests []*Request) {
+	for _, r := range requests {
 		best := p.bestForecast(at, r)
 		switch {
 		case best.target == nil:
@@ -262,14 +329,42 @@
 			p.decided = append(p.decided, r)
 		case r.hasObjective() && at+best.wait+best.run >= r.due:
 			p.refuseQueued(r, refuse(errTooLate, best.wait))
-		case best.target != r.preferred:
-			r.preferred.waiting--
-			best.target.waiting++
-			r.preferred = best.target
+		default:
+			p.choose(at, r, best)
 		}
 	}
 }
 
+// forecastsPerTick bounds the work of Tick, which compares all targets for some of the
+// queued requests.
+const forecastsPerTick = 512
+
+// Tick refuses the queued requests that are late already, and reconsiders some of the
+// others: the next ones in the order of urgency after those of the last call.
+func (p *Pool) Tick(now time.Time) {
+	at := p.sinceEpoch(now)
+	late := p.overdue(at)
+	p.reconsider(at, late)
+	n := min(max(1, forecastsPerTick/max(1, len(p.targets))), len(p.queue))
+	next := make([]*Request, 0, n)
+	for range n {
+		next = append(next, p.queue[p.cursor%len(p.queue)])
+		p.cursor++
+	}
+	p.reconsider(at, next)
+}
+
+// overdue returns the queued requests whose deadline or objective has passed.
+func (p *Pool) overdue(at time.Duration) []*Request {
+	var out []*Request
+	for _, r := range p.queue {
+		if r.due <= at {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // refuseQueued refuses a queued request.
 func (p *Pool) refuseQueued(r *Request, refusal *Refusal) {
 	p.dequeue(r)
@@ -285,10 +380,6 @@
 	return out
 }
 
-// Tick starts queued requests that can run now and refuses those that can no
-// longer be in time.
-func (p *Pool) Tick(now time.Time) { p.dispatchQueued(p.sinceEpoch(now)) }
-
 // Hedge always returns false: a pool does not hedge requests.
 func (p *Pool) Hedge(time.Time, *Request, *Request) bool { return false }
 
@@ -308,7 +399,6 @@
 func (p *Pool) Load(now time.Time) Load {
 	at := p.sinceEpoch(now)
 	l := Load{Queued: len(p.queue), InFlight: p.inFlight, Draining: p.stopped || !p.anyAccepting()}
-	soonest := time.Duration(-1)
 	slots, failed := 0, 0
 	for _, b := range p.targets {
 		if b.accepting() {
@@ -317,16 +407,12 @@
 				failed += b.slots()
 			}
 		}
-		if !b.usable(at) || b.slowness(at) >= slowThreshold {
-			continue
-		}
-		l.FreeSlots += max(0, b.slots()-len(b.running)-b.waiting)
-		if w := b.expectedWait(at, b.waiting, 0); soonest < 0 || w < soonest {
-			soonest = w
+		if b.usable(at) && b.slowness(at) < slowThreshold {
+			l.FreeSlots += max(0, b.slots()-len(b.running)-b.waiting)
 		}
 	}
 	if l.FreeSlots == 0 {
-		l.ExpectedWait = max(soonest, 0)
+		l.ExpectedWait = p.soonestSlot(at)
 	}
 	if slots > 0 {
 		l.FailedPercent = 100 * failed / slots
@@ -339,6 +425,21 @@
 	return l
 }
 
+// soonestSlot returns the expected time until the first target that is not slow has a slot
+// for a further request, or 0 if there is no such target.
+func (p *Pool) soonestSlot(at time.Duration) time.Duration {
+	soonest := time.Duration(-1)
+	for _, b := range p.targets {
+		if !b.usable(at) || b.slowness(at) >= slowThreshold {
+			continue
+		}
+		if w := b.expectedWait(at, b.waiting, 0); soonest < 0 || w < soonest {
+			soonest = w
+		}
+	}
+	return max(soonest, 0)
+}
+
 // earliestRecovery returns the time until the first back-off of a target ends,
 // at most one second. It returns one second if no target is in back-off.
 func (p *Pool) earliestRecovery(at time.Duration) time.Duration {
--- a/internal/request/dispatch/pool_cost_test.go
+++ b/internal/request/dispatch/pool_cost_test.go
@@ -19,7 +19,7 @@
 // poolLoadResult counts what became of the requests.
 type poolLoadResult struct {
 	requests, inTime, refused int
-	operations                int // calls of the pool
+	forecasts                 uint64
 }
 
 // pendingEnd is the end of a running request.
@@ -106,20 +106,63 @@
 			}
 			p.Tick(epoch.Add(at))
 		}
-		res.operations++
 		decided(at)
 	}
+	res.forecasts = p.forecasts
 	return res
 }
 
+// regionLoad is the load on the pool of a region with 30 targets.
+func regionLoad(perSecond float64) poolLoad {
+	return poolLoad{
+		targets: 30, slots: 9, objects: 230, perSecond: perSecond, cached: 195 * time.Millisecond, uncached: 780 * time.Millisecond,
+		objective: 600 * time.Millisecond, deadline: 1200 * time.Millisecond,
+	}
+}
+
+// Guards against a dispatcher that has too little processor time to answer because the
+// work for each request grows with the number of queued requests.
+func TestPoolWorkPerRequestIsBounded(t *testing.T) {
+	l := regionLoad(1200)
+	res := l.run(5 * time.Second)
+	if res.refused == 0 {
+		t.Fatal("the load does not fill the queue")
+	}
+	perRequest := float64(res.forecasts) / float64(res.requests)
+	if most := 5 * float64(l.targets); perRequest > most {
+		t.Errorf("%.0f forecasts for each request, want at most %.0f with %d targets", perRequest, most, l.targets)
+	}
+}
+
+// Guards against a request that stays queued although a target is usable again: the end
+// of a request starts only requests at its own target.
+func TestPoolStartsQueuedRequestsAfterBackoff(t *testing.T) {
+	w := newPoolHarness(t, poolTargetInfo("1", 1), poolTargetInfo("2", 1))
+	for range 8 {
+		w.serve("", 3*time.Second, 3*time.Second)
+	}
+	work := w.work("")
+	work.Objective, work.Deadline = w.now.Add(10*time.Second), w.now.Add(20*time.Second)
+	failed, busy := w.mustStart(work), w.mustStart(work)
+	w.pool.Done(w.now, failed, Outcome{Result: Unreachable})
+	r, err := w.submit(work)
+	if err != nil || r.state != queued {
+		t.Fatalf("request in state %v, error %v; want it queued for target %s", r.state, err, busy.info.ID)
+	}
+	for range 40 {
+		w.now = w.now.Add(queuedTick)
+		w.pool.Tick(w.now)
+	}
+	if r.state != running || r.info.ID != failed.info.ID {
+		t.Errorf("request in state %v at %q after 200 ms, want it running at %s", r.state, r.info.ID, failed.info.ID)
+	}
+}
+
 // BenchmarkPoolUnderLoad reports the processor time of a pool per second of load.
 func BenchmarkPoolUnderLoad(b *testing.B) {
 	for _, perSecond := range []float64{200, 400, 600, 1200} {
 		b.Run(fmt.Sprint(perSecond), func(b *testing.B) {
-			l := poolLoad{
-				targets: 30, slots: 9, objects: 230, perSecond: perSecond, cached: 195 * time.Millisecond, uncached: 780 * time.Millisecond,
-				objective: 600 * time.Millisecond, deadline: 1200 * time.Millisecond,
-			}
+			l := regionLoad(perSecond)
 			const seconds = 20
 			var res poolLoadResult
 			for b.Loop() {
--- a/internal/request/dispatch/pool_test.go
+++ b/internal/request/dispatch/pool_test.go
@@ -451,7 +451,7 @@
 			if !slices.Contains(p.queue, r) {
 				t.Fatal("request in state queued is not in the queue")
 			}
-			waiting[r.preferred]++
+			waiting[r.choice.target]++
 		}
 		if r.state == running {
 			inFlight++
