--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -17,8 +17,12 @@
 )
 
 // errPeerUnreachable marks a forwarded request of which nothing was sent to the
-// peer.
-var errPeerUnreachable = errors.New("peer unreachable")
+// peer. errPeerNotReachedInTime marks one whose deadline ended the connection
+// attempt.
+var (
+	errPeerUnreachable      = errors.New("peer unreachable")
+	errPeerNotReachedInTime = errors.New("peer not reached before the deadline")
+)
 
 // forward sends the request to another entry. An error answer of that entry is
 // returned as a peerError of the same kind. startRecorded tells the peer that the
@@ -38,10 +42,13 @@
 		header: c.peerHeader(h.Instance, remote, startRecorded, h.Now()), answeredID: forwardedID,
 	}
 	rep, err := x.do(ctx, c)
+	switch errkind.Of(err) {
+	case errkind.TargetUnreachable:
+		return nil, errkind.Wrap(errkind.TargetUnreachable, errors.Join(errPeerUnreachable, err), "instance %q", peer.Instance)
+	case errkind.DeadlineUnmeetable:
+		return nil, errkind.Wrap(errkind.DeadlineUnmeetable, errors.Join(errPeerNotReachedInTime, err), "instance %q", peer.Instance)
+	}
 	if err != nil {
-		if errkind.Of(err) == errkind.TargetUnreachable {
-			return nil, errkind.Wrap(errkind.TargetUnreachable, errors.Join(errPeerUnreachable, err), "instance %q", peer.Instance)
-		}
 		return nil, err
 	}
 	c.sends = max(c.sends, readSends(rep.header))
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -348,14 +348,26 @@
 // dispatcher of the service moves to another entry. A forwarded request is not
 // tried again here, because the forwarding entry does so.
 func (h *Handler) runInDataCentre(ctx context.Context, c *call) (*reply, error) {
+	var refusal error
 	for timer := newTakeoverTimer(h.Now(), c); ; {
 		rep, err := h.tryInDataCentre(ctx, c)
+		refusal = reasonNotSent(refusal, err)
 		if err == nil || !dispatcherMoved(err) || c.forwardedBy != "" || !timer.wait(ctx, h.Now()) {
-			return rep, err
+			return rep, refusal
 		}
 	}
 }
 
+// reasonNotSent returns err, the result of the last of several tries, or the result
+// of the earlier ones if the deadline ended the last one before anything was sent.
+// Such a try does not show why the request could not be sent.
+func reasonNotSent(earlier, err error) error {
+	if earlier != nil && errors.Is(err, errPeerNotReachedInTime) {
+		return earlier
+	}
+	return err
+}
+
 // dispatcherMoved reports whether err means that another entry dispatches the
 // service, or will soon.
 func dispatcherMoved(err error) bool {
--- a/internal/request/proxy/once.go
+++ b/internal/request/proxy/once.go
@@ -19,11 +19,13 @@
 // another instance.
 func (h *Handler) serveAtMostOnce(ctx context.Context, c *call) (*reply, error) {
 	dc, _ := h.Ledger.Home(c.snap, c.service.Name, c.key)
+	var refusal error
 	for timer := newTakeoverTimer(h.Now(), c); ; {
 		rep, err := h.tryAtMostOnce(ctx, c, dc)
+		refusal = reasonNotSent(refusal, err)
 		moved := err != nil && (dispatcherMoved(err) || ledgerMayRecover(err))
 		if !moved || c.forwardedBy != "" || !timer.wait(ctx, h.Now()) {
-			return rep, err
+			return rep, refusal
 		}
 	}
 }
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	connection "github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
@@ -332,24 +334,47 @@
 }
 
 // Guards against the statement "not run" that an earlier try has proved, but the
-// last one has not: another request with the key may have run in between.
+// last one has not: another request with the key may have run in between. Also guards
+// against an error kind that depends on whether the deadline comes during a connection
+// attempt or between two.
 func TestNotRunProofOfEarlierTryExpires(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for _, c := range []struct {
+		name     string
+		attempts int32 // connection attempts that end; the deadline ends the next one
+		kind     errkind.Kind
+	}{
+		{"refused until the deadline", math.MaxInt32, errkind.TargetUnreachable},
+		{"deadline during a connection attempt", 3, errkind.TargetUnreachable},
+		{"deadline during the second connection attempt", 1, errkind.Stopping},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_ = lis.Close()
+				w.Header().Set("Connection", "close")
+				w.Header().Set(headerKind, string(errkind.Stopping))
+				w.Header().Set(dialect.HeaderNotRun, "true")
+			})}
+			defer srv.Close()
+			go func() { _ = srv.Serve(lis) }()
+			w := newTestEntry(t, false)
+			var dials atomic.Int32
+			w.h.Peers = &connection.Transport{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if dials.Add(1) > c.attempts {
+					<-ctx.Done()
+				}
+				return connection.Dial(ctx, network, addr)
+			}}
+			w.ledger.elsewhere = true
+			w.groups.moveTo(lis.Addr().String())
+			// The deadline leaves time for the first answer and three more tries on a busy machine.
+			w.expectError(w.request("GET", "/claim", "", dialect.HeaderKey, "k", dialect.HeaderDeadline, "1500"), c.kind, errkind.Unknown)
+		})
 	}
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = lis.Close()
-		w.Header().Set("Connection", "close")
-		w.Header().Set(headerKind, string(errkind.Stopping))
-		w.Header().Set(dialect.HeaderNotRun, "true")
-	})}
-	defer srv.Close()
-	go func() { _ = srv.Serve(lis) }()
-	w := newTestEntry(t, false)
-	w.ledger.elsewhere = true
-	w.groups.moveTo(lis.Addr().String())
-	w.expectError(w.request("GET", "/claim", "", dialect.HeaderKey, "k", dialect.HeaderDeadline, "150"), errkind.TargetUnreachable, errkind.Unknown)
 }
 
 // Guards against the loss of the header that marks a request from another data
