--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -61,9 +61,6 @@
 		}
 		tried[step.AttemptKey] = true
 	}
-	if c.mayHaveRun != nil {
-		return nil, c.mayHaveRun // a later refusal would state that the request did not run
-	}
 	return nil, refusal
 }
 
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -278,9 +278,20 @@
 	return h.run(ctx, c)
 }
 
-// run runs the request in this data centre if possible, and otherwise in the
-// first other data centre or region that admits it.
+// run runs the request where it is admitted. If an attempt may have run it and no
+// later one answered, the error of that attempt is returned: the refusal of a later
+// attempt would state that the request did not run.
 func (h *Handler) run(ctx context.Context, c *call) (*reply, error) {
+	rep, err := h.runWhereAdmitted(ctx, c)
+	if err != nil && c.mayHaveRun != nil {
+		return nil, c.mayHaveRun
+	}
+	return rep, err
+}
+
+// runWhereAdmitted runs the request in this data centre if possible, and otherwise
+// in the first other data centre or region that admits it.
+func (h *Handler) runWhereAdmitted(ctx context.Context, c *call) (*reply, error) {
 	if c.service.GuardedSlots {
 		return h.runInRegions(ctx, c)
 	}
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -406,3 +406,39 @@
 		t.Error(resp, err)
 	}
 }
+
+// Guards against the statement "not run" about a request that an earlier attempt may
+// have run, because the last attempt proves it of itself only.
+func TestRefusalAfterAttemptThatMayHaveRun(t *testing.T) {
+	hangsUp, seen := rawTarget(t, constantAnswer(""))
+	for name, others := range map[string][]string{
+		"no other target":            nil,
+		"the other target sheds":     {target(t, shed)},
+		"the other target is closed": {closedAddr(t)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := seen.Load()
+			w := newTestEntry(t, false, append(others, hangsUp)...)
+			w.expectError(w.request("GET", "/safe", "", dialect.HeaderDeadline, "400"), errkind.TargetFailed, errkind.Unknown)
+			if seen.Load() == before {
+				t.Error("no request reached the target that hangs up")
+			}
+		})
+	}
+}
+
+// shed refuses a request as a target does that has no slot.
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(dialect.HeaderNotRun, "true")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// closedAddr returns an address at which connections are refused.
+func closedAddr(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
