--- a/internal/base/httpserve/serve_test.go
+++ b/internal/base/httpserve/serve_test.go
@@ -9,19 +9,9 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 )
 
-// freeAddr returns a loopback address with a port that is not in use.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 // Guards against a shutdown that interrupts a request in flight, and against a
 // shutdown that is reported as an error.
 func TestShutdownWaitsForRequestInFlight(t *testing.T) {
@@ -32,7 +22,7 @@
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.WriteString(w, "whole")
 	})
-	addr := freeAddr(t)
+	addr := ports.For(t)
 	done := make(chan error, 1)
 	go func() { done <- ListenAndServe(ctx, addr, &http.Server{Handler: handler}, 10*time.Second) }()
 	var resp *http.Response
--- a/internal/base/metrics/serve_test.go
+++ b/internal/base/metrics/serve_test.go
@@ -11,16 +11,17 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 )
 
 // Guards against a process that ends or hangs because the port for its metrics is
 // in use.
 func TestServe(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	addr := ports.For(t)
+	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := lis.Addr().String()
 	scope, h, closer := New("test")
 	defer func() { _ = closer.Close() }()
 	Serve(t.Context(), addr, h, logging.Discard()) // returns because the port is in use
--- a/internal/process/control/controlmain/replaced_test.go
+++ b/internal/process/control/controlmain/replaced_test.go
@@ -8,6 +8,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 	"github.com/fescuejunction/fescuejunction/internal/process/control/replica"
 	"google.golang.org/grpc/metadata"
 )
@@ -49,7 +50,7 @@
 // leaving the quorum, until the lost voters outnumber the others.
 func TestReplacedReplicaLeavesQuorum(t *testing.T) {
 	c := startCluster(t)
-	addr := freeAddr(t)
+	addr := ports.For(t)
 	s := &Settings{
 		Instance: "control-3", Region: "south", DataCentre: "dc1", GRPCAddr: addr, AdminAddr: "127.0.0.1:0",
 		DataDir: t.TempDir(), Join: c.addrs, TLS: settings.TLS{PlaintextLoopback: true},
--- a/internal/process/control/controlmain/run_test.go
+++ b/internal/process/control/controlmain/run_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/follow"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -28,17 +28,6 @@
 
 const platformYAML = "team: platform\nregions:\n  - name: south\n    data_centres: [dc1]\n"
 
-// freeAddr returns a loopback address with a port that is not in use.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 // cluster has three control replicas. Each function in stop ends the replica of the
 // same index and waits for its end.
 type cluster struct {
@@ -50,7 +39,7 @@
 	t.Helper()
 	c := &cluster{}
 	for range 3 {
-		c.addrs = append(c.addrs, freeAddr(t))
+		c.addrs = append(c.addrs, ports.For(t))
 	}
 	doc := filepath.Join(t.TempDir(), "platform.yaml")
 	if err := os.WriteFile(doc, []byte(platformYAML), 0o600); err != nil {
@@ -216,7 +205,7 @@
 // that entries of earlier terms may hold leases.
 func TestFirstLeaderGrants(t *testing.T) {
 	s := &Settings{
-		Instance: "control-1", Region: "south", DataCentre: "dc1", GRPCAddr: freeAddr(t), AdminAddr: "127.0.0.1:0",
+		Instance: "control-1", Region: "south", DataCentre: "dc1", GRPCAddr: ports.For(t), AdminAddr: "127.0.0.1:0",
 		DataDir: t.TempDir(), Bootstrap: true, TLS: settings.TLS{PlaintextLoopback: true},
 	}
 	conn, err := dialPlain(s.GRPCAddr)
--- a/internal/process/control/replica/cluster_test.go
+++ b/internal/process/control/replica/cluster_test.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 )
 
 // recordingMachine is a state machine that records the applied commands in order.
@@ -69,12 +70,7 @@
 	c := &cluster{t: t, net: newNetwork(delay)}
 	var addrs []string
 	for range size {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addrs = append(addrs, l.Addr().String())
-		l.Close()
+		addrs = append(addrs, ports.For(t))
 	}
 	for i, addr := range addrs {
 		n := &node{t: t, cfg: Config{
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -14,6 +14,7 @@
 
 	connection "github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
@@ -349,7 +350,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			lis, err := net.Listen("tcp", ports.For(t))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -414,7 +415,7 @@
 	for name, others := range map[string][]string{
 		"no other target":            nil,
 		"the other target sheds":     {target(t, shed)},
-		"the other target is closed": {closedAddr(t)},
+		"the other target is closed": {ports.For(t)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := seen.Load()
@@ -432,13 +433,3 @@
 	w.Header().Set(dialect.HeaderNotRun, "true")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// closedAddr returns an address at which connections are refused.
-func closedAddr(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,10 +11,10 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -217,47 +216,19 @@
 
 var fillRE = regexp.MustCompile(`@\d+@`)
 
-// Ports are given out below the usual range of outgoing connections, so that
-// no connection takes one before the process listens.
-const (
-	lowestPort  = 20000
-	highestPort = 32000
-)
-
-var (
-	portsMu   sync.Mutex
-	portsUsed = map[int]bool{}
-)
-
-// ports NAME... sets each NAME to a free loopback address host:port, and
-// NAME_PORT to its port.
+// ports NAME... sets each NAME to a loopback address host:port that is kept for the
+// script, and NAME_PORT to its port.
 func cmdPorts(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && len(args) > 0, "ports NAME...")
 	for _, name := range args {
-		port := freePort(ts)
-		ts.Setenv(name, fmt.Sprintf("127.0.0.1:%d", port))
-		ts.Setenv(name+"_PORT", strconv.Itoa(port))
-	}
-}
-
-func freePort(ts *testscript.TestScript) int {
-	portsMu.Lock()
-	defer portsMu.Unlock()
-	for range 10_000 {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		if portsUsed[port] {
-			continue
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		l.Close()
-		portsUsed[port] = true
-		return port
+		addr, release, err := ports.Reserve()
+		ts.Check(err)
+		ts.Defer(release)
+		ts.Setenv(name, addr)
+		_, port, err := net.SplitHostPort(addr)
+		ts.Check(err)
+		ts.Setenv(name+"_PORT", port)
 	}
-	ts.Fatalf("no free port between %d and %d", lowestPort, highestPort)
-	return 0
 }
 
 // expand FILE... replaces ${NAME} by the environment variable in the files. A
