--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -339,6 +339,9 @@
 	if o.Result != ServerError || g.mayStartBackoff(at) {
 		r.target.observe(at, o.Result)
 	}
+	if r.target.halfOpen {
+		r.target.halfOpenSince, r.target.startsWhenHalfOpen = at, g.startCount
+	}
 	g.observeSpeed(at, r, o)
 	if o.Result != OK {
 		return
--- a/internal/request/dispatch/group_schedule.go
+++ b/internal/request/dispatch/group_schedule.go
@@ -104,12 +104,13 @@
 const (
 	reasonLeast   = "least loaded"
 	reasonTrial   = "trial of a demoted target"
+	reasonRetrial = "trial after a back-off"
 	reasonDemoted = "only demoted targets are left"
 )
 
 // chooseTarget returns the target for r and the reason, or nil if no target can
 // take r. Demoted targets get only trial requests, unless every target with
-// capacity is demoted.
+// capacity is demoted. Targets after a back-off get trial requests besides.
 func (g *Group) chooseTarget(at time.Duration, r *Request) (*target, string) {
 	var best, leastSlow *target
 	bestCost, hasNormal := 0.0, false
@@ -135,6 +136,9 @@
 		if !free {
 			continue
 		}
+		if g.trialDue(at, r, t) {
+			return t, reasonRetrial
+		}
 		if cost := t.cost(limit); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
--- a/internal/request/dispatch/slow_target.go
+++ b/internal/request/dispatch/slow_target.go
@@ -50,14 +50,14 @@
 	llrOffset = math.Log(slowFactor)
 )
 
-// Parameters for trial requests to demoted targets. A number of other requests
-// must start between two trials, so that the trials of all demoted targets
-// together stay below half a percent of the requests of a busy group. At one
+// Parameters for trial requests to demoted targets and to targets after a back-off.
+// A number of other requests must start between two trials, so that the trials of
+// all these targets together stay below half a percent of the requests of a busy group. At one
 // percent, the slow trials would determine the 99th percentile of the latency.
 const (
 	minTrialGap    = 20 * time.Millisecond
 	maxTrialGap    = 300 * time.Millisecond
-	startsPerTrial = 250             // requests started in the group between two trials, per demoted target
+	startsPerTrial = 250             // requests started in the group between two trials, per target on trial
 	forcedTrialGap = 5 * time.Second // after this time a trial is due even if few requests were started
 )
 
@@ -267,28 +267,42 @@
 	h.meanRatio = mean{value: ratio, n: 1}
 }
 
-// trialDue reports whether r may run now as a trial on the demoted target t.
-// Long work, at-most-once work and hedges never do. Requests that are not safe
-// do so only if no safe one came for a while.
+// trialDue reports whether r may run now as a trial on t, which is demoted or
+// half-open. A half-open target costs more than others that have a free slot, so
+// without trials it would get no request until those have none.
 func (g *Group) trialDue(at time.Duration, r *Request, t *target) bool {
 	h := &t.health
-	if r.long || r.work.AtMostOnce || r.isHedge || g.trialRunning(t) {
+	switch {
+	case !mayBeTrial(r):
+		return false
+	case !h.demoted:
+		return t.halfOpen && t.inFlight() == 0 && g.waitedForTrial(at, r, t.halfOpenSince, t.startsWhenHalfOpen, maxTrialGap)
+	case g.trialRunning(t):
 		return false
 	}
-	if h.lastTrialQuick {
-		return true
-	}
-	waited := at - h.lastTrialEnd
-	if waited < forcedTrialGap && (waited < h.trialGap || g.startCount-h.startsAtLastTrial < startsPerTrial*g.demotedTargets()) {
+	return h.lastTrialQuick || g.waitedForTrial(at, r, h.lastTrialEnd, h.startsAtLastTrial, h.trialGap)
+}
+
+// mayBeTrial reports whether r may run on a target of which little good is known.
+// Long work, at-most-once work and hedges may not.
+func mayBeTrial(r *Request) bool { return !r.long && !r.work.AtMostOnce && !r.isHedge }
+
+// waitedForTrial reports whether enough time, at least gap, and enough requests
+// have passed since the last trial. A request that is not safe becomes a trial only
+// if no safe one came for a while.
+func (g *Group) waitedForTrial(at time.Duration, r *Request, lastEnd time.Duration, startsAtLast int, gap time.Duration) bool {
+	waited := at - lastEnd
+	if waited < forcedTrialGap && (waited < gap || g.startCount-startsAtLast < startsPerTrial*g.targetsOnTrial()) {
 		return false
 	}
-	return r.work.Safe || waited > 2*max(h.trialGap, minTrialGap)
+	return r.work.Safe || waited > 2*max(gap, minTrialGap)
 }
 
-func (g *Group) demotedTargets() int {
+// targetsOnTrial returns the number of targets that share the trials.
+func (g *Group) targetsOnTrial() int {
 	n := 0
 	for _, t := range g.targets {
-		if t.health.demoted {
+		if t.health.demoted || t.halfOpen {
 			n++
 		}
 	}
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -31,6 +31,10 @@
 	backoff      time.Duration
 	backoffUntil time.Duration
 	halfOpen     bool // after a back-off: one request at a time until one succeeds or is shed
+	// halfOpenSince is the end of the last request without success of a half-open
+	// target, and startsWhenHalfOpen is Group.startCount at that time.
+	halfOpenSince      time.Duration
+	startsWhenHalfOpen int
 }
 
 func (t *target) inFlight() int { return len(t.running) }
