--- a/internal/connection/slots/slots_test.go
+++ b/internal/connection/slots/slots_test.go
@@ -29,7 +29,7 @@
 
 func newTestSetup(t *testing.T) *testSetup {
 	t.Helper()
-	dispatcher := dispatch.NewPoolDispatcher(dispatch.Settings{Service: pool.Service}, time.Now)
+	dispatcher := dispatch.NewPoolDispatcher(dispatch.Settings{Service: pool.Service}, time.Now, nil)
 	dispatcher.SetTargets([]dispatch.TargetInfo{{ID: "t1", Addr: "127.0.0.1:1", Slots: 2}})
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -117,12 +117,21 @@
 	if svc == nil || !svc.GuardedSlots {
 		return nil
 	}
-	d := dispatch.NewPoolDispatcher(g.poolSettingsLocked(svc, pool), g.Now)
+	d := dispatch.NewPoolDispatcher(g.poolSettingsLocked(svc, pool), g.Now, func(b dispatch.Backoff) { g.logBackoff(pool, b) })
 	d.SetTargets(targetInfos(g.snap, svc, pool.Region))
 	g.local[pool] = d
 	return d
 }
 
+// logBackoff logs why a target of a pool gets no requests for a while. A back-off
+// bounds the number of lines: it lasts 0.1 s at least.
+func (g *Guarded) logBackoff(pool slotlink.Pool, b dispatch.Backoff) {
+	g.Log.WithFields(logrus.Fields{
+		"service": pool.Service, "region": pool.Region, "target": b.Target, "cause": b.Cause.String(), "failures": b.Failures, "timeouts": b.Timeouts,
+		"silent_ms": b.SilentFor.Milliseconds(), "backoff_ms": b.Duration.Milliseconds(), "failed_percent": b.FailedPercent,
+	}).Info("target backed off")
+}
+
 // poolSettingsLocked returns the settings of this entry's dispatcher of a pool.
 // Only the dispatcher according to the members in force sends requests to cold
 // targets. An entry that decides itself because that dispatcher does not answer
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -116,6 +116,15 @@
 	TimedOut                        // the deadline passed before the target had answered
 )
 
+// String returns the name of a result in log lines.
+func (r Result) String() string {
+	names := [...]string{"ok", "shed", "unreachable", "failed", "cancelled", "server error", "timed out"}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Outcome describes the end of a dispatched request.
 type Outcome struct {
 	Result    Result
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -258,6 +258,26 @@
 	b.backoffUntil = at + b.backoff
 }
 
+// Backoff describes a back-off of a target that has started, for the log.
+type Backoff struct {
+	Target        string
+	Cause         Result // of the request that started it
+	Failures      int    // consecutive
+	Timeouts      int    // consecutive
+	SilentFor     time.Duration
+	Duration      time.Duration
+	FailedPercent int // see Load
+}
+
+// describeBackoff describes the back-off that a result has started at this moment.
+func (b *backend) describeBackoff(at time.Duration, cause Result, failedPercent int) *Backoff {
+	out := &Backoff{Target: b.info.ID, Cause: cause, Failures: b.failures, Timeouts: b.timeouts, Duration: b.backoff, FailedPercent: failedPercent}
+	if b.timeouts > 0 {
+		out.SilentFor = at - b.silentSince
+	}
+	return out
+}
+
 // failedStatusTTL is how long after its back-off a target still counts as failed
 // if no request has succeeded since. Without this limit, a target that works
 // again would count as failed for as long as there are too few requests for one
--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	scheduler  scheduler
 	timer      *time.Timer
 	timerDelay time.Duration // delay that the timer was last set to; 0: it is not set
+	onBackoff  func(Backoff) // called without the mutex; nil: back-offs are not reported
 }
 
 // NewDispatcher returns a running dispatcher of a Group without targets. The
@@ -35,9 +36,12 @@
 }
 
 // NewPoolDispatcher returns a running dispatcher of a Pool without targets. Its
-// targets enforce their slots themselves.
-func NewPoolDispatcher(s Settings, now func() time.Time) *Dispatcher {
-	return newDispatcher(NewPool(now(), s), now)
+// targets enforce their slots themselves. onBackoff, unless it is nil, is called
+// for each back-off of a target.
+func NewPoolDispatcher(s Settings, now func() time.Time, onBackoff func(Backoff)) *Dispatcher {
+	d := newDispatcher(NewPool(now(), s), now)
+	d.onBackoff = onBackoff
+	return d
 }
 
 func newDispatcher(sched scheduler, now func() time.Time) *Dispatcher {
@@ -191,10 +195,17 @@
 		}
 		return
 	}
-	t.d.mu.Lock()
-	defer t.d.mu.Unlock()
-	t.d.scheduler.Done(t.d.now(), &t.req, o)
-	t.d.finishUpdate()
+	if b := t.d.done(&t.req, o); b != nil && t.d.onBackoff != nil {
+		t.d.onBackoff(*b)
+	}
+}
+
+func (d *Dispatcher) done(r *Request, o Outcome) *Backoff {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.scheduler.Done(d.now(), r, o)
+	d.finishUpdate()
+	return b
 }
 
 // Hedge returns a slot on another target for a second attempt, without queueing.
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -293,9 +293,9 @@
 
 // Done ends a running request and frees its slot. Later calls for the same
 // request do nothing.
-func (g *Group) Done(now time.Time, r *Request, o Outcome) {
+func (g *Group) Done(now time.Time, r *Request, o Outcome) *Backoff {
 	if r.state != running {
-		return
+		return nil
 	}
 	at := g.sinceEpoch(now)
 	r.state = finished
@@ -310,6 +310,7 @@
 	}
 	g.evaluate(at)
 	g.dispatchQueued(at)
+	return nil
 }
 
 // mayStartBackoff reports whether another target may be put into back-off
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -222,9 +222,9 @@
 
 // Done ends a running request and frees its slot. Later calls for the same
 // request do nothing.
-func (p *Pool) Done(now time.Time, r *Request, o Outcome) {
+func (p *Pool) Done(now time.Time, r *Request, o Outcome) *Backoff {
 	if r.state != running {
-		return
+		return nil
 	}
 	at := p.sinceEpoch(now)
 	r.state = finished
@@ -232,12 +232,17 @@
 	if o.Latency <= 0 {
 		o.Latency = at - r.started
 	}
+	earlier := r.backend.backoffUntil
 	r.backend.finish(at, r, o)
 	p.updateRunStats(r, o)
 	if !r.backend.listed {
 		p.removeUnlisted()
 	}
 	p.fill(at, r.backend)
+	if r.backend.backoffUntil == earlier {
+		return nil
+	}
+	return r.backend.describeBackoff(at, o.Result, p.failedPercent(at))
 }
 
 // updateRunStats updates the typical running times of r's route and the estimate
@@ -399,14 +404,7 @@
 func (p *Pool) Load(now time.Time) Load {
 	at := p.sinceEpoch(now)
 	l := Load{Queued: len(p.queue), InFlight: p.inFlight, Draining: p.stopped || !p.anyAccepting()}
-	slots, failed := 0, 0
 	for _, b := range p.targets {
-		if b.accepting() {
-			slots += b.slots()
-			if b.recentlyFailed(at) {
-				failed += b.slots()
-			}
-		}
 		if b.usable(at) && b.slowness(at) < slowThreshold {
 			l.FreeSlots += max(0, b.slots()-len(b.running)-b.waiting)
 		}
@@ -414,9 +412,7 @@
 	if l.FreeSlots == 0 {
 		l.ExpectedWait = p.soonestSlot(at)
 	}
-	if slots > 0 {
-		l.FailedPercent = 100 * failed / slots
-	}
+	l.FailedPercent = p.failedPercent(at)
 	for _, s := range p.routes {
 		if s.all.usable() {
 			l.Run = max(l.Run, s.all.mean())
@@ -440,6 +436,25 @@
 	return max(soonest, 0)
 }
 
+// failedPercent returns the percentage of the slots that belong to targets which
+// recently failed.
+func (p *Pool) failedPercent(at time.Duration) int {
+	slots, failed := 0, 0
+	for _, b := range p.targets {
+		if !b.accepting() {
+			continue
+		}
+		slots += b.slots()
+		if b.recentlyFailed(at) {
+			failed += b.slots()
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return 100 * failed / slots
+}
+
 // earliestRecovery returns the time until the first back-off of a target ends,
 // at most one second. It returns one second if no target is in back-off.
 func (p *Pool) earliestRecovery(at time.Duration) time.Duration {
--- a/internal/request/dispatch/scheduler.go
+++ b/internal/request/dispatch/scheduler.go
@@ -13,8 +13,9 @@
 	Submit(now time.Time, r *Request, w Work) error
 	// Cancel withdraws a request that is queued or running.
 	Cancel(now time.Time, r *Request)
-	// Done ends a running request and frees its slot.
-	Done(now time.Time, r *Request, o Outcome)
+	// Done ends a running request and frees its slot. It returns the back-off of the
+	// target that the outcome has started, or nil. A Group always returns nil.
+	Done(now time.Time, r *Request, o Outcome) *Backoff
 	// Tick processes everything that depends on time alone: expired deadlines,
 	// ended back-offs and slow starts.
 	Tick(now time.Time)
