--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -133,14 +133,13 @@
 }
 
 // poolSettingsLocked returns the settings of this entry's dispatcher of a pool.
-// Only the dispatcher according to the members in force sends requests to cold
-// targets. An entry that decides itself because that dispatcher does not answer
-// does not know what the dispatcher has sent, so the two together could exceed
-// the rate of a cold target.
+// An entry that decides itself because the dispatcher according to the members in
+// force does not answer is a substitute: it does not know what that dispatcher and
+// other substitutes have sent.
 func (g *Guarded) poolSettingsLocked(svc *snapshot.Service, pool slotlink.Pool) dispatch.Settings {
 	settings := dispatchSettings(svc, "", g.snap)
 	first := g.preferredLocked(pool, (*Guarded).presentLocked)
-	settings.AvoidCold = first != nil && first.Instance != g.Instance
+	settings.Substitute = first != nil && first.Instance != g.Instance
 	return settings
 }
 
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -26,10 +26,11 @@
 	LongestDeadline  time.Duration // later deadlines are shortened to this much from now; 0: the document's default
 	HedgePercent     int           // maximum hedges as a percentage of requests; 0: never hedge
 	HedgeMinDelay    time.Duration // lower bound of HedgeDelay; 0: the document's default
-	// AvoidCold makes a pool send nothing to cold targets. An entry sets it while
-	// it dispatches the pool in place of another entry: the rate limit of a cold
-	// target holds for all entries together, so two of them would exceed it.
-	AvoidCold bool
+	// Substitute is set while an entry dispatches the pool in place of another entry,
+	// whose requests it does not know. It sends nothing to cold targets, because their
+	// rate limit holds for all entries together. It does not take timeouts for failures
+	// of a target, because the requests of others may keep the target busy.
+	Substitute bool
 }
 
 func (s Settings) withDefaults() Settings {
@@ -159,5 +160,6 @@
 	Draining     bool          // takes no new requests: it is stopped, or its targets are leaving
 	// FailedPercent is the percentage of the slots that belong to targets which
 	// failed and are in back-off, or were recently and have not answered since.
+	// Targets that are only silent do not count for a substitute.
 	FailedPercent int
 }
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -71,6 +71,7 @@
 	silentSince  time.Duration // end of the first of these timeouts
 	backoff      time.Duration
 	backoffUntil time.Duration
+	backoffCause Result // of the last request that started or would have started a back-off
 }
 
 // targetEstimate holds estimates that do not depend on the request. They are costly, and
@@ -178,19 +179,35 @@
 		}
 	case Unreachable:
 		b.recordFailure(at, 1)
-		b.startBackoff(at)
+		b.startBackoff(at, o.Result)
 	case TimedOut:
 		b.observeTimeout(at, r, o)
 	case Shed:
 		b.recordFailure(at, shedFailure)
+		b.endSilence()
 	case Failed, ServerError:
 		b.recordFailure(at, 1)
+		if o.Result == ServerError {
+			b.endSilence()
+		}
 		if b.failures++; b.failures >= poolFailuresBeforeBackoff {
-			b.startBackoff(at)
+			b.startBackoff(at, o.Result)
 		}
 	}
 }
 
+// endSilence takes over that the target gave an answer, though not a good one. It is
+// not silent, so timeouts before do not make it a failed one.
+func (b *backend) endSilence() {
+	b.timeouts = 0
+	if b.silent() {
+		b.backoff = 0
+	}
+}
+
+// silent reports whether only timeouts speak for a failure of the target.
+func (b *backend) silent() bool { return b.failed() && b.backoffCause == TimedOut }
+
 // observeTimeout takes over that the deadline of r passed. A request that had less than
 // the usual running time says nothing about the target. The expected one does not serve
 // here: it grows with each timeout.
@@ -207,7 +224,7 @@
 	}
 	b.timeouts++
 	if b.failed() || b.timeouts >= timeoutsBeforeBackoff && at-b.silentSince >= silentBeforeBackoff {
-		b.startBackoff(at)
+		b.startBackoff(at, TimedOut)
 	}
 }
 
@@ -248,8 +265,12 @@
 
 // startBackoff starts a back-off, twice as long as the last one if no request
 // succeeded since. Failures during a back-off do not lengthen it, because their
-// requests were sent before it began.
-func (b *backend) startBackoff(at time.Duration) {
+// requests were sent before it began, but one that is more than a timeout becomes its
+// cause.
+func (b *backend) startBackoff(at time.Duration, cause Result) {
+	if at >= b.backoffUntil || cause != TimedOut {
+		b.backoffCause = cause
+	}
 	if at < b.backoffUntil {
 		return
 	}
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -74,7 +74,7 @@
 
 // mayUse reports whether the target b may get r now.
 func (p *Pool) mayUse(at time.Duration, r *Request, b *backend) bool {
-	if !b.usable(at) || p.settings.AvoidCold && b.cold.isCold(at) {
+	if !b.usable(at) || p.settings.Substitute && b.cold.isCold(at) {
 		return false
 	}
 	return !slices.Contains(r.work.Exclude, b.info.ID)
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -437,7 +437,7 @@
 }
 
 // failedPercent returns the percentage of the slots that belong to targets which
-// recently failed.
+// recently failed. A substitute leaves out silent targets.
 func (p *Pool) failedPercent(at time.Duration) int {
 	slots, failed := 0, 0
 	for _, b := range p.targets {
@@ -445,7 +445,7 @@
 			continue
 		}
 		slots += b.slots()
-		if b.recentlyFailed(at) {
+		if b.recentlyFailed(at) && !(p.settings.Substitute && b.silent()) {
 			failed += b.slots()
 		}
 	}
