--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -60,6 +60,8 @@
 
 	report   Report
 	reportAt time.Duration
+	// foreign is the number of requests that others had at the target at reportAt.
+	foreign int
 
 	logSlowdown    float64 // logarithm of its running times relative to the typical ones
 	logSlowdownAt  time.Duration
@@ -159,6 +161,7 @@
 	b.forgetEstimate()
 	if o.Report.Slots > 0 {
 		b.report, b.reportAt = o.Report, at
+		b.foreign = max(0, o.Report.Running+o.Report.Waiting-len(b.running))
 	}
 	b.observe(at, r, o)
 }
@@ -352,17 +355,41 @@
 	return min(secondHighest, maxSlowdown)
 }
 
+// foreignTTL is how long requests of others at a target count after a report, in a
+// falling share, since they end meanwhile.
+const foreignTTL = time.Second
+
+// foreignLoad returns the estimated number of requests that others have at the target.
+// There are some while several entries dispatch the pool, because they could not reach
+// each other.
+func (b *backend) foreignLoad(at time.Duration) int {
+	age := at - b.reportAt
+	if b.foreign == 0 || age >= foreignTTL {
+		return 0
+	}
+	return int(math.Round(float64(b.foreign) * (1 - age.Seconds()/foreignTTL.Seconds())))
+}
+
+// freeSlots returns the slots of the target that are not in use, negative if requests
+// wait at the target.
+func (b *backend) freeSlots(at time.Duration) int {
+	return b.slots() - len(b.running) - b.foreignLoad(at)
+}
+
 // expectedWait returns how long a request is expected to wait for a slot of this
 // target, with ahead queued requests before it and a running time of typical. It
 // returns 0 if a slot is free.
 func (b *backend) expectedWait(at time.Duration, ahead int, typical time.Duration) time.Duration {
-	free := b.slots() - len(b.running)
+	free := b.freeSlots(at)
 	if free > ahead {
 		if b.cold.allow(at) {
 			return 0
 		}
 		return time.Duration((1 - b.cold.tokens) / b.cold.rate * float64(time.Second))
 	}
+	if b.foreignLoad(at) > 0 { // when they end is not known
+		return max(typical*time.Duration(ahead-free+1)/time.Duration(b.slots()), time.Millisecond)
+	}
 	var buffer [32]time.Duration // avoids an allocation for targets with few slots
 	remaining := buffer[:0]
 	for _, r := range b.running {
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -406,7 +406,7 @@
 	l := Load{Queued: len(p.queue), InFlight: p.inFlight, Draining: p.stopped || !p.anyAccepting()}
 	for _, b := range p.targets {
 		if b.usable(at) && b.slowness(at) < slowThreshold {
-			l.FreeSlots += max(0, b.slots()-len(b.running)-b.waiting)
+			l.FreeSlots += max(0, b.freeSlots(at)-b.waiting)
 		}
 	}
 	if l.FreeSlots == 0 {
