--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -21,7 +21,11 @@
 	// replyMargin is how long a reply may take in addition to the time that the
 	// request may wait in the dispatcher's queue. Round trips within a region
 	// take a few milliseconds.
-	replyMargin   = 120 * time.Millisecond
+	replyMargin = 120 * time.Millisecond
+	// maxReplyDelay is how much longer than replyMargin a reply may take if the
+	// dispatcher answers other requests meanwhile. It has too much to do then, and
+	// another dispatcher of the same targets would only add to their load.
+	maxReplyDelay = 500 * time.Millisecond
 	sendQueueSize = 1024                   // messages
 	reopenDelay   = 200 * time.Millisecond // minimum time between two attempts to open a stream
 	openTimeout   = time.Second
@@ -31,6 +35,9 @@
 // No slot was obtained; the slot of a late reply is released.
 var ErrNoReply = errkind.New(errkind.NotDispatcher, "the dispatcher did not reply in time")
 
+// errOverloaded reports that a dispatcher answers, but not in time.
+var errOverloaded = errkind.New(errkind.QueueFull, "the dispatcher is overloaded")
+
 // Client holds the streams to other entries. It is safe for concurrent use.
 type Client struct {
 	Dial func(addr string) (*grpc.ClientConn, error)
@@ -42,7 +49,8 @@
 
 // Acquire requests a slot of a pool from the entry at addr. It returns the ticket
 // for the slot and the load of the pool as the reply states it. The error is a
-// *dispatch.Refusal or ErrNoReply, or has kind Cancelled.
+// *dispatch.Refusal or ErrNoReply, or has kind Cancelled. A dispatcher that answers other
+// requests but not this one is overloaded, which is a refusal.
 func (c *Client) Acquire(ctx context.Context, addr string, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, dispatch.Load, error) {
 	return c.link(addr).acquire(ctx, p, w, now)
 }
@@ -89,6 +97,7 @@
 	sendQueue  *ring.Ring[*fescuepb.SlotRequest] // nil while there is no stream
 	cancel     context.CancelFunc
 	lastOpened time.Time // when the last attempt to open a stream began
+	lastReply  time.Time // when the last reply arrived
 	lastID     uint64
 	pending    map[uint64]chan *fescuepb.SlotReply // by request ID; closed if the stream fails
 }
@@ -100,21 +109,37 @@
 	}
 	timer := time.NewTimer(replyTimeout(w, now))
 	defer timer.Stop()
-	select {
-	case r, open := <-reply:
-		if !open {
-			return nil, dispatch.Load{}, ErrNoReply
+	for extra := time.Duration(0); ; extra += replyMargin {
+		select {
+		case r, open := <-reply:
+			if !open {
+				return nil, dispatch.Load{}, ErrNoReply
+			}
+			return l.decodeReply(r)
+		case <-timer.C:
+			switch {
+			case l.silent(time.Now()):
+				l.cancelAsk(id)
+				return nil, dispatch.Load{}, ErrNoReply
+			case extra >= maxReplyDelay:
+				l.cancelAsk(id)
+				return nil, dispatch.Load{}, dispatch.NewRefusal(errkind.QueueFull, errOverloaded.Error(), maxReplyDelay)
+			}
+			timer.Reset(replyMargin)
+		case <-ctx.Done():
+			l.cancelAsk(id)
+			return nil, dispatch.Load{}, dispatch.Cancelled(ctx)
 		}
-		return l.decodeReply(r)
-	case <-timer.C:
-		l.cancelAsk(id)
-		return nil, dispatch.Load{}, ErrNoReply
-	case <-ctx.Done():
-		l.cancelAsk(id)
-		return nil, dispatch.Load{}, dispatch.Cancelled(ctx)
 	}
 }
 
+// silent reports whether no reply has arrived for replyMargin.
+func (l *link) silent(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.lastReply) >= replyMargin
+}
+
 // replyTimeout returns how long to wait for the reply to a slot request. The
 // dispatcher replies to a queued request at the latest at its objective or
 // deadline. A request with NoQueue or AnySlot is not queued, so the reply comes at
@@ -213,6 +238,7 @@
 	l.mu.Lock()
 	reply := l.pending[r.Id]
 	delete(l.pending, r.Id)
+	l.lastReply = time.Now()
 	l.mu.Unlock()
 	if reply != nil {
 		reply <- r
--- a/internal/connection/slots/server.go
+++ b/internal/connection/slots/server.go
@@ -20,10 +20,10 @@
 // Server serves the slot requests of other entries.
 type Server struct {
 	fescuepb.UnimplementedSlotsServer
-	// Dispatcher returns the dispatcher of a pool, or nil if this entry does not
-	// dispatch the pool.
-	Dispatcher func(p Pool) *dispatch.Dispatcher
-	Now        func() time.Time
+	// Slots returns the slots of a pool, or nil if this entry does not dispatch the
+	// pool.
+	Slots func(p Pool) dispatch.Slots
+	Now   func() time.Time
 }
 
 // Hold serves the stream of one entry. When the stream ends, Hold releases every
@@ -72,7 +72,7 @@
 }
 
 func (ss *serverStream) handleAsk(a *fescuepb.SlotAsk) {
-	d := ss.s.Dispatcher(Pool{a.Service, a.Region})
+	d := ss.s.Slots(Pool{a.Service, a.Region})
 	if d == nil {
 		ss.refuse(a.Id, errkind.New(errkind.NotDispatcher, "this entry does not dispatch the pool"), dispatch.Load{})
 		return
@@ -98,7 +98,7 @@
 	return true
 }
 
-func (ss *serverStream) acquire(ctx context.Context, a *fescuepb.SlotAsk, d *dispatch.Dispatcher) {
+func (ss *serverStream) acquire(ctx context.Context, a *fescuepb.SlotAsk, d dispatch.Slots) {
 	t, err := d.Acquire(ctx, decodeWork(a, ss.s.Now()))
 	if err != nil {
 		ss.release(a.Id, dispatch.Outcome{})
--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -104,6 +104,15 @@
 	return g.dispatcherLocked(pool)
 }
 
+// LocalSlots returns the slots of this entry's dispatcher of a pool for other entries, or
+// nil if there is no such service with guarded_slots.
+func (g *Guarded) LocalSlots(pool slotlink.Pool) dispatch.Slots {
+	if d := g.Dispatcher(pool); d != nil {
+		return d
+	}
+	return nil
+}
+
 // dispatcherLocked returns this entry's dispatcher of a pool and creates it if
 // there is none.
 func (g *Guarded) dispatcherLocked(pool slotlink.Pool) *dispatch.Dispatcher {
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -83,7 +83,7 @@
 	g := grpc.NewServer(p.peers.ServerOptions()...)
 	p.follower.Register(g)
 	fescuepb.RegisterBudgetServer(g, &budget.Relay{Control: func() []string { return *p.control.Load() }, Dial: p.peers.Dial})
-	fescuepb.RegisterSlotsServer(g, &slots.Server{Dispatcher: p.guarded.Dispatcher, Now: time.Now})
+	fescuepb.RegisterSlotsServer(g, &slots.Server{Slots: p.guarded.LocalSlots, Now: time.Now})
 	fescuepb.RegisterPeersServer(g, &peerServer{Server: once.Server{Service: p.ledger}, groups: p.groups})
 	return g
 }
