--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -43,6 +43,7 @@
 	snap              *snapshot.Snapshot
 	local             map[slotlink.Pool]*dispatch.Dispatcher
 	remoteLoads       map[slotlink.Pool]timedLoad // of pools that other entries dispatch
+	refusals          map[slotlink.Pool]refusal   // the last ones of pools that other entries dispatch
 	unreachableUntil  map[string]time.Time        // by instance, until when it is skipped
 	loggedDispatchers map[slotlink.Pool]string    // the dispatcher of each pool that was last logged
 }
@@ -60,6 +61,7 @@
 	if g.local == nil {
 		g.local, g.remoteLoads = map[slotlink.Pool]*dispatch.Dispatcher{}, map[slotlink.Pool]timedLoad{}
 		g.unreachableUntil, g.loggedDispatchers = map[string]time.Time{}, map[slotlink.Pool]string{}
+		g.refusals = map[slotlink.Pool]refusal{}
 	}
 	g.snap = s
 	for pool, d := range g.local {
@@ -298,6 +300,9 @@
 		if dispatcher == nil {
 			break
 		}
+		if err := p.guarded.refusedLately(p.pool, w); err != nil {
+			return nil, err
+		}
 		ticket, load, err := p.guarded.Client.Acquire(ctx, dispatcher.GrpcAddr, p.pool, w, p.guarded.Now())
 		if errors.Is(err, slotlink.ErrNoReply) || errkind.Of(err) == errkind.NotDispatcher && err != nil {
 			p.guarded.MarkUnreachable(dispatcher.Instance)
@@ -305,6 +310,7 @@
 			continue
 		}
 		p.guarded.recordLoad(p.pool, load)
+		p.guarded.recordRefusal(p.pool, w, load, err)
 		return ticket, err
 	}
 	d := p.guarded.Dispatcher(p.pool)
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -31,6 +31,10 @@
 // counts once for each mode in which it is asked.
 const maxRegionAttempts = 6
 
+// refusedAtOnce is the time within which a dispatcher's refusal means that the request was
+// not queued. After a longer time slots may have become free.
+const refusedAtOnce = 50 * time.Millisecond
+
 // runInRegions runs a request of a service with guarded_slots. It asks one region
 // after another for a slot, beginning with the one whose answer is expected
 // earliest. It asks a further region only if the request provably did not run or
@@ -44,7 +48,7 @@
 			break
 		}
 		c.step = step
-		sendsBefore := c.sends
+		sendsBefore, asked := c.sends, h.Now()
 		if !step.OwnRegion { // in the own region, it is counted once it has a slot
 			h.countShare(c)
 		}
@@ -60,6 +64,10 @@
 			break
 		}
 		tried[step.AttemptKey] = true
+		if _, refused := dispatch.RetryAfter(err); refused && step.OwnRegion && h.Now().Sub(asked) < refusedAtOnce {
+			// The dispatcher found no slot for the request that is free now.
+			tried[spill.AttemptKey{Region: step.Region, Mode: spill.AnySlot}] = true
+		}
 	}
 	return nil, refusal
 }
--- a/internal/request/proxy/guarded_test.go
+++ b/internal/request/proxy/guarded_test.go
@@ -1,14 +1,17 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 )
 
 // threeRegionsDocument routes by host to one service with targets in three
@@ -90,3 +93,42 @@
 		})
 	}
 }
+
+// countingSlots refuses every request, after a time in the queue.
+type countingSlots struct {
+	dispatch.Slots
+	queued time.Duration
+	asked  atomic.Int32
+}
+
+func (s *countingSlots) Acquire(context.Context, dispatch.Work) (*dispatch.Ticket, error) {
+	s.asked.Add(1)
+	time.Sleep(s.queued)
+	return nil, dispatch.NewRefusal(errkind.DeadlineUnmeetable, "the latency objective cannot be met", time.Second)
+}
+
+// countingGuarded returns countingSlots for the own region.
+type countingGuarded struct {
+	testGuarded
+	slots *countingSlots
+}
+
+func (g countingGuarded) Slots(string) dispatch.Slots { return g.slots }
+
+// Guards against a dispatcher that is asked twice for each request that it refuses: the
+// second time for a slot that is free now, right after it found none. After a time in
+// the queue there may be one.
+func TestRefusingDispatcherIsAskedOnce(t *testing.T) {
+	for queued, want := range map[time.Duration]int32{0: 1, 2 * refusedAtOnce: 2} {
+		w := newTestEntry(t, false)
+		s := &countingSlots{Slots: w.d, queued: queued}
+		w.h.Guarded = countingGuarded{testGuarded{w}, s}
+		w.useDocument(threeRegionsDocument, &fescuepb.Member{Instance: "e1", DataCentre: "a", Region: "north", Role: fescuepb.Role_ROLE_ENTRY})
+		req := w.request("GET", "/safe/1", "")
+		req.Host = "rota.example"
+		w.expectError(req, errkind.DeadlineUnmeetable, errkind.No)
+		if got := s.asked.Load(); got != want {
+			t.Errorf("refused after %v: asked %d times, want %d", queued, got, want)
+		}
+	}
+}
