--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -178,7 +178,7 @@
 	if !c.remote {
 		a := h.Shares.Allowances(region)
 		fields["shift_unlimited"], fields["shift_region"], fields["shift_own_region"] = c.step.Unlimited, a.Region, a.OwnRegion
-		fields["shift_shared"], fields["shift_recent"] = a.Shared, a.Recent
+		fields["shift_region_share"], fields["shift_recent"] = a.RegionShare, a.Recent
 	}
 	logging.Routine(h.Log, fields, "request moves to another region")
 }
--- a/internal/request/spill/region_shift.go
+++ b/internal/request/spill/region_shift.go
@@ -11,25 +11,27 @@
 const DefaultRegionShiftWindow = 2 * time.Second
 
 const (
-	// shiftCreditFactor is the part of the configured share that is credited to
-	// the shared allowance. As requests move, the allowances of the regions
-	// follow the new distribution, so that about twice the credit moves within a
-	// window. The remaining fifth covers differences between entries.
-	shiftCreditFactor = 0.39
-	// minWeightedRequests is the minimum for the sum of the recent requests;
-	// missing ones count as run in the own region. Fewer requests say little
-	// about the distribution over regions.
-	minWeightedRequests = 10
-	// allowanceDecay is the rate at which the allowances of the regions decay,
-	// relative to the weight of earlier requests. An entry with few requests needs
-	// several of them until a region's share adds up to one.
-	allowanceDecay = 0.25
+	// shiftCreditFactor is the part of the configured share that each request that runs
+	// adds to the allowances of the other regions, beside their shares. As requests
+	// move, the shares follow the new distribution, so that about twice the credit moves
+	// within a window.
+	shiftCreditFactor = 0.36
+	// minCreditedRegions is the number of other regions up to which each gets the same
+	// credit. More regions share the credit, so that the distribution as a whole
+	// stays within the limit.
+	minCreditedRegions = 1.5
+	// minWeightedRequests is the minimum for the sum of the recent requests. Fewer
+	// requests say little about the distribution over regions, so the earlier ones keep
+	// their weight.
+	minWeightedRequests = 6
 	// maxAllowance caps the allowance of each region, and with it the number of
-	// requests that may exceed its share in a row.
+	// requests that may exceed its share in a row. Half of it, negative, bounds how far a
+	// region that takes requests without an allowance falls behind.
 	maxAllowance = 2
-	// maxSharedAllowance caps the shared allowance. The requests of many entries with
-	// few requests each may use it at the same moment.
-	maxSharedAllowance = 1
+	// idleWindows is the number of windows without a request after which the
+	// distribution of the earlier ones no longer counts: the requests of the other
+	// entries may have moved since.
+	idleWindows = 5
 )
 
 // RegionShiftLimiter limits how fast the requests of an entry move between
@@ -38,51 +40,66 @@
 // that suddenly gets many requests has cold caches and refuses part of them. It
 // is safe for concurrent use.
 //
-// The limiter works like a set of token buckets. Each request that runs adds one
-// allowance in total to the regions, split by their shares of the recent requests,
-// and maxCredit to a shared allowance. It takes 1 from the allowance of its region,
-// or from the shared one if that of the region is below 1. Requests that run nowhere
-// change nothing: they are not part of the distribution.
+// The limiter works like a token bucket for each region. Each request that runs adds to
+// the allowance of every region its share of the recent requests and a credit, and takes 1
+// from the allowance of the region in which it runs. The credits let the
+// distribution change. An entry may have few requests, so a region takes nothing from
+// another one, and an allowance stays until it is used: otherwise, chance alone uses up
+// the credits, and the distribution never changes. Requests that run nowhere change
+// nothing: they are not part of the distribution.
 type RegionShiftLimiter struct {
 	ownRegion string
-	maxCredit float64 // added to the shared allowance per request; 0: no limit
+	maxShare  float64 // 0: no limit
 	window    time.Duration
 
-	mu              sync.Mutex
-	updatedAt       time.Time
-	recentRuns      map[string]float64 // requests by region, decayed with a time constant of half a window
-	allowances      map[string]float64 // by region
-	sharedAllowance float64            // for requests that move between regions
+	mu         sync.Mutex
+	updatedAt  time.Time
+	lastRun    time.Time
+	recentRuns map[string]float64 // requests by region, decayed with a time constant of half a window
+	allowances map[string]float64 // by region; the regions are those asked for so far
 }
 
 // NewRegionShiftLimiter returns a limiter for an entry in ownRegion. maxShare is
 // the share of the requests, 0 to 1, that may move from one window to the next;
 // 0 means no limit.
 func NewRegionShiftLimiter(ownRegion string, maxShare float64, window time.Duration) *RegionShiftLimiter {
-	return &RegionShiftLimiter{
-		ownRegion: ownRegion, maxCredit: maxShare * shiftCreditFactor, window: window,
-		recentRuns: map[string]float64{ownRegion: minWeightedRequests}, allowances: map[string]float64{ownRegion: maxAllowance}, sharedAllowance: maxSharedAllowance,
+	l := &RegionShiftLimiter{ownRegion: ownRegion, maxShare: maxShare, window: window}
+	l.reset()
+	return l
+}
+
+// reset forgets the earlier requests. All count as run in the own region.
+func (l *RegionShiftLimiter) reset() {
+	l.recentRuns = map[string]float64{l.ownRegion: minWeightedRequests}
+	l.allowances = map[string]float64{l.ownRegion: maxAllowance}
+}
+
+// know adds a region that has not been asked for yet.
+func (l *RegionShiftLimiter) know(region string) {
+	if _, known := l.allowances[region]; !known {
+		l.allowances[region] = 0
 	}
 }
 
-// decay reduces the weight of earlier requests and of the region allowances
-// with the time passed. If fewer than minWeightedRequests remain, the missing
-// ones are counted as run in the own region.
+// decay reduces the weight of earlier requests with the time passed, but keeps a weight
+// of minWeightedRequests in the same distribution.
 func (l *RegionShiftLimiter) decay(now time.Time) {
 	passed := now.Sub(l.updatedAt)
 	if passed <= 0 {
 		return
 	}
 	l.updatedAt = now
+	if now.Sub(l.lastRun) > idleWindows*l.window {
+		l.reset()
+		return
+	}
 	kept := l.decayFactor(passed)
-	allowanceKept := math.Pow(kept, allowanceDecay)
-	total := 0.0
+	if total := l.totalRecentRuns() * kept; total < minWeightedRequests {
+		kept *= minWeightedRequests / total
+	}
 	for region := range l.recentRuns {
 		l.recentRuns[region] *= kept
-		l.allowances[region] *= allowanceKept
-		total += l.recentRuns[region]
 	}
-	l.recentRuns[l.ownRegion] += max(0, minWeightedRequests-total)
 }
 
 // totalRecentRuns returns the decayed number of requests run in all regions.
@@ -100,55 +117,53 @@
 	return math.Exp(-2 * passed.Seconds() / l.window.Seconds())
 }
 
+// gain returns what a request that runs adds to the allowance of a region. total is the
+// sum of the recent requests. The credits of the other regions together are
+// bounded, however many regions there are.
+func (l *RegionShiftLimiter) gain(region string, total float64) float64 {
+	credit := l.maxShare * shiftCreditFactor / max(minCreditedRegions, float64(len(l.allowances)-1))
+	return l.recentRuns[region]/total + credit
+}
+
 // Allows reports whether a request may run in a region: if the allowance of the
-// region or the shared one suffices, or if no region has enough and this one has most.
+// region suffices with what the request adds, or if no region has enough and this one
+// has most.
 func (l *RegionShiftLimiter) Allows(now time.Time, region string) bool {
-	if l.maxCredit <= 0 {
+	if l.maxShare <= 0 {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
-	return l.sharedAllowance+l.maxCredit >= 1 || l.coveredByRegion(region)
-}
-
-// coveredByRegion reports whether a request in the region takes its allowance: if
-// it is at least 1 with the part that the request adds, or if no region has enough and
-// this one has most.
-func (l *RegionShiftLimiter) coveredByRegion(region string) bool {
+	l.know(region)
 	total := l.totalRecentRuns()
-	available := l.available(region, total)
+	available := l.allowances[region] + l.gain(region, total)
 	if available >= 1 {
 		return true
 	}
 	for other := range l.allowances {
-		if l.available(other, total) > available {
+		if l.allowances[other]+l.gain(other, total) > available {
 			return false
 		}
 	}
 	return true
 }
 
-// available returns the allowance of a region with the part that the next request
-// adds. total is the sum of the recent requests.
-func (l *RegionShiftLimiter) available(region string, total float64) float64 {
-	return l.allowances[region] + l.recentRuns[region]/total
-}
-
 // ShiftAllowances are the inputs of a decision of a RegionShiftLimiter, for log lines.
 type ShiftAllowances struct {
-	Region    float64 // allowance of the chosen region
-	OwnRegion float64
-	Shared    float64
-	Recent    float64 // recent requests, decayed with a time constant of half a window
+	Region      float64 // allowance of the chosen region
+	OwnRegion   float64
+	RegionShare float64 // share of the recent requests that ran in the chosen region
+	Recent      float64 // recent requests, decayed with a time constant of half a window
 }
 
 // Allowances returns the present allowances for a region.
 func (l *RegionShiftLimiter) Allowances(region string) ShiftAllowances {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	total := l.totalRecentRuns()
 	return ShiftAllowances{
-		Region: l.allowances[region], OwnRegion: l.allowances[l.ownRegion], Shared: l.sharedAllowance, Recent: l.totalRecentRuns(),
+		Region: l.allowances[region], OwnRegion: l.allowances[l.ownRegion], RegionShare: l.recentRuns[region] / total, Recent: total,
 	}
 }
 
@@ -156,46 +171,41 @@
 // limit, because its own region failed, uses no allowance. The returned function takes
 // the record back if the region refused the request.
 func (l *RegionShiftLimiter) RecordRun(now time.Time, region string, unlimited bool) (undo func(now time.Time)) {
-	if l.maxCredit <= 0 {
+	if l.maxShare <= 0 {
 		return func(time.Time) {}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
-	// If neither allowance suffices, that of the region becomes negative.
-	fromRegion := l.available(region, l.totalRecentRuns()) >= 1 || l.sharedAllowance+l.maxCredit < 1
+	l.lastRun = now
+	l.know(region)
 	if !unlimited {
-		l.addAllowances(1)
-		l.charge(region, fromRegion, 1)
+		l.addGains(1)
+		l.allowances[region] = max(l.allowances[region]-1, -maxAllowance/2)
 	}
 	l.recentRuns[region]++
 	return func(then time.Time) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.decay(then)
+		l.know(region)
 		l.recentRuns[region] = max(0, l.recentRuns[region]-l.decayFactor(then.Sub(now)))
 		if !unlimited {
-			l.charge(region, fromRegion, -1)
-			l.addAllowances(-1)
+			l.allowances[region] = min(l.allowances[region]+1, maxAllowance)
+			l.addGains(-1)
 		}
 	}
 }
 
-// addAllowances adds the allowances of a request, or takes them back if n is -1.
-func (l *RegionShiftLimiter) addAllowances(n float64) {
+// addGains adds what a request adds to the allowances, or takes it back if n is -1. An
+// allowance above its maximum is lowered by one instead of cut off: cut off, the entries
+// that had nothing to move would all be ready to move a request at the same moment.
+func (l *RegionShiftLimiter) addGains(n float64) {
 	total := l.totalRecentRuns()
-	for region, ran := range l.recentRuns {
-		l.allowances[region] = min(l.allowances[region]+n*ran/total, maxAllowance)
-	}
-	l.sharedAllowance = min(l.sharedAllowance+n*l.maxCredit, maxSharedAllowance)
-}
-
-// charge takes n from the region's own allowance or from the shared one; a
-// negative n gives it back.
-func (l *RegionShiftLimiter) charge(region string, fromRegion bool, n float64) {
-	if fromRegion {
-		l.allowances[region] = min(l.allowances[region]-n, maxAllowance)
-		return
+	for region := range l.allowances {
+		l.allowances[region] += n * l.gain(region, total)
+		if l.allowances[region] > maxAllowance {
+			l.allowances[region]--
+		}
 	}
-	l.sharedAllowance = min(l.sharedAllowance-n, maxSharedAllowance)
 }
