--- a/internal/process/control/members.go
+++ b/internal/process/control/members.go
@@ -85,6 +85,23 @@
 	return err
 }
 
+// Suspects commits evidence about requests that may crash targets.
+func (m *members) Suspects(ctx context.Context, c *fescuepb.SuspectsChange) (*fescuepb.SuspectsReply, error) {
+	if err := state.CheckSuspects(c); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := m.s.RecordSuspects(ctx, c); err != nil {
+		return nil, rpcError(err)
+	}
+	return &fescuepb.SuspectsReply{Version: m.s.cfg.Machine.Version()}, nil
+}
+
+// RecordSuspects commits evidence about requests that may crash targets.
+func (s *Server) RecordSuspects(ctx context.Context, c *fescuepb.SuspectsChange) error {
+	_, err := s.commit(ctx, &fescuepb.Command{Body: &fescuepb.Command_Suspects{Suspects: c}})
+	return err
+}
+
 // ClaimGroup commits the claim of an instance to dispatch a group. The reply tells
 // whether the claim was accepted.
 func (m *members) ClaimGroup(ctx context.Context, c *fescuepb.GroupClaim) (*fescuepb.ClaimReply, error) {
--- a/internal/process/entry/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -172,7 +172,7 @@
 	}
 	snap, err := f.builder.Build(snapshot.Content{
 		Version: f.view.Version, Sections: f.view.LiveSections(), Members: f.view.MemberList(),
-		Targets: f.view.TargetList(), Blocks: f.view.Blocks,
+		Targets: f.view.TargetList(), Suspects: f.view.SuspectList(), Blocks: f.view.Blocks,
 	})
 	if err != nil {
 		f.cfg.Log.WithError(err).WithField("version", f.view.Version).Error("version cannot be put in force: building the snapshot failed")
--- a/internal/process/entry/follow/join.go
+++ b/internal/process/entry/follow/join.go
@@ -119,6 +119,14 @@
 	})
 }
 
+// ReportSuspects reports evidence about requests that may crash targets to control.
+func (f *Follower) ReportSuspects(ctx context.Context, c *fescuepb.SuspectsChange) error {
+	return f.callMembers(ctx, []sourceKind{fromControl}, func(ctx context.Context, m fescuepb.MembersClient) error {
+		_, err := m.Suspects(ctx, c)
+		return err
+	})
+}
+
 // callSource makes one call to the Members service at an address, within
 // callTimeout.
 func (f *Follower) callSource(ctx context.Context, addr string, call func(context.Context, fescuepb.MembersClient) error) error {
--- a/internal/version/snapshot/route.go
+++ b/internal/version/snapshot/route.go
@@ -95,3 +95,15 @@
 func (s *Snapshot) Targets(service, dc string) []*fescuepb.Target {
 	return s.targets[serviceLocation{service, dc}]
 }
+
+// Target returns the listed target with this ID, or nil. It searches all targets.
+func (s *Snapshot) Target(id string) *fescuepb.Target {
+	for _, list := range s.targets {
+		for _, t := range list {
+			if t.Id == id {
+				return t
+			}
+		}
+	}
+	return nil
+}
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -27,6 +27,7 @@
 	Limits   document.Limits
 	Links    []document.Link
 	Blocks   *fescuepb.BlockTable
+	Suspects []*fescuepb.Suspect // requests that may crash targets
 
 	regionOf     map[string]string   // data centre to region
 	dcsOf        map[string][]string // region to data centres
@@ -91,6 +92,7 @@
 	Members  []*fescuepb.Member
 	Targets  []*fescuepb.Target
 	Blocks   *fescuepb.BlockTable
+	Suspects []*fescuepb.Suspect
 }
 
 // Builder compiles successive snapshots. It caches the parsed sections of the
@@ -112,6 +114,7 @@
 		Services:   map[string]*Service{},
 		Shifts:     map[string]document.Shift{},
 		Blocks:     c.Blocks,
+		Suspects:   c.Suspects,
 		regionOf:   map[string]string{},
 		dcsOf:      map[string][]string{},
 		members:    map[string]*fescuepb.Member{},
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -110,6 +110,8 @@
 		return m.applySession(index, body.Session)
 	case *fescuepb.Command_Targets:
 		return m.applyTargets(index, body.Targets)
+	case *fescuepb.Command_Suspects:
+		return m.applySuspects(index, body.Suspects)
 	}
 	return errorResult(errkind.Internal, "the type of the command is unknown")
 }
@@ -227,6 +229,7 @@
 		DeltaFloor:    m.view.MinDeltaBase,
 		Departed:      m.departedOrder,
 		Targets:       m.view.TargetList(),
+		Suspects:      m.view.SuspectList(),
 	}
 	for _, team := range sortedKeys(m.view.Sections) {
 		image.Sections = append(image.Sections, m.view.Sections[team])
@@ -241,6 +244,7 @@
 	}
 	image.Removed = encodeRemovals(m.view.RemovedMembers)
 	image.RemovedTargets = encodeRemovals(m.view.RemovedTargets)
+	image.RemovedSuspects = encodeRemovals(m.view.RemovedSuspects)
 	return proto.MarshalOptions{Deterministic: true}.Marshal(image)
 }
 
@@ -308,6 +312,12 @@
 	for _, r := range image.RemovedTargets {
 		m.view.RemovedTargets[r.Instance] = r.Version
 	}
+	for _, s := range image.Suspects {
+		m.view.Suspects[s.Id] = s
+	}
+	for _, r := range image.RemovedSuspects {
+		m.view.RemovedSuspects[r.Instance] = r.Version
+	}
 	for _, o := range image.Outcomes {
 		m.recordOutcome(o)
 	}
--- a/internal/version/state/rapid_test.go
+++ b/internal/version/state/rapid_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -16,7 +17,9 @@
 func drawCommand(t *rapid.T, m *Machine) *fescuepb.Command {
 	instance := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(t, "instance"))
 	incarnation := uint64(rapid.IntRange(1, 4).Draw(t, "incarnation"))
-	switch rapid.IntRange(0, 5).Draw(t, "command") {
+	switch rapid.IntRange(0, 6).Draw(t, "command") {
+	case 6:
+		return drawSuspects(t, instance)
 	case 5:
 		return claimCmd(incarnation, instance, 1)
 	case 0:
@@ -42,6 +45,28 @@
 	return changeCmd(team, revision, id, yaml)
 }
 
+// drawSuspects draws a change of the suspects that adds a crash, removes a suspect,
+// allows trials or claims them.
+func drawSuspects(t *rapid.T, instance string) *fescuepb.Command {
+	var ids []string
+	for range rapid.IntRange(1, 3).Draw(t, "suspects") {
+		ids = append(ids, quarantine.Fingerprint(rapid.IntRange(0, 2).Draw(t, "suspect")).String())
+	}
+	c := &fescuepb.SuspectsChange{Instance: instance}
+	switch rapid.IntRange(0, 5).Draw(t, "change") {
+	case 0:
+		c.Cleared = ids
+	case 1:
+		c.TrialsDue = ids
+	case 2:
+		c.Claims = ids
+	default:
+		target := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))
+		c.Crashes = []*fescuepb.TargetCrash{{Target: target, Suspects: ids}}
+	}
+	return &fescuepb.Command{Body: &fescuepb.Command_Suspects{Suspects: c}}
+}
+
 // Guards against replicas that diverge when they apply the same commands, in
 // particular after one of them was restored from a snapshot.
 func TestReplicasAgree(t *testing.T) {
@@ -117,7 +142,7 @@
 		return
 	}
 	want := full[v.Version]
-	got := &fescuepb.Update{Version: v.Version, Sections: v.LiveSections(), Members: v.MemberList(), BlockTable: v.Blocks}
+	got := &fescuepb.Update{Version: v.Version, Sections: v.LiveSections(), Members: v.MemberList(), Suspects: v.SuspectList(), BlockTable: v.Blocks}
 	if want == nil || !proto.Equal(got, want) {
 		t.Fatalf("version %d has the content\n%v\nwant\n%v", v.Version, got, want)
 	}
--- a/internal/version/view/view.go
+++ b/internal/version/view/view.go
@@ -1,5 +1,5 @@
 // Package view holds the replicated content that followers see (sections,
-// members, targets, block table) at one version, and advances it to later
+// members, targets, suspects, block table) at one version, and advances it to later
 // versions by updates. Control replicas and relays use the same type, so a relay
 // can produce deltas as well.
 package view
@@ -10,7 +10,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 )
 
-// maxRemovals bounds the recorded removals, of members and of targets each, that
+// maxRemovals bounds the recorded removals, of members, targets and suspects each, that
 // a delta can be made from. With 120 replaced instances a day it covers a month.
 // A follower that is further behind gets a full update.
 const maxRemovals = 4096
@@ -18,15 +18,17 @@
 // View is the content at one version. Its messages are shared with updates and
 // are never modified in place. A View is not safe for concurrent use.
 type View struct {
-	Version        uint64
-	Sections       map[string]*fescuepb.Section // by team, including deleted sections
-	Members        map[string]*fescuepb.Member  // by instance
-	Blocks         *fescuepb.BlockTable
-	BlocksChanged  uint64                      // version that last changed Blocks
-	RemovedMembers map[string]uint64           // instance to the version that removed it
-	Targets        map[string]*fescuepb.Target // by target ID
-	RemovedTargets map[string]uint64           // target ID to the version that removed it
-	MinDeltaBase   uint64                      // oldest base version of a delta
+	Version         uint64
+	Sections        map[string]*fescuepb.Section // by team, including deleted sections
+	Members         map[string]*fescuepb.Member  // by instance
+	Blocks          *fescuepb.BlockTable
+	BlocksChanged   uint64                       // version that last changed Blocks
+	RemovedMembers  map[string]uint64            // instance to the version that removed it
+	Targets         map[string]*fescuepb.Target  // by target ID
+	RemovedTargets  map[string]uint64            // target ID to the version that removed it
+	Suspects        map[string]*fescuepb.Suspect // by fingerprint
+	RemovedSuspects map[string]uint64            // fingerprint to the version that removed it
+	MinDeltaBase    uint64                       // oldest base version of a delta
 }
 
 // New returns an empty view at version 0.
@@ -38,6 +40,9 @@
 
 		Targets:        map[string]*fescuepb.Target{},
 		RemovedTargets: map[string]uint64{},
+
+		Suspects:        map[string]*fescuepb.Suspect{},
+		RemovedSuspects: map[string]uint64{},
 	}
 }
 
@@ -77,6 +82,21 @@
 	v.trimRemovals(v.RemovedTargets)
 }
 
+// SetSuspect stores s and advances the view to version s.ChangedVersion.
+func (v *View) SetSuspect(s *fescuepb.Suspect) {
+	v.Suspects[s.Id] = s
+	delete(v.RemovedSuspects, s.Id)
+	v.advanceTo(s.ChangedVersion)
+}
+
+// RemoveSuspect removes a suspect and advances the view to version.
+func (v *View) RemoveSuspect(id string, version uint64) {
+	delete(v.Suspects, id)
+	v.RemovedSuspects[id] = version
+	v.advanceTo(version)
+	v.trimRemovals(v.RemovedSuspects)
+}
+
 // SetBlocks replaces the block table and advances the view to version.
 func (v *View) SetBlocks(t *fescuepb.BlockTable, version uint64) {
 	v.Blocks = t
@@ -148,6 +168,7 @@
 			u.RemovedTargets = append(u.RemovedTargets, id)
 		}
 	}
+	v.addSuspects(u)
 	if v.Blocks != nil && v.BlocksChanged > base {
 		u.BlockTable = v.Blocks
 	}
@@ -155,6 +176,20 @@
 	return u
 }
 
+// addSuspects adds to u the suspects that changed or were removed after its base.
+func (v *View) addSuspects(u *fescuepb.Update) {
+	for _, s := range v.Suspects {
+		if s.ChangedVersion > u.Base {
+			u.Suspects = append(u.Suspects, s)
+		}
+	}
+	for id, version := range v.RemovedSuspects {
+		if u.Base > 0 && version > u.Base {
+			u.RemovedSuspects = append(u.RemovedSuspects, id)
+		}
+	}
+}
+
 // sortUpdate orders the content of u, so that it does not depend on the map order.
 func sortUpdate(u *fescuepb.Update) {
 	sort.Slice(u.Sections, func(i, j int) bool { return u.Sections[i].Team < u.Sections[j].Team })
@@ -162,6 +197,8 @@
 	sort.Strings(u.RemovedMembers)
 	sort.Slice(u.Targets, func(i, j int) bool { return u.Targets[i].Id < u.Targets[j].Id })
 	sort.Strings(u.RemovedTargets)
+	sort.Slice(u.Suspects, func(i, j int) bool { return u.Suspects[i].Id < u.Suspects[j].Id })
+	sort.Strings(u.RemovedSuspects)
 }
 
 // Outcome is the effect of an update on a view.
@@ -203,6 +240,12 @@
 	for _, id := range u.RemovedTargets {
 		v.RemoveTarget(id, u.Version)
 	}
+	for _, s := range u.Suspects {
+		v.SetSuspect(s)
+	}
+	for _, id := range u.RemovedSuspects {
+		v.RemoveSuspect(id, u.Version)
+	}
 	if u.BlockTable != nil {
 		v.SetBlocks(u.BlockTable, u.Version)
 	}
@@ -239,6 +282,16 @@
 	return out
 }
 
+// SuspectList returns the suspects, ordered by fingerprint.
+func (v *View) SuspectList() []*fescuepb.Suspect {
+	out := make([]*fescuepb.Suspect, 0, len(v.Suspects))
+	for _, s := range v.Suspects {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
+	return out
+}
+
 // MemberList returns the members, ordered by instance.
 func (v *View) MemberList() []*fescuepb.Member {
 	out := make([]*fescuepb.Member, 0, len(v.Members))
