--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -61,6 +61,7 @@
 	mu        sync.Mutex
 	idle      map[string][]*conn // by address, most recently used last
 	lastSweep time.Time
+	checks    map[string]*crashCheck // by address
 }
 
 // conn is a connection to a target. It carries one request at a time.
@@ -126,12 +127,16 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headLimiter{raw: raw}
-	c := &conn{raw: raw, addr: addr, head: head, r: bufio.NewReaderSize(head, readBufferSize)}
+	c := newConn(raw, addr)
 	traceGotConn(ctx, c, false)
 	return c, nil
 }
 
+func newConn(raw net.Conn, addr string) *conn {
+	head := &headLimiter{raw: raw}
+	return &conn{raw: raw, addr: addr, head: head, r: bufio.NewReaderSize(head, readBufferSize)}
+}
+
 func traceGotConn(ctx context.Context, c *conn, reused bool) {
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c.raw, Reused: reused})
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -36,6 +36,7 @@
 	TargetUnreachable  Kind = "target_unreachable"
 	TargetGone         Kind = "target_gone" // another process now answers at the target's address
 	TargetFailed       Kind = "target_failed"
+	RequestQuarantined Kind = "request_quarantined" // targets crashed while they ran such requests
 	AnswerBroken       Kind = "answer_broken"
 	AnswerMismatch     Kind = "answer_mismatch"
 	OutcomeUnknown     Kind = "outcome_unknown"
@@ -106,6 +107,7 @@
 	TargetUnreachable:  {http.StatusBadGateway, codes.Unavailable, No, true},
 	TargetGone:         {http.StatusServiceUnavailable, codes.Unavailable, No, true},
 	TargetFailed:       {http.StatusBadGateway, codes.Unknown, Unknown, false},
+	RequestQuarantined: {http.StatusServiceUnavailable, codes.Unavailable, No, true},
 	AnswerBroken:       {http.StatusBadGateway, codes.DataLoss, Unknown, false},
 	AnswerMismatch:     {http.StatusBadGateway, codes.DataLoss, Unknown, false},
 	OutcomeUnknown:     {http.StatusConflict, codes.Aborted, Unknown, false},
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/metrics"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/connection/platform"
@@ -23,6 +24,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
+	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
@@ -47,6 +49,8 @@
 	shared     *budget.ConcurrentHolder
 	ledger     *once.Service
 	linkBudget *linkBudget
+	suspects   *quarantine.Table
+	reporter   *suspectReporter
 	self       *fescuepb.Member
 	peers      *peer.Links
 }
@@ -121,6 +125,11 @@
 	p.follower = follow.New(follow.Config{
 		Self: p.self, Sources: s.Control, Peers: s.Peers, Dial: p.peers.Open, Store: p.store, Blocks: &p.blocks, Log: p.log, Metrics: p.scope,
 	})
+	p.suspects = quarantine.NewTable(s.Instance)
+	p.reporter = &suspectReporter{
+		instance: s.Instance, events: ring.New[quarantine.Event](suspectEvents), send: p.follower.ReportSuspects, log: p.log,
+		dropped: p.scope.Counter("suspect_events_dropped"),
+	}
 	p.shared = budget.NewConcurrentHolder(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
 		DataCentre: s.DataCentre, Log: p.log,
@@ -225,6 +234,7 @@
 			}
 			p.shared.ApplySnapshot(s)
 			p.linkBudget.setSnapshot(s)
+			p.applySuspects(s) // before the entry is ready, so that it never sends a quarantined request
 			p.groups.Wake()
 			p.guarded.SetSnapshot(s)
 		}
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -63,6 +63,7 @@
 	}
 	group.Go(func() error { p.groups.Run(run); return nil })
 	group.Go(func() error { p.ledger.Run(run); return nil })
+	group.Go(func() error { p.reporter.run(run); return nil })
 	client := &budget.Client{Holder: p.shared, Addrs: p.leaseAddrs, Dial: p.peers.Dial, Log: p.log}
 	group.Go(func() error { client.Run(run); return nil })
 	p.log.WithFields(logrus.Fields{"caller_addr": p.settings.CallerAddr, "dc": p.settings.DataCentre}).Info("entry started")
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -63,13 +63,15 @@
 // requestServers returns the servers for requests of callers and for requests that
 // other entries forward.
 func (p *process) requestServers() (callers, peers *caller.Server) {
+	targets := p.targetTransport()
 	cfg := proxy.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   spill.NewRegionShiftLimiter(p.settings.Region, p.settings.RegionShift, spill.DefaultRegionShiftWindow),
-		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: p.targetTransport(), Peers: &target.Transport{Dial: p.peers.DialHTTP},
-		Now: time.Now, Log: p.log, Metrics: p.scope,
+		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: &target.Transport{Dial: p.peers.DialHTTP},
+		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
+		Now:      time.Now, Log: p.log, Metrics: p.scope,
 	}
 	lookups := lookup.New(lookup.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Blocks: &p.blocks,
--- /dev/null
+++ b/internal/process/entry/suspects_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/ring"
+	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+)
+
+// Guards against a report for each request in flight at a crash, and against evidence
+// that is lost when the first control replica that is asked fails.
+func TestSuspectReports(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	sent := make(chan *fescuepb.SuspectsChange, 10)
+	failed := false
+	r := &suspectReporter{
+		instance: "e1", events: ring.New[quarantine.Event](4), log: logrus.NewEntry(log), dropped: tally.NoopScope.Counter("x"),
+		send: func(_ context.Context, c *fescuepb.SuspectsChange) error {
+			if !failed {
+				failed = true
+				return errors.New("no leader")
+			}
+			sent <- c
+			return nil
+		},
+	}
+	for _, ev := range []quarantine.Event{
+		{Fingerprint: 1, Crash: "t/1"}, {Fingerprint: 2, Crash: "t/1"}, {Fingerprint: 3, Answered: true}, {Fingerprint: 4, Claim: true},
+		{Fingerprint: 5, Crash: "u/1"}, // beyond the capacity
+	} {
+		r.report(ev)
+	}
+	done := make(chan struct{})
+	go func() { r.run(ctx); close(done) }()
+	id := func(f quarantine.Fingerprint) string { return f.String() }
+	want := &fescuepb.SuspectsChange{
+		Instance: "e1", Cleared: []string{id(3)}, Claims: []string{id(4)},
+		Crashes: []*fescuepb.TargetCrash{{Target: "t/1", Suspects: []string{id(1), id(2)}}},
+	}
+	select {
+	case got := <-sent:
+		if !proto.Equal(got, want) {
+			t.Errorf("reported %v, want %v", got, want)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the evidence was not reported again")
+	}
+	cancel()
+	<-done
+}
--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -117,6 +117,9 @@
 		}
 		if !h.mayRetry(ctx, c, c.sends, err) {
 			c.noMoreSends = true
+			if errkind.Of(err) == errkind.RequestQuarantined && c.mayHaveRun != nil {
+				return nil, c.mayHaveRun // the refusal would state that the request did not run
+			}
 			return nil, err
 		}
 	}
@@ -141,7 +144,7 @@
 	now := h.Now()
 	decision := retry.Decide(retry.FailedRequest{
 		Kind: errkind.Of(err), AtMostOnce: c.atMostOnce(), Attempts: attempt,
-		Safe: c.route.Safe, MaxAttempts: c.route.MaxAttempts, Remaining: c.timeLeft(now),
+		Safe: c.route.Safe, MaxAttempts: c.route.MaxAttempts, Remaining: c.timeLeft(now), TargetCrashes: h.targetCrashes(c),
 	}, h.stateOf(c.service).retries, now, rand.Float64())
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "attempt": attempt, "retry": decision.Retry,
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -32,6 +33,7 @@
 	shift      string
 	key        string
 	affinity   string    // key of the object that the request is about, on routes with affinity
+	object     string    // the same on all routes
 	dataCentre string    // data centre of this entry
 	deadline   time.Time // end of the caller's timeout, within the limits of service and route
 	// objective is the time by which the entry must send the answer to meet the
@@ -64,6 +66,8 @@
 	remote            bool          // forwarded from another data centre
 	startRecorded     bool          // the instance that stores the key has recorded its start already
 
+	cachedFingerprint atomic.Uint64 // 0 until it is needed
+
 	hasKey           bool // the request carries an idempotency key
 	provedNotStarted bool // the ledger has proved that the key had not started before
 }
@@ -110,6 +114,7 @@
 	if err := c.checkShift(head.Shift); err != nil {
 		return c, err
 	}
+	c.object = head.Affinity
 	if c.route.Affinity {
 		c.affinity = head.Affinity
 	}
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -97,7 +97,7 @@
 func (h *Handler) mayTryNextRegion(ctx context.Context, c *call, sendsBefore int, err error) bool {
 	notRun := errkind.Of(err).Response().DidRun == errkind.No
 	switch {
-	case c.noMoreSends:
+	case c.noMoreSends, errkind.Of(err) == errkind.RequestQuarantined:
 		return false
 	case c.step.OwnRegion: // runAttempts has already decided about retries in the own region
 		return notRun
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -88,6 +88,7 @@
 	Ledger        Ledger
 	Services      *ServiceStates
 	SharedRetries SharedRetryPolicy
+	Suspects      *Suspects   // nil if no request is quarantined
 	Bodies        *BodyMemory // shared by the handlers of an entry; nil means DefaultBodyMemory for this one
 	Targets       http.RoundTripper
 	Peers         http.RoundTripper
@@ -105,8 +106,8 @@
 }
 
 type handlerMetrics struct {
-	requests, forwarded, hedged, retried tally.Counter
-	latency                              tally.Histogram
+	requests, forwarded, hedged, retried, suspected tally.Counter
+	latency                                         tally.Histogram
 	// errorScope holds one counter per error kind that has occurred, tagged
 	// with the kind.
 	errorScope tally.Scope
@@ -123,6 +124,7 @@
 	h.metrics.forwarded = scope.Counter("forwarded")
 	h.metrics.hedged = scope.Counter("hedged")
 	h.metrics.retried = scope.Counter("retried")
+	h.metrics.suspected = scope.Counter("suspected")
 	h.metrics.errorScope = scope
 	h.metrics.latency = scope.Histogram("seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16))
 	return h
@@ -205,6 +207,9 @@
 	if err := c.readBody(w, r, h.Bodies); err != nil {
 		return c, h.stoppedWaiting(r.Context(), err)
 	}
+	if err := h.refuseQuarantined(r.Context(), c); err != nil {
+		return c, err
+	}
 	return c, h.admitDuringStop(c)
 }
 
--- a/internal/request/proxy/hedge.go
+++ b/internal/request/proxy/hedge.go
@@ -13,7 +13,7 @@
 // cancelled.
 func (h *Handler) hedged(ctx context.Context, c *call, t *dispatch.Ticket, unit CapUnit) (*reply, error) {
 	delay := time.Duration(0)
-	if c.route.Safe {
+	if c.route.Safe && h.targetCrashes(c) == 0 {
 		delay = t.HedgeDelay()
 	}
 	if delay <= 0 {
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -22,6 +22,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
+	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -209,7 +210,8 @@
 		Groups: w.groups, Guarded: testGuarded{w}, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
 		Shares:   spill.NewRegionShiftLimiter("north", 0, spill.DefaultRegionShiftWindow),
 		Services: &ServiceStates{}, Targets: transport, Peers: transport,
-		Now: time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
+		Suspects: &Suspects{Table: quarantine.NewTable("e1"), Crashed: transport.Crashed, Report: func(quarantine.Event) {}},
+		Now:      time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
 	}, peer)
 	return w
 }
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -184,6 +184,10 @@
 	if errors.As(err, &pe) && pe.retryAfter > 0 {
 		return pe.retryAfter
 	}
+	var qe *quarantinedError
+	if errors.As(err, &qe) {
+		return qe.retryAfter
+	}
 	if after, ok := dispatch.RetryAfter(err); ok {
 		return after
 	}
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -18,6 +18,7 @@
 	err    error
 	ticket *dispatch.Ticket
 	id     string // request identifier
+	call   *call
 	hedge  bool
 	unit   CapUnit // unit of a hedge; nil for the first attempt, whose unit belongs to the request
 	cancel context.CancelCauseFunc
@@ -83,8 +84,13 @@
 // the lease of the unit or the deadline turns out to have expired after a write,
 // so that the target does not run a request that is no longer admitted.
 func (h *Handler) send(ctx context.Context, c *call, t *dispatch.Ticket, unit CapUnit) attemptResult {
-	s := attemptResult{id: c.id, ticket: t, start: h.Now()}
+	s := attemptResult{id: c.id, call: c, ticket: t, start: h.Now()}
 	ctx, s.cancel = context.WithCancelCause(ctx)
+	trial, err := h.beforeSend(c)
+	if err != nil {
+		s.err = err
+		return s
+	}
 	x := exchange{
 		transport: h.Targets, addr: t.Target.Addr, host: c.targetHost(),
 		header: h.targetHeader(c, t.Target.ID, s.start), allowTransportRetry: c.route.Safe, answeredID: h.answerID,
@@ -95,6 +101,7 @@
 		},
 	}
 	s.reply, s.err = x.do(ctx, c)
+	h.afterSend(c, t, trial, s.err)
 	if s.err == nil {
 		h.checkAnswer(&s)
 	}
@@ -169,6 +176,9 @@
 		if err != nil {
 			o.Result = dispatch.CancelledByCaller
 		}
+		if o.Result == dispatch.OK {
+			h.clearSuspect(s.call)
+		}
 		h.logAnswer(s, o)
 		s.releaseSlot(o, err != nil)
 	}
@@ -200,7 +210,7 @@
 		return dispatch.Shed
 	case errkind.TargetUnreachable, errkind.TargetGone:
 		return dispatch.Unreachable
-	case errkind.Cancelled, errkind.DeadlineUnmeetable:
+	case errkind.Cancelled, errkind.DeadlineUnmeetable, errkind.RequestQuarantined:
 		return dispatch.CancelledByCaller
 	case errkind.DeadlineExceeded:
 		return dispatch.TimedOut
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -10,8 +10,9 @@
 )
 
 // Guards against retries of requests that may have run, against retries beyond
-// the number of attempts, the deadline or the budget, and against at-most-once
-// requests that are sent to a second target.
+// the number of attempts, the deadline or the budget, against at-most-once
+// requests that are sent to a second target, and against requests that crash one
+// target after another.
 func TestDecide(t *testing.T) {
 	now := time.Unix(1000, 0)
 	ok := FailedRequest{Kind: errkind.TargetShed, Attempts: 1, MaxAttempts: 3, Remaining: time.Second}
@@ -30,6 +31,9 @@
 		{"shift cap", func(a *FailedRequest) { a.Kind = errkind.ShiftCapReached }, false},
 		{"at most once, shed", func(a *FailedRequest) { a.AtMostOnce = true }, false},
 		{"at most once, nothing sent", func(a *FailedRequest) { a.AtMostOnce, a.Kind = true, errkind.TargetUnreachable }, true},
+		{"one target crashed", func(a *FailedRequest) { a.Kind, a.Safe, a.TargetCrashes = errkind.TargetFailed, true, 1 }, true},
+		{"two targets crashed", func(a *FailedRequest) { a.Kind, a.Safe, a.TargetCrashes = errkind.TargetFailed, true, 2 }, false},
+		{"quarantined", func(a *FailedRequest) { a.Kind = errkind.RequestQuarantined }, false},
 		{"body consumed", func(a *FailedRequest) { a.BodyConsumed = true }, false},
 		{"last attempt", func(a *FailedRequest) { a.Attempts = 3 }, false},
 		{"deadline", func(a *FailedRequest) { a.ExpectedLatency = time.Second }, false},
--- a/internal/request/retry/rules.go
+++ b/internal/request/retry/rules.go
@@ -22,6 +22,7 @@
 	Remaining       time.Duration // time left until the deadline
 	ExpectedLatency time.Duration // expected duration of another attempt, 0 if unknown
 	BodyConsumed    bool          // the body has been read and is no longer available
+	TargetCrashes   int           // processes of targets that crashed under such requests
 }
 
 // Decision states whether to retry a request, and after which back-off. Reason
@@ -39,8 +40,14 @@
 	errkind.HopLimit:           true,
 	errkind.LinkBudgetSpent:    true,
 	errkind.DeadlineUnmeetable: true,
+	errkind.RequestQuarantined: true,
 }
 
+// maxCrashesToRetry is the number of crashes under a request up to which it is sent
+// again. Of the requests in flight at one crash, most did not cause it. One that was
+// there twice may have caused both, and its caller can try again.
+const maxCrashesToRetry = 1
+
 // RetryableNotRun reports whether kind proves that the request did not run and
 // that another attempt may succeed.
 func RetryableNotRun(kind errkind.Kind) bool {
@@ -65,6 +72,8 @@
 	switch {
 	case !RetryableNotRun(r.Kind) && !(r.Safe && failedAtTarget(r.Kind)):
 		return Decision{Reason: "not proved as not run"}
+	case r.TargetCrashes > maxCrashesToRetry:
+		return Decision{Reason: "several targets crashed under such requests"}
 	case r.AtMostOnce && sentToTarget(r.Kind):
 		return Decision{Reason: "an at-most-once request is sent to one target only"}
 	case r.BodyConsumed:
