--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -83,6 +83,7 @@
 	group.Go(func() error { newEntryRemover(p).run(ctx); return nil })
 	group.Go(func() error { (&lostSessionReporter{p: p}).run(ctx); return nil })
 	group.Go(func() error { (&replacedReplicaRemover{p: p}).run(ctx); return nil })
+	group.Go(func() error { (&suspectKeeper{p: p}).run(ctx); return nil })
 	group.Go(func() error { return p.loadRegions(ctx) })
 	group.Go(func() error { p.reload(ctx, reloaded); return nil })
 	p.startExtensions(ctx, group, ext, scope)
