--- a/internal/process/control/operator.go
+++ b/internal/process/control/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -95,6 +96,26 @@
 	return &fescuepb.GetReply{Version: version, Sections: sections}, nil
 }
 
+// Release ends the suspicion and the quarantine of a request. The error has kind
+// NotFound if it is no suspect.
+func (o *operator) Release(ctx context.Context, r *fescuepb.ReleaseRequest) (*fescuepb.ReleaseReply, error) {
+	if err := o.s.requirePlatformTeam(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := o.s.waitConfirmed(ctx); err != nil {
+		return nil, rpcError(err)
+	}
+	isIt := func(s *fescuepb.Suspect) bool { return s.Id == r.Suspect }
+	if !slices.ContainsFunc(o.s.cfg.Machine.Suspects(), isIt) {
+		return nil, rpcError(errkind.New(errkind.NotFound, "%q is not the fingerprint of a suspect request", r.Suspect))
+	}
+	if err := o.s.RecordSuspects(ctx, &fescuepb.SuspectsChange{Cleared: []string{r.Suspect}}); err != nil {
+		return nil, rpcError(err)
+	}
+	o.s.cfg.Logger.WithField("fingerprint", r.Suspect).Info("suspect request released by an operator")
+	return &fescuepb.ReleaseReply{Version: o.s.cfg.Machine.Version()}, nil
+}
+
 // History returns the latest revisions of a section, newest first.
 func (o *operator) History(ctx context.Context, r *fescuepb.HistoryRequest) (*fescuepb.HistoryReply, error) {
 	if _, err := o.s.cfg.Auth.Team(ctx); err != nil {
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -62,6 +62,7 @@
 	for _, m := range s.cfg.Machine.Members() {
 		reply.Instances = append(reply.Instances, instanceStatus(m, reports.acks))
 	}
+	reply.Suspects = s.cfg.Machine.Suspects()
 	st := reports.leader
 	if reply.LeaderAnswered = st != nil; !reply.LeaderAnswered {
 		st, _ = s.leaderStatus()
--- a/internal/process/operator/app.go
+++ b/internal/process/operator/app.go
@@ -65,7 +65,7 @@
 	p := newParser(a.Version, &e.flags)
 	commands := []command{
 		&validateCmd{}, &diffCmd{}, &applyCmd{}, &getCmd{}, &historyCmd{}, &statusCmd{},
-		&drainCmd{}, &blocksCmd{}, &explainCmd{}, &traceCmd{}, &certsCmd{}, &keygenCmd{},
+		&drainCmd{}, &blocksCmd{}, &releaseCmd{}, &explainCmd{}, &traceCmd{}, &certsCmd{}, &keygenCmd{},
 	}
 	subs := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -52,6 +52,7 @@
 	pending        []*fescuepb.PendingCap
 	versionsBehind map[string]uint64 // by instance, the versions by which it lags
 	replicaSilent  bool              // replica c2 is not alive
+	suspects       []*fescuepb.Suspect
 }
 
 func (f *fakeControl) team(ctx context.Context) (string, error) {
@@ -119,10 +120,22 @@
 	return &fescuepb.HistoryReply{Revisions: []*fescuepb.Section{f.sections["kerala"]}}, nil
 }
 
+func (f *fakeControl) Release(_ context.Context, req *fescuepb.ReleaseRequest) (*fescuepb.ReleaseReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, s := range f.suspects {
+		if s.Id == req.Suspect {
+			f.suspects = append(f.suspects[:i], f.suspects[i+1:]...)
+			return &fescuepb.ReleaseReply{Version: 9}, nil
+		}
+	}
+	return nil, errkind.Status(errkind.New(errkind.NotFound, "%q is no suspect", req.Suspect))
+}
+
 func (f *fakeControl) Status(context.Context, *fescuepb.StatusRequest) (*fescuepb.StatusReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &fescuepb.StatusReply{Version: f.version - f.statusLag, Leader: "c1", LeaderAnswered: f.pending != nil, PendingCaps: f.pending}
+	reply := &fescuepb.StatusReply{Version: f.version - f.statusLag, Leader: "c1", Suspects: f.suspects, LeaderAnswered: f.pending != nil, PendingCaps: f.pending}
 	if f.statusLag > 0 {
 		return reply, nil
 	}
--- a/internal/process/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -143,6 +143,22 @@
 	h.runExpect(ExitOK, argList("status", "--output", "json"), `"new_cap": 8`, `"leh-1b"`, `"missing": []`, `"last_heard_ms": null`, `"drained": true`)
 }
 
+// Guards against quarantined requests that operators do not see or cannot release.
+func TestRelease(t *testing.T) {
+	h := newHarness(t)
+	h.suspects = []*fescuepb.Suspect{
+		{Id: "0000000000000001", Crashes: []string{"a/1", "b/1", "c/1"}, Trials: 2}, {Id: "0000000000000002", Crashes: []string{"a/1"}},
+	}
+	h.runExpect(ExitOK, argList("status"), "quarantined request 0000000000000001: 3 targets crashed, 2 trials", "suspect request 0000000000000002: 1 targets")
+	h.runExpect(ExitOK, argList("status", "--output", "json"), `"quarantined": true`, `"b/1"`)
+	h.runExpect(ExitUsage, argList("release"), "--fingerprint")
+	h.runExpect(ExitOK, argList("release", "--fingerprint", "0000000000000001"), "version 9")
+	h.runExpect(ExitInvalid, argList("release", "--fingerprint", "0000000000000001"), "is no suspect")
+	if text := h.runExpect(ExitOK, argList("status")); strings.Contains(text, "quarantined") {
+		t.Error(text)
+	}
+}
+
 // Guards against read-only commands whose output differs from the document on the
 // server, and against wrong exit codes of these commands.
 func TestReadOnlyCommands(t *testing.T) {
--- a/internal/process/operator/status.go
+++ b/internal/process/operator/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
+	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
 	"github.com/integrii/flaggy"
 )
 
@@ -16,7 +17,7 @@
 type statusCmd struct{}
 
 func (c *statusCmd) define() *flaggy.Subcommand {
-	return newSubcommand("status", "Shows instances, versions in force, pending caps and replicas.", "fescuectl --config ctl.yaml status --output json")
+	return newSubcommand("status", "Shows instances, versions in force, pending caps, replicas and requests that crash targets.", "fescuectl --config ctl.yaml status --output json")
 }
 
 // instanceView is the JSON representation of an instance.
@@ -52,6 +53,7 @@
 	LeaderAnswered bool           `json:"leader_answered"` // if false, pending caps and match indexes are unknown
 	Pending        []pendingCap   `json:"pending_caps"`
 	Replicas       []replicaView  `json:"replicas"`
+	Suspects       []suspectView  `json:"suspects"`
 }
 
 func roleName(r fescuepb.Role) string {
@@ -77,6 +79,9 @@
 	for _, r := range st.Replicas {
 		v.Replicas = append(v.Replicas, replicaView{ID: r.Id, Addr: r.Addr, Voter: r.Voter, MatchIndex: r.MatchIndex})
 	}
+	for _, s := range st.Suspects {
+		v.Suspects = append(v.Suspects, suspectView{s.Id, s.Crashes, quarantine.Quarantined(s), s.Trials, s.TrialDue})
+	}
 	return v
 }
 
@@ -147,6 +152,9 @@
 		}
 		fmt.Fprintf(w, "replica %s at %s: %s, index %d\n", r.ID, r.Addr, kind, r.MatchIndex)
 	}
+	for _, s := range v.Suspects {
+		s.write(w)
+	}
 }
 
 func (i instanceView) state() string {
