--- a/internal/process/entry/suspects.go
+++ b/internal/process/entry/suspects.go
@@ -17,9 +17,13 @@
 	// dropped: this entry has acted on them, and the other entries see evidence of
 	// their own.
 	suspectEvents = 512
-	// suspectBatchDelay is how long a report waits for further events. All requests
-	// in flight at a target see its crash at about the same time.
+	// suspectBatchDelay is how long a report of crashes or claims waits for further
+	// events. All requests in flight at a target see its crash at about the same time.
 	suspectBatchDelay = 20 * time.Millisecond
+	// answeredBatchDelay is how long a report waits that only clears suspects. Each
+	// report is a version that every entry puts in force, and after the crash of many
+	// targets hundreds of suspects are answered one after the other.
+	answeredBatchDelay = 500 * time.Millisecond
 	// A report that fails is repeated every suspectRetryDelay for suspectReportLife.
 	suspectRetryDelay = 250 * time.Millisecond
 	suspectReportLife = 10 * time.Second
@@ -49,26 +53,37 @@
 		if err != nil {
 			return
 		}
-		waitFor(ctx, suspectBatchDelay)
-		r.deliver(ctx, r.batch(first))
+		r.deliver(ctx, r.batch(ctx, first))
 	}
 }
 
-// batch combines the first event and those that are queued into one report.
-func (r *suspectReporter) batch(first quarantine.Event) *fescuepb.SuspectsChange {
+// batch combines the first event and those that arrive within the delay of the most
+// urgent of them into one report.
+func (r *suspectReporter) batch(ctx context.Context, first quarantine.Event) *fescuepb.SuspectsChange {
 	c := &fescuepb.SuspectsChange{Instance: r.instance}
 	crashes := map[string]*fescuepb.TargetCrash{}
 	seen := map[quarantine.Event]bool{}
-	for ev, left := first, r.events.Len(); ; left-- {
+	due := time.NewTimer(answeredBatchDelay)
+	defer due.Stop()
+	urgent := false
+	for ev := first; len(seen) < suspectEvents; {
+		if !ev.Answered && !urgent {
+			urgent = true
+			due.Reset(suspectBatchDelay)
+		}
 		if !seen[ev] {
 			seen[ev] = true
 			addEvent(c, crashes, ev)
 		}
-		if left <= 0 {
+		select {
+		case ev = <-r.events.C():
+		case <-due.C:
+			return c
+		case <-ctx.Done():
 			return c
 		}
-		ev = <-r.events.C()
 	}
+	return c
 }
 
 // addEvent adds an event to a report. crashes holds those of the report by target.
--- a/internal/process/entry/suspects_test.go
+++ b/internal/process/entry/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,8 +16,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Guards against a report for each request in flight at a crash, and against evidence
-// that is lost when the first control replica that is asked fails.
+// Guards against a report for each request in flight at a crash or answered after one,
+// against a crash that is reported late, and against evidence that is lost when the
+// first control replica that is asked fails.
 func TestSuspectReports(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -55,6 +57,21 @@
 	case <-time.After(5 * time.Second):
 		t.Error("the evidence was not reported again")
 	}
+	r.report(quarantine.Event{Fingerprint: 6, Answered: true})
+	start := time.Now()
+	time.AfterFunc(50*time.Millisecond, func() { r.report(quarantine.Event{Fingerprint: 7, Answered: true}) })
+	if got := <-sent; !slices.Equal(got.Cleared, []string{id(6), id(7)}) {
+		t.Errorf("cleared %v in one report, want both answers", got.Cleared)
+	}
+	r.report(quarantine.Event{Fingerprint: 6, Answered: true})
+	r.report(quarantine.Event{Fingerprint: 8, Crash: "u/1"})
+	waited := time.Now()
+	if got := <-sent; len(got.Crashes) != 1 || len(got.Cleared) != 1 || time.Since(waited) >= answeredBatchDelay {
+		t.Errorf("a crash waited %v behind an answer: %v", time.Since(waited), got)
+	}
+	if time.Since(start) < answeredBatchDelay {
+		t.Error("answers were reported without waiting for further ones")
+	}
 	cancel()
 	<-done
 }
