--- a/internal/request/proxy/suspects.go
+++ b/internal/request/proxy/suspects.go
@@ -118,12 +118,17 @@
 	}
 }
 
+// maxLoggedPath is how many bytes of the path and query of a suspect request are
+// logged. Operators must be able to recognise it.
+const maxLoggedPath = 256
+
 // recordCrash records that the request was in flight when its target crashed.
 func (h *Handler) recordCrash(c *call, t *dispatch.Ticket) {
 	process := h.targetProcess(t)
 	crashes, added := h.Suspects.Table.Crashed(h.Now(), c.fingerprint(), process)
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "fingerprint": c.fingerprint().String(), "service": c.service.Name, "target": t.Target.ID, "process": process,
+		"method": c.method, "host": c.host, "path": c.path[:min(len(c.path), maxLoggedPath)], "object": c.object, "body_bytes": len(c.body),
 		"target_crashes": crashes, "quarantined": crashes >= quarantine.CrashesToQuarantine,
 	}).Info("request was in flight when its target crashed")
 	if added {
