--- a/internal/process/entry/suspects.go
+++ b/internal/process/entry/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -24,9 +25,10 @@
 	// report is a version that every entry puts in force, and after the crash of many
 	// targets hundreds of suspects are answered one after the other.
 	answeredBatchDelay = 500 * time.Millisecond
-	// A report that fails is repeated every suspectRetryDelay for suspectReportLife.
+	// suspectRetryDelay is after which time a report that failed is repeated. It is
+	// repeated until control accepts it: a request may crash targets while control is
+	// away and come again afterwards.
 	suspectRetryDelay = 250 * time.Millisecond
-	suspectReportLife = 10 * time.Second
 )
 
 // suspectReporter reports evidence about requests that may crash targets to control,
@@ -48,82 +50,103 @@
 
 // run reports the queued events until ctx ends.
 func (r *suspectReporter) run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		first, err := r.events.Take(ctx)
 		if err != nil {
 			return
 		}
-		r.deliver(ctx, r.batch(ctx, first))
+		b := &suspectBatch{}
+		b.add(first)
+		r.collect(ctx, b)
+		r.deliver(ctx, b)
 	}
 }
 
-// batch combines the first event and those that arrive within the delay of the most
-// urgent of them into one report.
-func (r *suspectReporter) batch(ctx context.Context, first quarantine.Event) *fescuepb.SuspectsChange {
-	c := &fescuepb.SuspectsChange{Instance: r.instance}
-	crashes := map[string]*fescuepb.TargetCrash{}
-	seen := map[quarantine.Event]bool{}
+// collect adds the events to a batch that arrive within the delay of the most urgent
+// event.
+func (r *suspectReporter) collect(ctx context.Context, b *suspectBatch) {
 	due := time.NewTimer(answeredBatchDelay)
 	defer due.Stop()
-	urgent := false
-	for ev := first; len(seen) < suspectEvents; {
-		if !ev.Answered && !urgent {
-			urgent = true
+	for hurried := false; !b.full(); {
+		if b.urgent && !hurried {
+			hurried = true
 			due.Reset(suspectBatchDelay)
 		}
-		if !seen[ev] {
-			seen[ev] = true
-			addEvent(c, crashes, ev)
-		}
 		select {
-		case ev = <-r.events.C():
+		case ev := <-r.events.C():
+			b.add(ev)
 		case <-due.C:
-			return c
+			return
 		case <-ctx.Done():
-			return c
-		}
-	}
-	return c
-}
-
-// addEvent adds an event to a report. crashes holds those of the report by target.
-func addEvent(c *fescuepb.SuspectsChange, crashes map[string]*fescuepb.TargetCrash, ev quarantine.Event) {
-	id := ev.Fingerprint.String()
-	switch {
-	case ev.Answered:
-		c.Cleared = append(c.Cleared, id)
-	case ev.Claim:
-		c.Claims = append(c.Claims, id)
-	default:
-		crash := crashes[ev.Crash]
-		if crash == nil {
-			crash = &fescuepb.TargetCrash{Target: ev.Crash}
-			crashes[ev.Crash] = crash
-			c.Crashes = append(c.Crashes, crash)
+			return
 		}
-		crash.Suspects = append(crash.Suspects, id)
 	}
 }
 
-// deliver sends a report until it is accepted or suspectReportLife has passed.
-func (r *suspectReporter) deliver(ctx context.Context, c *fescuepb.SuspectsChange) {
-	ctx, cancel := context.WithTimeout(ctx, suspectReportLife)
-	defer cancel()
-	log := r.log.WithFields(logrus.Fields{"crashes": len(c.Crashes), "cleared": c.Cleared, "claims": c.Claims})
-	for {
+// deliver sends a batch until it is accepted or ctx ends. Events that are queued
+// meanwhile are added to the batch.
+func (r *suspectReporter) deliver(ctx context.Context, b *suspectBatch) {
+	for failed := false; ctx.Err() == nil; failed = true {
+		c := b.change(r.instance)
+		log := r.log.WithFields(logrus.Fields{"crashes": len(c.Crashes), "cleared": c.Cleared, "claims": c.Claims})
 		err := r.send(ctx, c)
 		if err == nil {
 			log.Info("evidence about suspect requests reported")
 			return
 		}
+		if !failed {
+			log.WithError(err).Warn("evidence about suspect requests not reported; retrying")
+		}
 		waitFor(ctx, suspectRetryDelay)
-		if ctx.Err() != nil {
-			log.WithError(err).Warn("evidence about suspect requests not reported")
-			return
+		for r.events.Len() > 0 && !b.full() {
+			b.add(<-r.events.C())
 		}
 	}
 }
 
+// suspectBatch combines events into one report. The last one about a fingerprint
+// decides whether it is cleared: an answer clears it of earlier crashes only.
+type suspectBatch struct {
+	events []quarantine.Event // distinct, in order
+	urgent bool               // the batch has more than answers
+}
+
+// full reports whether the batch takes no more events.
+func (b *suspectBatch) full() bool { return len(b.events) >= suspectEvents }
+
+func (b *suspectBatch) add(ev quarantine.Event) {
+	b.urgent = b.urgent || !ev.Answered
+	b.events = slices.DeleteFunc(b.events, func(earlier quarantine.Event) bool {
+		return earlier == ev || ev.Answered && earlier.Fingerprint == ev.Fingerprint
+	})
+	b.events = append(b.events, ev)
+}
+
+// change returns the report of the batch. Control removes what is cleared before it
+// adds crashes.
+func (b *suspectBatch) change(instance string) *fescuepb.SuspectsChange {
+	c := &fescuepb.SuspectsChange{Instance: instance}
+	crashes := map[string]*fescuepb.TargetCrash{}
+	for _, ev := range b.events {
+		id := ev.Fingerprint.String()
+		switch {
+		case ev.Answered:
+			c.Cleared = append(c.Cleared, id)
+		case ev.Claim:
+			c.Claims = append(c.Claims, id)
+		default:
+			crash := crashes[ev.Crash]
+			if crash == nil {
+				crash = &fescuepb.TargetCrash{Target: ev.Crash}
+				crashes[ev.Crash] = crash
+				c.Crashes = append(c.Crashes, crash)
+			}
+			crash.Suspects = append(crash.Suspects, id)
+		}
+	}
+	return c
+}
+
 // waitFor waits for d or until ctx ends.
 func waitFor(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/process/entry/suspects_test.go
+++ b/internal/process/entry/suspects_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -75,3 +76,44 @@
 	cancel()
 	<-done
 }
+
+// Guards against evidence that is lost while control is away for longer, and against
+// an answer or a crash that is reported in the wrong order afterwards.
+func TestSuspectsAreReportedWhenControlIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		ctx, cancel := context.WithCancel(context.Background())
+		back := time.Now().Add(time.Minute)
+		var got []*fescuepb.SuspectsChange
+		r := &suspectReporter{
+			instance: "e1", events: ring.New[quarantine.Event](8), log: logrus.NewEntry(log), dropped: tally.NoopScope.Counter("x"),
+			send: func(_ context.Context, c *fescuepb.SuspectsChange) error {
+				if time.Now().Before(back) {
+					return errors.New("no leader")
+				}
+				got = append(got, c)
+				return nil
+			},
+		}
+		go r.run(ctx)
+		for _, ev := range []quarantine.Event{
+			{Fingerprint: 1, Crash: "t/1"}, {Fingerprint: 2, Crash: "t/1"}, {Fingerprint: 1, Crash: "u/1"}, {Fingerprint: 2, Answered: true},
+			{Fingerprint: 3, Answered: true}, {Fingerprint: 3, Crash: "u/1"}, {Fingerprint: 1, Crash: "u/1"},
+		} {
+			r.report(ev)
+			time.Sleep(5 * time.Second)
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		id := func(f quarantine.Fingerprint) string { return f.String() }
+		want := &fescuepb.SuspectsChange{
+			Instance: "e1", Cleared: []string{id(2), id(3)},
+			Crashes: []*fescuepb.TargetCrash{{Target: "t/1", Suspects: []string{id(1)}}, {Target: "u/1", Suspects: []string{id(3), id(1)}}},
+		}
+		if len(got) != 1 || !proto.Equal(got[0], want) {
+			t.Errorf("reported %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/version/state/suspects.go
+++ b/internal/version/state/suspects.go
@@ -31,22 +31,23 @@
 	return nil
 }
 
-// applySuspects adds and removes evidence about requests that may crash targets. A
+// applySuspects adds and removes evidence about requests that may crash targets. What
+// is cleared is removed first, so that crashes in the same command count anew. A
 // command that changes nothing does not create a version.
 func (m *Machine) applySuspects(index uint64, c *fescuepb.SuspectsChange) *fescuepb.CommandResult {
 	if err := CheckSuspects(c); err != nil {
 		return errorResult(errkind.BadRequest, err.Error())
 	}
-	for _, crash := range c.Crashes {
-		for _, id := range crash.Suspects {
-			m.changeSuspect(index, id, true, func(s *fescuepb.Suspect) bool { return quarantine.AddCrash(s, crash.Target) })
-		}
-	}
 	for _, id := range c.Cleared {
 		if m.view.Suspects[id] != nil {
 			m.view.RemoveSuspect(id, index)
 		}
 	}
+	for _, crash := range c.Crashes {
+		for _, id := range crash.Suspects {
+			m.changeSuspect(index, id, true, func(s *fescuepb.Suspect) bool { return quarantine.AddCrash(s, crash.Target) })
+		}
+	}
 	for _, id := range c.TrialsDue {
 		m.changeSuspect(index, id, false, quarantine.DueTrial)
 	}
--- a/internal/version/state/suspects_test.go
+++ b/internal/version/state/suspects_test.go
@@ -10,8 +10,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Guards against malformed evidence that is replicated, and against evidence that
-// changes nothing but creates a version, which every entry would put in force.
+// Guards against malformed evidence that is replicated, against evidence that changes
+// nothing but creates a version, which every entry would put in force, and against an
+// answer that clears a later crash.
 func TestSuspectsCommand(t *testing.T) {
 	m := New()
 	apply := func(index uint64, c *fescuepb.SuspectsChange) error {
@@ -39,7 +40,11 @@
 			t.Errorf("version %d, %v", m.Version(), err)
 		}
 	}
-	if err := apply(10, &fescuepb.SuspectsChange{Cleared: []string{id}}); err != nil || m.Version() != 10 || len(m.Suspects()) != 0 {
+	again := &fescuepb.SuspectsChange{Cleared: []string{id}, Crashes: []*fescuepb.TargetCrash{{Target: "u/1", Suspects: []string{id}}}}
+	if err := apply(10, again); err != nil || len(m.Suspects()) != 1 || len(m.Suspects()[0].Crashes) != 1 {
+		t.Errorf("%v after an answer and a later crash, %v", m.Suspects(), err)
+	}
+	if err := apply(11, &fescuepb.SuspectsChange{Cleared: []string{id}}); err != nil || m.Version() != 11 || len(m.Suspects()) != 0 {
 		t.Errorf("version %d with %v, %v", m.Version(), m.Suspects(), err)
 	}
 }
