--- a/internal/process/operator/release.go
+++ b/internal/process/operator/release.go
@@ -43,6 +43,7 @@
 	Quarantined bool     `json:"quarantined"`
 	Trials      uint32   `json:"trials"`
 	TrialDue    bool     `json:"trial_due"`
+	ExplainedBy string   `json:"explained_by,omitempty"` // suspect that was there at all these crashes and at more
 }
 
 func (s suspectView) write(w io.Writer) {
--- a/internal/process/operator/status.go
+++ b/internal/process/operator/status.go
@@ -80,7 +80,7 @@
 		v.Replicas = append(v.Replicas, replicaView{ID: r.Id, Addr: r.Addr, Voter: r.Voter, MatchIndex: r.MatchIndex})
 	}
 	for _, s := range st.Suspects {
-		v.Suspects = append(v.Suspects, suspectView{s.Id, s.Crashes, quarantine.Quarantined(s), s.Trials, s.TrialDue})
+		v.Suspects = append(v.Suspects, suspectView{s.Id, s.Crashes, quarantine.Quarantined(s), s.Trials, s.TrialDue, s.ExplainedBy})
 	}
 	return v
 }
--- a/internal/version/quarantine/quarantine_test.go
+++ b/internal/version/quarantine/quarantine_test.go
@@ -253,6 +253,72 @@
 	}
 }
 
+// crashBeside records that requests were in flight together when a target crashed.
+func (m *model) crashBeside(fs ...quarantine.Fingerprint) {
+	m.crashes++
+	crash := &fescuepb.TargetCrash{Target: fmt.Sprint("t", m.crashes, "/1")}
+	for i, f := range fs {
+		m.entries[i%len(m.entries)].Crashed(m.now, f, crash.Target)
+		crash.Suspects = append(crash.Suspects, f.String())
+	}
+	m.reports = append(m.reports, &fescuepb.SuspectsChange{Crashes: []*fescuepb.TargetCrash{crash}})
+	m.exchange()
+}
+
+// Guards against a request that is quarantined because it was beside another one at
+// three crashes, while that one was at more, and against one that crashes targets and
+// is not quarantined because another one explains its first crashes.
+func TestCrashesExplainedByAnother(t *testing.T) {
+	const deadly, innocent, other = quarantine.Fingerprint(1), quarantine.Fingerprint(2), quarantine.Fingerprint(3)
+	m := newModel(t, 3)
+	refused := func(f quarantine.Fingerprint) (n int) {
+		for _, e := range m.entries {
+			if e.Check(m.now, f).Refused {
+				n++
+			}
+		}
+		return n
+	}
+	for range quarantine.CrashesToQuarantine {
+		m.crashBeside(deadly, innocent, other)
+	}
+	if refused(deadly) != 3 || refused(innocent) != 3 || refused(other) != 3 {
+		t.Error("of requests with the same crashes, some are not refused by all entries")
+	}
+	m.crashBeside(deadly) // a copy that was in flight
+	if refused(deadly) != 3 || refused(innocent) != 0 || refused(other) != 0 {
+		t.Errorf("refused by %d entries; by %d and %d although their crashes are explained", refused(deadly), refused(innocent), refused(other))
+	}
+	m.entries[0].Crashed(m.now, other, "t9/1")
+	if refused(other) != 1 {
+		t.Errorf("refused by %d entries before the evidence of one of them is replicated", refused(other))
+	}
+	m.crashBeside(other)
+	if refused(deadly) != 3 || refused(innocent) != 0 || refused(other) != 3 {
+		t.Errorf("refused by %d, %d and %d entries after a crash that nothing explains", refused(deadly), refused(innocent), refused(other))
+	}
+	const apart = quarantine.Fingerprint(4)
+	for range quarantine.CrashesToQuarantine {
+		m.crashBeside(apart)
+	}
+	if refused(apart) != 3 {
+		t.Errorf("refused by %d entries, although no other request was in flight at the crashes", refused(apart))
+	}
+	m.pass(0)
+	m.pass(quarantine.Period)
+	m.exchange()
+	for _, s := range m.state.Suspects() {
+		if s.Id == innocent.String() {
+			t.Error("a suspect whose crashes are explained is not forgotten")
+		}
+	}
+	m.request(0, deadly, false) // on trial
+	m.exchange()
+	if refused(deadly) != 0 || refused(other) != 3 {
+		t.Errorf("refused by %d and %d entries after the trial was answered", refused(deadly), refused(other))
+	}
+}
+
 // Guards against different requests with the same fingerprint and against a fingerprint
 // that depends on more than the request.
 func TestFingerprint(t *testing.T) {
--- a/internal/version/quarantine/rules.go
+++ b/internal/version/quarantine/rules.go
@@ -4,8 +4,8 @@
 // A request is known by its fingerprint, which is the same whenever the request
 // comes again. A fingerprint that was in flight at the crash of a target is a
 // suspect. One that was in flight at CrashesToQuarantine of them is quarantined
-// until one request on trial is answered, or until it is forgotten. Any answer of a
-// target clears a suspect.
+// until one request on trial is answered, or until it is forgotten, unless another
+// suspect explains these crashes. Any answer of a target clears a suspect.
 package quarantine
 
 import (
@@ -31,13 +31,39 @@
 	MaxAge = 24 * time.Hour
 	// MaxSuspects bounds the suspects in the replicated state.
 	MaxSuspects = 512
-	// maxCrashes bounds the crashes that are recorded for a suspect: those that
-	// quarantine it and one for each trial.
-	maxCrashes = CrashesToQuarantine + MaxTrials
+	// maxCrashes bounds the crashes that are recorded for a suspect. Copies of a request
+	// that are in flight when it is quarantined crash further targets; these crashes are
+	// needed to explain those of the requests beside it.
+	maxCrashes = 16
 )
 
 // Quarantined reports whether a suspect is quarantined.
-func Quarantined(s *fescuepb.Suspect) bool { return len(s.GetCrashes()) >= CrashesToQuarantine }
+func Quarantined(s *fescuepb.Suspect) bool {
+	return len(s.GetCrashes()) >= CrashesToQuarantine && s.ExplainedBy == ""
+}
+
+// ExplainedBy returns the suspect that was in flight at all crashes of s and at further
+// ones, or "". After a crash, the requests that were in flight are sent again, often to
+// the same target, so one that crashes nothing may be there three times. The one that
+// crashes targets is there at every crash. If s crashes targets all the same, its next
+// crash is not explained, because the other one is not sent any more.
+func ExplainedBy(s *fescuepb.Suspect, all map[string]*fescuepb.Suspect) string {
+	if len(s.Crashes) < CrashesToQuarantine {
+		return ""
+	}
+	found := ""
+	for id, other := range all {
+		if len(other.Crashes) > len(s.Crashes) && (found == "" || id < found) && containsAll(other.Crashes, s.Crashes) {
+			found = id
+		}
+	}
+	return found
+}
+
+// containsAll reports whether all elements of part are in list.
+func containsAll(list, part []string) bool {
+	return !slices.ContainsFunc(part, func(s string) bool { return !slices.Contains(list, s) })
+}
 
 // AddCrash adds the crash of a target's process to the suspect and ends a trial that
 // was in progress. It returns false, without a change, if the crash is recorded
--- a/internal/version/quarantine/table.go
+++ b/internal/version/quarantine/table.go
@@ -81,7 +81,7 @@
 		return Verdict{}
 	}
 	v := Verdict{Crashes: r.crashes()}
-	if v.Crashes < CrashesToQuarantine {
+	if !r.quarantined() {
 		return v
 	}
 	if v.Trial = r.takeTrial(now, t.instance, send); v.Trial {
@@ -118,11 +118,18 @@
 	return n
 }
 
+// quarantined reports whether the request is quarantined. Crashes of the own evidence
+// that the replicated state lacks are not explained there.
+func (r *record) quarantined() bool {
+	n := r.crashes()
+	return n >= CrashesToQuarantine && (r.replicated.GetExplainedBy() == "" || n > len(r.replicated.GetCrashes()))
+}
+
 // outdated reports whether a record of own evidence only has been unchanged for too
 // long. The control leader removes those of the replicated state.
 func (r *record) outdated(now time.Time) bool {
 	limit := Period
-	if r.crashes() >= CrashesToQuarantine {
+	if r.quarantined() {
 		limit = MaxAge
 	}
 	return r.replicated == nil && now.Sub(r.since) >= limit
@@ -188,7 +195,7 @@
 
 // before reports whether r is removed earlier than o if there is no room.
 func (r *record) before(o *record) bool {
-	a, b := r.crashes() >= CrashesToQuarantine, o.crashes() >= CrashesToQuarantine
+	a, b := r.quarantined(), o.quarantined()
 	if a != b {
 		return b
 	}
--- a/internal/version/state/suspects.go
+++ b/internal/version/state/suspects.go
@@ -57,9 +57,20 @@
 	for len(m.view.Suspects) > quarantine.MaxSuspects {
 		m.view.RemoveSuspect(quarantine.Evictable(m.view.Suspects), index)
 	}
+	m.explainSuspects(index)
 	return &fescuepb.CommandResult{}
 }
 
+// explainSuspects records for each suspect which other one explains its crashes. The
+// order does not matter: it depends on the crashes only, which stay as they are.
+func (m *Machine) explainSuspects(index uint64) {
+	for _, s := range m.view.Suspects {
+		if by := quarantine.ExplainedBy(s, m.view.Suspects); by != s.ExplainedBy {
+			m.changeSuspect(index, s.Id, false, func(next *fescuepb.Suspect) bool { next.ExplainedBy = by; return true })
+		}
+	}
+}
+
 // changeSuspect stores a suspect as change returns it, if it returns true. A suspect
 // that does not exist is created if create is set.
 func (m *Machine) changeSuspect(index uint64, id string, create bool, change func(*fescuepb.Suspect) bool) {
