--- a/internal/request/dialect/dialect.go
+++ b/internal/request/dialect/dialect.go
@@ -61,6 +61,12 @@
 	// mark the answers that they produce themselves.
 	MissingMark bool
 	Load        *Load // nil if the target reports none
+	// Leaving reports that the target announces that it leaves: it is about to
+	// stop and wants no further requests.
+	Leaving bool
+	// Pause is how long the target wants no requests from this entry. Only a
+	// 503 states one.
+	Pause Pause
 }
 
 // Load is the load that a target reports with an answer.
--- a/internal/request/dialect/native.go
+++ b/internal/request/dialect/native.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,8 @@
 	HeaderTarget    = "Fescue-Target"
 	HeaderReplayed  = "Fescue-Replayed" // on stored answers: identifier of the request that ran
 	HeaderKind      = "Fescue-Error-Kind"
+	HeaderLeaving   = "Fescue-Leaving"  // "true" on the answers of a target that leaves
+	HeaderPause     = "Fescue-Pause-Ms" // on a target's 503: how long it wants no requests from this entry
 )
 
 // Native is the dialect of callers and targets that use the product's own
@@ -71,12 +74,18 @@
 	h.Set(HeaderDeadline, FormatMilliseconds(f.TimeLeft))
 }
 
-// Answer parses the identifier and the not-run statement of a target's answer.
+// Answer parses the identifier of a target's answer, the not-run statement and
+// what the target announces.
 func (Native) Answer(status int, h http.Header) Answer {
-	return Answer{
-		ID:     h.Get(HeaderRequestID),
-		NotRun: status == http.StatusServiceUnavailable && h.Get(HeaderNotRun) == "true",
+	a := Answer{
+		ID:      h.Get(HeaderRequestID),
+		NotRun:  status == http.StatusServiceUnavailable && h.Get(HeaderNotRun) == "true",
+		Leaving: slices.Contains(h[HeaderLeaving], "true"),
 	}
+	if status == http.StatusServiceUnavailable {
+		a.Pause = ParsePause(h[HeaderPause], time.Millisecond)
+	}
+	return a
 }
 
 // Refusal sets the request identifier, the error kind, whether the request
