--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -282,14 +282,14 @@
 	if r.Target == "" {
 		return nil, load, dispatch.NewRefusal(errkind.Kind(r.ErrorKind), r.Reason, microseconds(r.RetryAfterUs))
 	}
-	info := dispatch.TargetInfo{ID: r.Target, Addr: r.Address}
+	info := dispatch.TargetInfo{ID: r.Target, Addr: r.Address, Incarnation: r.Incarnation}
 	return dispatch.NewTicket(info, microseconds(r.QueuedUs), r.Reason, func(o dispatch.Outcome) { l.release(r.Id, o) }), load, nil
 }
 
 // release returns a slot to the dispatcher with the outcome of the request.
 func (l *link) release(id uint64, o dispatch.Outcome) {
 	l.send(&fescuepb.SlotRequest{Body: &fescuepb.SlotRequest_Done{Done: &fescuepb.SlotDone{
-		Id: id, Result: uint32(o.Result), LatencyUs: o.Latency.Microseconds(), FirstByteUs: o.FirstByte.Microseconds(),
+		Id: id, Result: uint32(o.Result), LatencyUs: o.Latency.Microseconds(), FirstByteUs: o.FirstByte.Microseconds(), Leaving: o.Leaving,
 		Report: &fescuepb.SlotReport{
 			Slots: uint32(o.Report.Slots), Running: uint32(o.Report.Running), Waiting: uint32(o.Report.Waiting), Slowness: float32(o.Report.Slowness),
 		},
--- a/internal/connection/slots/server.go
+++ b/internal/connection/slots/server.go
@@ -116,7 +116,7 @@
 		return
 	}
 	ss.reply(&fescuepb.SlotReply{
-		Id: a.Id, Target: t.Target.ID, Address: t.Target.Addr, QueuedUs: t.QueuedFor.Microseconds(),
+		Id: a.Id, Target: t.Target.ID, Address: t.Target.Addr, Incarnation: t.Target.Incarnation, QueuedUs: t.QueuedFor.Microseconds(),
 		Reason: t.Reason, Load: encodeLoad(d.Load()),
 	})
 }
--- a/internal/connection/slots/slots_test.go
+++ b/internal/connection/slots/slots_test.go
@@ -206,3 +206,45 @@
 		}
 	}
 }
+
+// Guards against announcements of targets that are lost between two entries: that a
+// target leaves, from the entry that got the answer to the dispatcher and from there
+// to the others, and that it pauses for the entry that asks.
+func TestAnnouncementsReachTheDispatcher(t *testing.T) {
+	s := newTestSetup(t)
+	s.dispatcher.SetTargets([]dispatch.TargetInfo{
+		{ID: "t1", Addr: "127.0.0.1:1", Slots: 2, Incarnation: 7}, {ID: "t2", Addr: "127.0.0.1:2", Slots: 2, Incarnation: 8},
+	})
+	process := map[string]dispatch.Process{"t1": {ID: "t1", Addr: "127.0.0.1:1", Incarnation: 7}, "t2": {ID: "t2", Addr: "127.0.0.1:2", Incarnation: 8}}
+	ask := func(pauses ...dispatch.Pause) (*dispatch.Ticket, dispatch.Load, error) {
+		now := time.Now()
+		w := dispatch.Work{Route: "r", NoQueue: true, Deadline: now.Add(time.Second), Pauses: pauses}
+		return s.client.Acquire(t.Context(), s.addr, pool, w, now)
+	}
+	for range 4 {
+		ticket, _, err := ask(dispatch.Pause{Target: process["t1"], Left: time.Minute})
+		if err != nil || ticket.Target.Process() != process["t2"] {
+			t.Fatalf("ticket %+v, %v; want one for t2, as t1 pauses", ticket, err)
+		}
+		ticket.Done(dispatch.Outcome{Result: dispatch.OK})
+	}
+	_, _, err := ask(dispatch.Pause{Target: process["t1"], Left: time.Minute}, dispatch.Pause{Target: process["t2"], Left: time.Hour})
+	if after, _ := dispatch.RetryAfter(err); errkind.Of(err) != errkind.NoTarget || after < 59*time.Second || after > time.Minute {
+		t.Errorf("%v, retry after %v; want no target for nearly a minute", err, after)
+	}
+	first, _, err := ask()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Done(dispatch.Outcome{Result: dispatch.NotUsed, Leaving: true})
+	s.awaitInFlight(0)
+	for range 2 {
+		ticket, load, err := ask()
+		if err != nil || ticket.Target.ID == first.Target.ID {
+			t.Fatalf("ticket %+v, %v; want one for another target than %s, which leaves", ticket, err, first.Target.ID)
+		}
+		if len(load.Leaving) != 1 || load.Leaving[0] != process[first.Target.ID] {
+			t.Errorf("leaving targets %v, want %s", load.Leaving, first.Target.ID)
+		}
+	}
+}
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -100,6 +100,7 @@
 	AtMostOnce     bool     // must run at most once
 	Remote         bool     // sent by another data centre
 	Exclude        []string // targets already tried
+	Pauses         []Pause  // targets that want no requests from the entry that asks for the slot
 }
 
 // Result tells how a request ended at its target. Entries exchange the numeric
@@ -115,6 +116,8 @@
 	CancelledByCaller               // the caller disconnected, or the other request of a hedged pair answered first
 	ServerError                     // the target answered with a status of 500 or above
 	TimedOut                        // the deadline passed before the target had answered
+	Pausing                         // the target answered that it wants no requests from the entry for a while
+	NotUsed                         // nothing was sent: the entry knows that the target leaves or pauses
 )
 
 // String returns the name of a result in log lines.
@@ -132,6 +135,7 @@
 	Latency   time.Duration // from dispatch to the complete response; 0: the time since dispatch is used
 	FirstByte time.Duration // from dispatch to the first byte; 0: unknown
 	Report    Report
+	Leaving   bool // the target has announced to the entry that it leaves
 }
 
 // Report is the load that a target reported in its answer. The zero value means
@@ -162,4 +166,6 @@
 	// failed and are in back-off, or were recently and have not answered since.
 	// Targets that are only silent do not count for a substitute.
 	FailedPercent int
+	// Leaving holds the listed targets that have announced that they leave.
+	Leaving []Process
 }
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -48,6 +48,7 @@
 type backend struct {
 	info     TargetInfo
 	listed   bool
+	left     bool // its process has announced that it leaves
 	joinedAt time.Duration
 	untried  bool // joined after the first request of the pool and has had no request
 	running  []*Request
@@ -124,7 +125,7 @@
 
 // accepting reports whether the target takes new requests, now or after a
 // back-off.
-func (b *backend) accepting() bool { return b.listed && b.info.State == Active }
+func (b *backend) accepting() bool { return b.listed && b.info.State == Active && !b.left }
 
 // usable reports whether the target may get a request now. After a back-off it
 // gets one request at a time until one succeeds.
--- a/internal/request/dispatch/forecast.go
+++ b/internal/request/dispatch/forecast.go
@@ -77,7 +77,7 @@
 	if !b.usable(at) || p.settings.Substitute && b.cold.isCold(at) {
 		return false
 	}
-	return !slices.Contains(r.work.Exclude, b.info.ID)
+	return !slices.Contains(r.work.Exclude, b.info.ID) && r.pauseLeft(at, &b.info) <= 0
 }
 
 // countAhead sets for each target the number of queued requests that prefer it and go
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -38,6 +38,7 @@
 	isHedge      bool          // this request is a hedge of another one
 	hedged       bool          // a hedge of this request was started
 	ready        chan struct{}
+	pauses       []pauseEnd // of targets that want no requests from the entry of the request
 
 	// The fields below are used only by Pool.
 	due           time.Duration // the earlier of the objective and the deadline
@@ -69,6 +70,7 @@
 	longInFlight int // requests in flight that count as long
 	routes       routes
 	decided      []*Request
+	left         Departures
 	stopped      bool
 	rotation     int // advances the first target to be considered, so that equally good ones take turns
 	startCount   int // requests started so far
@@ -122,6 +124,7 @@
 		}
 		t.info = info
 		t.listed = true
+		t.left = g.left.Has(info.Process())
 	}
 	g.removeUnlisted()
 	g.demote(at)
@@ -200,6 +203,7 @@
 	g.seq++
 	r.seq = g.seq
 	r.pos = -1
+	r.setPauses(at)
 }
 
 // admit starts or queues r, or returns a refusal.
@@ -304,15 +308,29 @@
 		g.longInFlight--
 	}
 	r.target.remove(r)
+	if o.Leaving {
+		g.targetLeaves(r.info.Process())
+	}
 	g.updateEstimates(at, r, o)
 	if !r.target.listed {
 		g.removeUnlisted()
 	}
 	g.evaluate(at)
 	g.dispatchQueued(at)
+	if o.Leaving {
+		g.refuseWithoutTarget(at)
+	}
 	return nil
 }
 
+// targetLeaves takes a target out that has announced that it leaves.
+func (g *Group) targetLeaves(process Process) {
+	g.left.Add(process)
+	for _, t := range g.targets {
+		t.left = t.left || t.info.Process().Same(process)
+	}
+}
+
 // mayStartBackoff reports whether another target may be put into back-off
 // because of server errors. If many targets answer with errors, the requests are
 // the likely cause, and a back-off of these targets would also refuse requests
@@ -393,7 +411,7 @@
 		if !t.health.demoted {
 			l.FreeSlots += max(0, t.limit(at, &g.settings)-t.inFlight())
 		}
-		if t.listed && t.info.State == Leaving {
+		if t.listed && (t.info.State == Leaving || t.left) {
 			leaving++
 		}
 		if t.usable() {
--- a/internal/request/dispatch/group_schedule.go
+++ b/internal/request/dispatch/group_schedule.go
@@ -56,7 +56,11 @@
 			g.decided = append(g.decided, r)
 			continue
 		}
-		if len(r.work.Exclude) == 0 {
+		if refusal := g.checkPauses(at, r); refusal != nil {
+			g.refuseQueued(r, refusal)
+			continue
+		}
+		if len(r.work.Exclude) == 0 && len(r.pauses) == 0 {
 			break
 		}
 		g.queueOf(r).remove(r)
@@ -119,7 +123,7 @@
 	for i := range n {
 		t := g.targets[(g.rotation+i)%n]
 		limit := t.limit(at, &g.settings)
-		if limit == 0 || excluded(r, t) {
+		if limit == 0 || excluded(r, t) || r.pauseLeft(at, &t.info) > 0 {
 			continue
 		}
 		free := t.inFlight() < limit
@@ -174,13 +178,30 @@
 	return false
 }
 
+// checkPauses returns a refusal if every target that r may use pauses.
+func (g *Group) checkPauses(at time.Duration, r *Request) *Refusal {
+	if len(r.pauses) == 0 {
+		return nil
+	}
+	var c pauseCheck
+	for _, t := range g.targets {
+		if t.accepting() && !excluded(r, t) {
+			c.add(r.pauseLeft(at, &t.info))
+		}
+	}
+	return c.refusal()
+}
+
 // checkTargets returns a refusal if no target that r may use accepts requests,
-// or if all of them are in back-off for more than minBackoff or until the
-// deadline of r.
+// or if all of them pause, or are in back-off for more than minBackoff or until
+// the deadline of r.
 func (g *Group) checkTargets(at time.Duration, r *Request) *Refusal {
+	if refusal := g.checkPauses(at, r); refusal != nil {
+		return refusal
+	}
 	soonest := time.Duration(-1)
 	for _, t := range g.targets {
-		if !t.accepting() || excluded(r, t) {
+		if !t.accepting() || excluded(r, t) || r.pauseLeft(at, &t.info) > 0 {
 			continue
 		}
 		remaining := max(0, t.backoffUntil-at)
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -25,6 +25,7 @@
 	routes   map[string]*runStats
 	capacity capacityEstimate
 	decided  []*Request
+	left     Departures
 	seq      uint64
 	cursor   int // position in the queue of the next request that Tick reconsiders
 	// forecasts counts the forecasts made, which take most of the processor time of a pool.
@@ -62,6 +63,7 @@
 			p.targets = append(p.targets, b)
 		}
 		b.update(at, info)
+		b.left = p.left.Has(info.Process())
 	}
 	p.removeUnlisted()
 	p.dispatchQueued(at)
@@ -111,6 +113,7 @@
 func (p *Pool) initRequest(at time.Duration, r *Request, w Work) {
 	p.seq++
 	r.work, r.arrived, r.seq, r.pos = w, at, p.seq, -1
+	r.setPauses(at)
 	r.runStats = p.runStatsOf(w.Route)
 	r.deadline = at + p.settings.LongestDeadline
 	if !w.Deadline.IsZero() {
@@ -147,7 +150,7 @@
 	best := p.bestForecast(at, r)
 	switch {
 	case best.target == nil:
-		return refuse(errNoTarget, p.earliestRecovery(at))
+		return p.refuseNoTarget(at, r)
 	case best.wait == 0:
 		// The request starts even if it is expected to miss its objective,
 		// because no other target would answer sooner.
@@ -238,6 +241,9 @@
 	if !r.backend.listed {
 		p.removeUnlisted()
 	}
+	if o.Leaving {
+		p.targetLeaves(at, r.info.Process())
+	}
 	p.fill(at, r.backend)
 	if r.backend.backoffUntil == earlier {
 		return nil
@@ -245,6 +251,18 @@
 	return r.backend.describeBackoff(at, o.Result, p.failedPercent(at))
 }
 
+// targetLeaves takes a target out that has announced that it leaves, and finds others
+// for the queued requests.
+func (p *Pool) targetLeaves(at time.Duration, process Process) {
+	if !p.left.Add(process) {
+		return
+	}
+	for _, b := range p.targets {
+		b.left = b.left || b.info.Process().Same(process)
+	}
+	p.dispatchQueued(at)
+}
+
 // updateRunStats updates the typical running times of r's route and the estimate
 // of how many objects a target caches. Failed requests and requests on slow or
 // cold targets are left out, because their running times are not typical.
@@ -325,7 +343,7 @@
 		best := p.bestForecast(at, r)
 		switch {
 		case best.target == nil:
-			p.refuseQueued(r, refuse(errNoTarget, p.earliestRecovery(at)))
+			p.refuseQueued(r, p.refuseNoTarget(at, r))
 		case r.deadline <= at:
 			p.refuseQueued(r, refuse(errUnmeetable, best.wait))
 		case best.wait == 0:
@@ -405,6 +423,9 @@
 	at := p.sinceEpoch(now)
 	l := Load{Queued: len(p.queue), InFlight: p.inFlight, Draining: p.stopped || !p.anyAccepting()}
 	for _, b := range p.targets {
+		if b.left && b.listed {
+			l.Leaving = append(l.Leaving, b.info.Process())
+		}
 		if b.usable(at) && b.slowness(at) < slowThreshold {
 			l.FreeSlots += max(0, b.freeSlots(at)-b.waiting)
 		}
@@ -455,6 +476,20 @@
 	return 100 * failed / slots
 }
 
+// refuseNoTarget returns the refusal of r, which no target can take.
+func (p *Pool) refuseNoTarget(at time.Duration, r *Request) *Refusal {
+	var c pauseCheck
+	for _, b := range p.targets {
+		if b.accepting() && !slices.Contains(r.work.Exclude, b.info.ID) {
+			c.add(r.pauseLeft(at, &b.info))
+		}
+	}
+	if refusal := c.refusal(); refusal != nil {
+		return refusal
+	}
+	return refuse(errNoTarget, p.earliestRecovery(at))
+}
+
 // earliestRecovery returns the time until the first back-off of a target ends,
 // at most one second. It returns one second if no target is in back-off.
 func (p *Pool) earliestRecovery(at time.Duration) time.Duration {
--- a/internal/request/dispatch/refusal.go
+++ b/internal/request/dispatch/refusal.go
@@ -16,7 +16,13 @@
 
 // NewRefusal returns a refusal that was received from another process.
 func NewRefusal(kind errkind.Kind, message string, after time.Duration) *Refusal {
-	return refuse(errkind.New(kind, "%s", message), after)
+	return &Refusal{RetryAfter: max(after, minRetryAfter), err: errkind.New(kind, "%s", message)}
+}
+
+// RefusePausing returns the refusal of a request for which every target pauses.
+// Its RetryAfter is the end of the first pause, however late.
+func RefusePausing(pause time.Duration) *Refusal {
+	return &Refusal{RetryAfter: max(pause, minRetryAfter), err: errPausing}
 }
 
 // Error returns the message of the refusal.
@@ -42,6 +48,7 @@
 	errTooLate    = errkind.New(errkind.DeadlineUnmeetable, "the latency objective cannot be met")
 	errNoTarget   = errkind.New(errkind.NoTarget, "no target of the dispatch group takes requests")
 	errCancelled  = errkind.New(errkind.Cancelled, "the caller went away while the request was queued")
+	errPausing    = errkind.New(errkind.NoTarget, "every target of the dispatch group wants no requests for a while")
 	errStopping   = errkind.New(errkind.Stopping, "the dispatcher is stopping")
 )
 
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -20,6 +20,7 @@
 type target struct {
 	info           TargetInfo
 	listed         bool // was in the last SetTargets call
+	left           bool // its process has announced that it leaves
 	warmupStart    time.Duration
 	quickResponses int // quick responses since warmupStart; they shorten the slow start
 
@@ -42,7 +43,7 @@
 // accepting reports whether the target takes new requests, now or as soon as
 // this dispatcher gets slots. After a takeover of the group the slots may arrive
 // later than the list of targets.
-func (t *target) accepting() bool { return t.listed && t.info.State == Active }
+func (t *target) accepting() bool { return t.listed && t.info.State == Active && !t.left }
 
 // usable reports whether the target takes new requests and this dispatcher has
 // slots on it. A target in back-off is usable too; limit is 0 for it.
