--- a/internal/connection/target/probe.go
+++ b/internal/connection/target/probe.go
@@ -14,10 +14,19 @@
 
 // probeAll starts the probes of every known instance and removes expired
 // answers from the view. The probes run concurrently, so one without an answer
-// does not delay the next round.
+// does not delay the next round. A target that wants no requests for a while is
+// not probed and keeps its state.
 func (w *Watcher) probeAll(ctx context.Context) {
 	var keys []membership.Key
-	w.update(cause{reason: reasonNoAnswer}, func(t *membership.Table) { keys = t.Keys() })
+	w.update(cause{reason: reasonNoAnswer}, func(t *membership.Table) {
+		for _, k := range t.Keys() {
+			if w.Pausing != nil && w.Pausing(k.ID, k.Address) {
+				t.Hold(k, time.Now())
+				continue
+			}
+			keys = append(keys, k)
+		}
+	})
 	for _, k := range keys {
 		go w.probeHealth(ctx, k)
 		go w.probeLoad(ctx, k)
--- a/internal/connection/target/target.go
+++ b/internal/connection/target/target.go
@@ -48,7 +48,8 @@
 	ID           string
 	Service      string
 	Addr         string
-	Slots        int // requests that the target can run at the same time; 0 if not stated
+	Incarnation  int64 // differs for each process at the address
+	Slots        int   // requests that the target can run at the same time; 0 if not stated
 	Status       Status
 	ReportedLoad float64   // fraction of the slots in use, 0 to 1; negative if unknown
 	HealthySince time.Time // when the current process became healthy; zero before its first successful probe
--- a/internal/connection/target/watcher.go
+++ b/internal/connection/target/watcher.go
@@ -31,6 +31,9 @@
 	Platform   *platform.Client
 	HTTP       *http.Client
 	Log        *logrus.Entry
+	// Pausing reports whether the target at an address wants no requests for a
+	// while. It is not probed then, and counts as answering. Nil means never.
+	Pausing func(id, addr string) bool
 	// Changed is called after a target was added, was removed or changed.
 	Changed func()
 
@@ -202,7 +205,7 @@
 		w.logTarget(s).Info("target added")
 	}
 	before := s.Target
-	s.Service, s.Slots, s.Status = inst.Service, inst.Slots, statusOf(inst.State)
+	s.Service, s.Slots, s.Status, s.Incarnation = inst.Service, inst.Slots, statusOf(inst.State), inst.Process
 	replaced := s.incarnation != "" && inst.Incarnation != s.incarnation
 	s.incarnation = inst.Incarnation
 	if s.Status == Healthy && (before.Status != Healthy || replaced) {
--- a/internal/connection/target/watcher_test.go
+++ b/internal/connection/target/watcher_test.go
@@ -23,6 +23,8 @@
 	health      string
 	reportsLoad bool
 	incarnation string
+	probes      int  // of the target
+	pausing     bool // the target wants no requests
 	target      *httptest.Server
 	watcher     *Watcher
 }
@@ -37,6 +39,9 @@
 func (p *testPlatform) serve(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.URL.Path != "/instances" {
+		p.probes++
+	}
 	var answer any
 	switch {
 	case r.URL.Path == "/instances":
@@ -62,6 +67,10 @@
 	p.list = []membership.ListedInstance{p.listEntry(membership.StatusLive), {ID: "elsewhere", Role: membership.RoleTarget, Service: "s", DataCentre: "dc2", Address: "127.0.0.1:1"}}
 	p.watcher = &Watcher{
 		DataCentre: "dc1", HTTP: &http.Client{Transport: &Transport{Dial: Dial}}, Log: logging.Discard(), Changed: func() {},
+		Pausing: func(id, addr string) (pausing bool) {
+			p.set(func() { pausing = p.pausing && id == "t1" && addr == p.listEntry("").Address })
+			return pausing
+		},
 		Platform: &platform.Client{URL: list.URL + "/instances", HTTP: http.DefaultClient},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -160,3 +169,31 @@
 		t.Errorf("load %v without a fresh report", got)
 	}
 }
+
+// Guards against health probes of a target that wants no requests for a while, against
+// a target that counts as down because it was not probed, and against a slow start at
+// the end of the pause.
+func TestPausingTargetIsNotProbed(t *testing.T) {
+	t.Parallel()
+	p := startWatcher(t)
+	since := p.watcher.Targets("s")[0].HealthySince
+	p.set(func() { p.pausing = true })
+	time.Sleep(200 * time.Millisecond) // probes under way end
+	p.set(func() { p.probes = 0 })
+	p.expectStatusFor(t, "healthy", membership.AnswerTTL+probeInterval)
+	p.set(func() {
+		if p.probes != 0 {
+			t.Errorf("%d probes within the pause", p.probes)
+		}
+		p.pausing = false
+	})
+	p.expectStatusFor(t, "healthy", 2*probeInterval)
+	if got := p.watcher.Targets("s")[0].HealthySince; !got.Equal(since) {
+		t.Errorf("healthy since %s, want %s as before the pause", got, since)
+	}
+	p.set(func() {
+		if p.probes == 0 {
+			t.Error("no probes after the pause")
+		}
+	})
+}
--- a/internal/version/membership/membership.go
+++ b/internal/version/membership/membership.go
@@ -87,6 +87,7 @@
 	ListedInstance
 	State       State
 	Incarnation string // of the process that answered last; empty if it reported none
+	Process     int64  // differs for each process that the table has seen
 }
 
 // record holds the state of an instance at an address.
@@ -101,6 +102,7 @@
 	failures             int       // probes with the outcome Failing since the last answer
 	goneSince            time.Time // when it was first found gone and unlisted
 	incarnation          string
+	process              int64           // number of the process among those that the table has seen
 	replacedIncarnations map[string]bool // earlier incarnations
 
 	// leaving is cleared only when another process answers at the address.
@@ -112,8 +114,9 @@
 // Table merges the platform's lists with probe results. It is not safe for
 // concurrent use.
 type Table struct {
-	records map[Key]*record
-	lists   int
+	records   map[Key]*record
+	lists     int
+	processes int64 // that the table has seen so far
 }
 
 // New returns an empty table.
@@ -129,7 +132,8 @@
 		seen[k] = true
 		r := t.records[k]
 		if r == nil {
-			r = &record{firstListed: t.lists, replacedIncarnations: map[string]bool{}}
+			t.processes++
+			r = &record{firstListed: t.lists, process: t.processes, replacedIncarnations: map[string]bool{}}
 			t.records[k] = r
 		}
 		r.applyListing(l)
@@ -166,16 +170,25 @@
 	case Failing:
 		r.failures++
 	case Answered:
-		r.applyAnswer(p)
+		t.applyAnswer(r, p)
 	}
 }
 
-// applyAnswer applies a probe with the outcome Answered.
-func (r *record) applyAnswer(p Probe) {
+// Hold keeps the state of an instance that answers and is not probed for a while.
+func (t *Table) Hold(k Key, now time.Time) {
+	if r := t.records[k]; r != nil && r.state(now) >= Leaving {
+		r.lastAnswered = now
+	}
+}
+
+// applyAnswer applies a probe of r with the outcome Answered.
+func (t *Table) applyAnswer(r *record, p Probe) {
 	if r.replacedIncarnations[p.Incarnation] {
 		return // from a process that was replaced, over a delayed connection
 	}
 	if r.replaced(p) {
+		t.processes++
+		r.process = t.processes
 		if r.incarnation != "" {
 			r.replacedIncarnations[r.incarnation] = true
 		}
@@ -224,7 +237,7 @@
 		if owners[k.Address] != k || current[k.ID] != k {
 			state = Gone // a newer instance uses the address, or the identifier moved to another address
 		}
-		out = append(out, Instance{ListedInstance: r.listed, State: state, Incarnation: r.incarnation})
+		out = append(out, Instance{ListedInstance: r.listed, State: state, Incarnation: r.incarnation, Process: r.process})
 	}
 	sort.Slice(out, func(i, j int) bool {
 		if out[i].ID != out[j].ID {
