--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -45,7 +45,8 @@
 // Transport is an http.RoundTripper for HTTP/1.1 with a connection pool. It
 // sends each request once; retries are left to the caller of RoundTrip. Of the
 // httptrace hooks it calls GotConn, and WroteHeaders as soon as the first byte
-// has been written. It is safe for concurrent use.
+// has been written. If the context ends during GotConn, nothing is written. It
+// is safe for concurrent use.
 type Transport struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -99,6 +100,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil { // the GotConn hook may cancel the request
+		t.putIdle(c)
+		return nil, err
+	}
 	x.c = c
 	x.stopCancelHook = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	resp, err := x.run()
--- a/internal/process/entry/group/dispatchers.go
+++ b/internal/process/entry/group/dispatchers.go
@@ -76,7 +76,7 @@
 		usable := m.core.UsableSlots(name, t.ID, slots, now) - int(retired[t.ID])
 		total += max(usable, 0)
 		out = append(out, dispatch.TargetInfo{
-			ID: t.ID, Addr: t.Addr, State: m.targetState(t), Slots: max(usable, 0),
+			ID: t.ID, Addr: t.Addr, Incarnation: t.Incarnation, State: m.targetState(t), Slots: max(usable, 0),
 			ReportedLoad: t.ReportedLoad, HealthySince: t.HealthySince,
 		})
 	}
@@ -109,6 +109,8 @@
 
 func (m *Manager) targetState(t target.Target) dispatch.TargetState {
 	switch {
+	case m.cfg.Announced.Of(dispatch.Process{ID: t.ID, Addr: t.Addr, Incarnation: t.Incarnation}).Leaving:
+		return dispatch.Leaving
 	case t.Status == target.Leaving || m.snap.TargetDrained(t.Service, m.cfg.DataCentre, t.ID):
 		return dispatch.Leaving
 	case t.Status == target.Down:
--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -11,6 +11,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,7 @@
 	Instance   string
 	DataCentre string
 	Client     *slotlink.Client
+	Announced  *announce.Registry // what targets have announced to this entry; may be nil
 	Now        func() time.Time
 	Log        *logrus.Entry
 
@@ -72,7 +74,7 @@
 			continue
 		}
 		d.Configure(g.poolSettingsLocked(svc, pool))
-		d.SetTargets(targetInfos(s, svc, pool.Region))
+		d.SetTargets(g.targetInfos(s, svc, pool.Region))
 	}
 	g.Client.CloseExcept(g.peerAddrsLocked())
 }
@@ -129,7 +131,7 @@
 		return nil
 	}
 	d := dispatch.NewPoolDispatcher(g.poolSettingsLocked(svc, pool), g.Now, func(b dispatch.Backoff) { g.logBackoff(pool, b) })
-	d.SetTargets(targetInfos(g.snap, svc, pool.Region))
+	d.SetTargets(g.targetInfos(g.snap, svc, pool.Region))
 	g.local[pool] = d
 	return d
 }
@@ -278,8 +280,10 @@
 	g.unreachableUntil[instance] = g.Now().Add(unreachableDuration)
 }
 
-// recordLoad records the load of a pool that another entry dispatches.
+// recordLoad records the load of a pool that another entry dispatches, and the
+// targets that are leaving according to that entry.
 func (g *Guarded) recordLoad(pool slotlink.Pool, l dispatch.Load) {
+	g.Announced.Learn(pool.Service, l.Leaving)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remoteLoads[pool] = timedLoad{l, g.Now()}
@@ -358,12 +362,17 @@
 	return out
 }
 
-// targetInfos returns the targets of a service in a region.
-func targetInfos(s *snapshot.Snapshot, svc *snapshot.Service, region string) []dispatch.TargetInfo {
+// targetInfos returns the targets of a service in a region. A target is leaving if
+// the snapshot says so or if the target has announced it.
+func (g *Guarded) targetInfos(s *snapshot.Snapshot, svc *snapshot.Service, region string) []dispatch.TargetInfo {
 	var infos []dispatch.TargetInfo
 	for _, dc := range s.DataCentres(region) {
 		for _, t := range s.Targets(svc.Name, dc) {
-			infos = append(infos, targetInfo(s, svc, t))
+			info := targetInfo(s, svc, t)
+			if g.Announced.Of(info.Process()).Leaving {
+				info.State = dispatch.Leaving
+			}
+			infos = append(infos, info)
 		}
 	}
 	return infos
--- a/internal/process/entry/group/guarded_test.go
+++ b/internal/process/entry/group/guarded_test.go
@@ -6,9 +6,12 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
+	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
+	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+	"github.com/uber-go/tally/v4"
 )
 
 const guardedYAML = `team: platform
@@ -83,3 +86,26 @@
 		t.Error("entries, slots or a dispatcher without a snapshot")
 	}
 }
+
+// Guards against an entry that takes over as dispatcher and grants a target of which
+// the dispatcher before it, or its own requests, had learned that it leaves. Another
+// process of the target gets requests.
+func TestNewDispatcherKnowsLeavingTargets(t *testing.T) {
+	const restarted = 2000
+	entries := guardedEntries(t, &fescuepb.Target{
+		Id: "t1", Service: "rota", Address: "127.0.0.1:1", DataCentre: "a", Slots: 3, BornUnixMs: 1000,
+	}, &fescuepb.Target{Id: "t2", Service: "rota", Address: "127.0.0.1:2", DataCentre: "a", Slots: 3, BornUnixMs: restarted})
+	pool := slotlink.Pool{Service: "rota", Region: "north"}
+	leaving := []dispatch.Process{{ID: "t1", Addr: "127.0.0.1:1", Incarnation: 1000}, {ID: "t2", Addr: "127.0.0.1:2", Incarnation: 1000}}
+	for _, g := range entries {
+		g.Announced = announce.New(steady.Now, logging.Discard(), tally.NoopScope)
+		g.recordLoad(pool, dispatch.Load{Leaving: leaving})
+		for range 4 {
+			ticket, err := g.Dispatcher(pool).Acquire(t.Context(), dispatch.Work{Route: "r", Deadline: time.Now().Add(time.Second), NoQueue: true})
+			if err != nil || ticket.Target.ID != "t2" {
+				t.Fatalf("%s granted %+v, %v; want t2, which has restarted", g.Instance, ticket, err)
+			}
+			ticket.Done(dispatch.Outcome{Result: dispatch.OK})
+		}
+	}
+}
--- a/internal/process/entry/group/manager.go
+++ b/internal/process/entry/group/manager.go
@@ -8,6 +8,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/steady"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
+	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,7 @@
 	Store       *snapshot.Store
 	Ready       func() bool // reports whether a version is in force
 	Targets     func(service string) []target.Target
+	Announced   *announce.Registry // what targets have announced to this entry; may be nil
 	Dial        func(addr string) (*grpc.ClientConn, error)
 	NewToken    func() string
 	// DispatcherChanged is called after the entry that dispatches a service has
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -21,6 +21,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/shared/budget"
+	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/once"
 	"github.com/fescuejunction/fescuejunction/internal/request/proxy"
 	"github.com/fescuejunction/fescuejunction/internal/version/blocks"
@@ -48,6 +49,7 @@
 	guarded    *group.Guarded
 	shared     *budget.ConcurrentHolder
 	ledger     *once.Service
+	announced  *announce.Registry
 	linkBudget *linkBudget
 	suspects   *quarantine.Table
 	reporter   *suspectReporter
@@ -130,20 +132,22 @@
 		instance: s.Instance, events: ring.New[quarantine.Event](suspectEvents), send: p.follower.ReportSuspects, log: p.log,
 		dropped: p.scope.Counter("suspect_events_dropped"),
 	}
+	p.announced = announce.New(steady.Now, p.log, p.scope)
 	p.shared = budget.NewConcurrentHolder(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
 		DataCentre: s.DataCentre, Log: p.log,
 		Platform: &platform.Client{URL: s.PlatformURL, HTTP: &http.Client{}},
 		HTTP:     &http.Client{Transport: &target.Transport{Dial: target.Dial}},
+		Pausing:  p.announced.PausesAt,
 		Changed:  func() { p.groups.Wake() },
 	}
 	p.groups = group.NewManager(group.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
-		Ready: p.follower.Ready, Targets: p.targets.Targets, Dial: p.peers.Dial, NewToken: newToken,
+		Ready: p.follower.Ready, Targets: p.targets.Targets, Announced: p.announced, Dial: p.peers.Dial, NewToken: newToken,
 		DispatcherChanged: func(string) { p.ledger.Wake() }, Log: p.log,
 	})
 	p.guarded = &group.Guarded{
-		Instance: s.Instance, DataCentre: s.DataCentre, Client: &slots.Client{Dial: p.peers.Dial, Log: p.log}, Now: time.Now, Log: p.log,
+		Instance: s.Instance, DataCentre: s.DataCentre, Client: &slots.Client{Dial: p.peers.Dial, Log: p.log}, Announced: p.announced, Now: time.Now, Log: p.log,
 	}
 	p.ledger = once.New(once.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
--- a/internal/process/entry/status.go
+++ b/internal/process/entry/status.go
@@ -64,7 +64,11 @@
 		inUse = d.InUse()
 	}
 	for _, t := range p.targets.Targets(name) {
-		out.Targets = append(out.Targets, TargetStatus{ID: t.ID, Status: t.Status.String(), InUse: inUse[t.ID]})
+		status := t.Status.String()
+		if n := p.announced.Of(dispatch.Process{ID: t.ID, Addr: t.Addr, Incarnation: t.Incarnation}); n.Withdrawn() {
+			status = n.Reason()
+		}
+		out.Targets = append(out.Targets, TargetStatus{ID: t.ID, Status: status, InUse: inUse[t.ID]})
 	}
 	return out
 }
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -69,7 +69,7 @@
 		Ready: p.ready, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   spill.NewRegionShiftLimiter(p.settings.Region, p.settings.RegionShift, spill.DefaultRegionShiftWindow),
-		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: &target.Transport{Dial: p.peers.DialHTTP},
+		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: &target.Transport{Dial: p.peers.DialHTTP},
 		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
 		Now:      time.Now, Log: p.log, Metrics: p.scope,
 	}
--- a/internal/request/dispatch/announcement_test.go
+++ b/internal/request/dispatch/announcement_test.go
@@ -112,6 +112,10 @@
 		if errkind.Of(err) != errkind.NoTarget || after != 8*time.Second {
 			t.Errorf("%s: %v, retry after %v; want no target before 8 s", name, err, after)
 		}
+		_, _, err = submitTo(s, epoch, Work{Pauses: paused.Pauses, Exclude: []string{"t2", "t1"}})
+		if after, _ := RetryAfter(err); after != 8*time.Second {
+			t.Errorf("%s: a request that has tried both is told to come back after %v, want 8 s", name, after)
+		}
 		for range 2 {
 			if _, id, err := submitTo(s, epoch, Work{Pauses: paused.Pauses[:2]}); id != "t2" {
 				t.Errorf("%s: request sent to %q (%v), want t2", name, id, err)
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -414,6 +414,9 @@
 		if t.listed && (t.info.State == Leaving || t.left) {
 			leaving++
 		}
+		if t.listed && t.left {
+			l.Leaving = append(l.Leaving, t.info.Process())
+		}
 		if t.usable() {
 			active++
 		}
--- a/internal/request/dispatch/group_schedule.go
+++ b/internal/request/dispatch/group_schedule.go
@@ -178,15 +178,15 @@
 	return false
 }
 
-// checkPauses returns a refusal if every target that r may use pauses.
+// checkPauses returns a refusal if only pauses keep r from every target.
 func (g *Group) checkPauses(at time.Duration, r *Request) *Refusal {
 	if len(r.pauses) == 0 {
 		return nil
 	}
 	var c pauseCheck
 	for _, t := range g.targets {
-		if t.accepting() && !excluded(r, t) {
-			c.add(r.pauseLeft(at, &t.info))
+		if t.accepting() {
+			c.add(r.pauseLeft(at, &t.info), excluded(r, t))
 		}
 	}
 	return c.refusal()
--- a/internal/request/dispatch/pause.go
+++ b/internal/request/dispatch/pause.go
@@ -34,17 +34,19 @@
 	return left
 }
 
-// pauseCheck decides whether every target that a request may use pauses.
+// pauseCheck decides whether only pauses keep a request from every target.
 type pauseCheck struct {
 	available bool          // some target does not pause
 	first     time.Duration // until the first pause ends; 0 if no target was added
 }
 
-// add adds a target that accepts requests, with how much longer it pauses.
-func (c *pauseCheck) add(left time.Duration) {
+// add adds a target that accepts requests, with how much longer it pauses and whether
+// the request has tried it already. One that was tried is no longer of use to the
+// request, but the end of its pause matters to the next attempt of the caller.
+func (c *pauseCheck) add(left time.Duration, tried bool) {
 	switch {
 	case left <= 0:
-		c.available = true
+		c.available = c.available || !tried
 	case c.first == 0 || left < c.first:
 		c.first = left
 	}
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -480,8 +480,8 @@
 func (p *Pool) refuseNoTarget(at time.Duration, r *Request) *Refusal {
 	var c pauseCheck
 	for _, b := range p.targets {
-		if b.accepting() && !slices.Contains(r.work.Exclude, b.info.ID) {
-			c.add(r.pauseLeft(at, &b.info))
+		if b.accepting() {
+			c.add(r.pauseLeft(at, &b.info), slices.Contains(r.work.Exclude, b.info.ID))
 		}
 	}
 	if refusal := c.refusal(); refusal != nil {
--- a/internal/request/dispatch/refusal.go
+++ b/internal/request/dispatch/refusal.go
@@ -31,6 +31,10 @@
 // Unwrap returns the error that carries the kind.
 func (r *Refusal) Unwrap() error { return r.err }
 
+// IsPausing reports whether err is the refusal of a request for which every target
+// pauses.
+func IsPausing(err error) bool { return errors.Is(err, errPausing) }
+
 // RetryAfter returns the retry delay of err, or false if err is no Refusal.
 func RetryAfter(err error) (time.Duration, bool) {
 	var r *Refusal
--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -98,7 +98,7 @@
 // further attempt.
 func (h *Handler) runAttempts(ctx context.Context, c *call, d dispatch.Slots, unit CapUnit) (*reply, error) {
 	for {
-		t, err := d.Acquire(ctx, c.dispatchWork())
+		t, err := h.acquireSlot(ctx, c, d)
 		if err != nil {
 			return nil, h.stoppedWaiting(ctx, err)
 		}
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -141,7 +141,8 @@
 // preference. If all refuse, it tries them again for up to spillRetryTime, but for
 // at most half of the time left. It goes on only while the request provably did
 // not run.
-// refusal is the error to return if there is no candidate.
+// refusal is the error to return if there is no candidate. It is returned at once if
+// the targets here pause: waiting does not end a pause.
 func (h *Handler) spill(ctx context.Context, c *call, refusal error) (*reply, error) {
 	deadline := h.Now().Add(min(spillRetryTime, c.timeLeft(h.Now())/2))
 	for {
@@ -152,6 +153,9 @@
 		if err != nil {
 			refusal = err
 		}
+		if err == nil && dispatch.IsPausing(refusal) {
+			return nil, refusal
+		}
 		if errkind.Of(refusal).Response().DidRun != errkind.No || h.Now().After(deadline) || !sleep(ctx, spillRetryInterval) {
 			return nil, refusal
 		}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -13,6 +13,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
@@ -88,8 +89,9 @@
 	Ledger        Ledger
 	Services      *ServiceStates
 	SharedRetries SharedRetryPolicy
-	Suspects      *Suspects   // nil if no request is quarantined
-	Bodies        *BodyMemory // shared by the handlers of an entry; nil means DefaultBodyMemory for this one
+	Suspects      *Suspects          // nil if no request is quarantined
+	Announced     *announce.Registry // shared by the handlers of an entry; nil means that announcements of targets are not recorded
+	Bodies        *BodyMemory        // shared by the handlers of an entry; nil means DefaultBodyMemory for this one
 	Targets       http.RoundTripper
 	Peers         http.RoundTripper
 	Now           func() time.Time
--- a/internal/request/proxy/hedge.go
+++ b/internal/request/proxy/hedge.go
@@ -61,6 +61,12 @@
 		return nil, nil, false
 	}
 	second, ok := t.Hedge()
+	if ok {
+		if n := h.Announced.Of(second.Target.Process()); n.Withdrawn() {
+			h.returnSlot(c, second, n)
+			ok = false
+		}
+	}
 	if !ok {
 		unit.Release()
 		return nil, nil, false
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -26,6 +26,12 @@
 	// onWritten is called when the whole request is in the write buffer. If the
 	// connection is a writeReporter, it is also called after each write to it.
 	onWritten func()
+	// onConnected is called before the request is written; nil if nothing is to be
+	// done. The request is not written if it cancels the context.
+	onConnected func()
+	// onHead is called with the head of an answer to the request; nil if nothing is
+	// to be done.
+	onHead func(resp *http.Response)
 	// answeredID returns the request identifier in an answer, "" if there is
 	// none.
 	answeredID func(resp *http.Response) string
@@ -45,6 +51,9 @@
 			if c, ok := info.Conn.(writeReporter); ok {
 				c.AfterWrite(x.onWritten)
 			}
+			if x.onConnected != nil {
+				x.onConnected()
+			}
 		},
 		WroteHeaders: func() { headSent.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) {
@@ -101,6 +110,8 @@
 // of the request may have reached the target.
 func sendError(ctx context.Context, err error, headSent bool) error {
 	switch {
+	case !headSent && errors.Is(context.Cause(ctx), errTargetWithdrawn):
+		return errkind.Wrap(errkind.TargetUnreachable, errTargetWithdrawn, "nothing was sent")
 	case !headSent && ctx.Err() == nil:
 		return errkind.Wrap(errkind.TargetUnreachable, err, "nothing was sent")
 	case !headSent:
@@ -130,6 +141,9 @@
 			return nil, errkind.New(errkind.AnswerMismatch, "the answer names request %q instead of %q", echoed, c.id)
 		}
 	}
+	if x.onHead != nil {
+		x.onHead(resp)
+	}
 	if resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
 		return nil, errkind.New(errkind.AnswerBroken, "the answer has status %d, which is not a final status", resp.StatusCode)
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -24,6 +25,9 @@
 	cancel context.CancelCauseFunc
 	start  time.Time
 	load   *dialect.Load // load that the target reported in its answer, or nil
+	// pausing reports that the target announced in its answer that it wants no
+	// requests from this entry for a while.
+	pausing bool
 }
 
 // loadReport returns the load that the target reported, or the zero Report.
@@ -99,6 +103,12 @@
 				s.cancel(errLeaseExpired)
 			}
 		},
+		onConnected: func() {
+			if h.withdrawn(&s) {
+				s.cancel(errTargetWithdrawn)
+			}
+		},
+		onHead: func(resp *http.Response) { h.observeAnnouncement(c, &s, resp.StatusCode, resp.Header) },
 	}
 	s.reply, s.err = x.do(ctx, c)
 	h.afterSend(c, t, trial, s.err)
@@ -162,7 +172,7 @@
 	if s.err != nil {
 		s.cancel(nil)
 		o := dispatch.Outcome{Result: dispatchResult(s.err), Latency: h.Now().Sub(s.start), Report: s.loadReport()}
-		s.releaseSlot(o, cancelledAfterSend(s.err))
+		s.releaseSlot(h.withAnnouncement(s, o), cancelledAfterSend(s.err))
 		return nil, s.err
 	}
 	firstByte := h.Now().Sub(s.start)
@@ -180,7 +190,7 @@
 			h.clearSuspect(s.call)
 		}
 		h.logAnswer(s, o)
-		s.releaseSlot(o, err != nil)
+		s.releaseSlot(h.withAnnouncement(s, o), err != nil)
 	}
 	return s.reply, nil
 }
@@ -205,6 +215,9 @@
 // dispatchResult returns the result that a dispatcher records for a failed
 // attempt.
 func dispatchResult(err error) dispatch.Result {
+	if errors.Is(err, errTargetWithdrawn) {
+		return dispatch.NotUsed
+	}
 	switch errkind.Of(err) {
 	case errkind.TargetShed:
 		return dispatch.Shed
