--- a/internal/connection/target/probe.go
+++ b/internal/connection/target/probe.go
@@ -19,8 +19,9 @@
 func (w *Watcher) probeAll(ctx context.Context) {
 	var keys []membership.Key
 	w.update(cause{reason: reasonNoAnswer}, func(t *membership.Table) {
+		pausing := w.pausingAddrs()
 		for _, k := range t.Keys() {
-			if w.Pausing != nil && w.Pausing(k.ID, k.Address) {
+			if pausing[k.Address] {
 				t.Hold(k, time.Now())
 				continue
 			}
@@ -33,6 +34,19 @@
 	}
 }
 
+// pausingAddrs returns the addresses of the targets that want no requests for a
+// while. The probes of an earlier target at such an address would reach them too.
+// The caller holds w.mu.
+func (w *Watcher) pausingAddrs() map[string]bool {
+	out := map[string]bool{}
+	for k := range w.targets {
+		if w.Pausing != nil && w.Pausing(k.ID, k.Address) {
+			out[k.Address] = true
+		}
+	}
+	return out
+}
+
 // healthResponse is the JSON body of a target's response to a health probe.
 type healthResponse struct {
 	Status      string `json:"status"`
--- a/internal/connection/target/watcher_test.go
+++ b/internal/connection/target/watcher_test.go
@@ -23,8 +23,8 @@
 	health      string
 	reportsLoad bool
 	incarnation string
-	probes      int  // of the target
-	pausing     bool // the target wants no requests
+	probes      int    // of the target
+	pausing     string // identifier of the target that wants no requests
 	target      *httptest.Server
 	watcher     *Watcher
 }
@@ -68,7 +68,7 @@
 	p.watcher = &Watcher{
 		DataCentre: "dc1", HTTP: &http.Client{Transport: &Transport{Dial: Dial}}, Log: logging.Discard(), Changed: func() {},
 		Pausing: func(id, addr string) (pausing bool) {
-			p.set(func() { pausing = p.pausing && id == "t1" && addr == p.listEntry("").Address })
+			p.set(func() { pausing = id == p.pausing && addr == p.listEntry("").Address })
 			return pausing
 		},
 		Platform: &platform.Client{URL: list.URL + "/instances", HTTP: http.DefaultClient},
@@ -170,14 +170,21 @@
 	}
 }
 
-// Guards against health probes of a target that wants no requests for a while, against
-// a target that counts as down because it was not probed, and against a slow start at
+// Guards against health probes of a target that wants no requests for a while, among them
+// those of an earlier target at its address, against a target that counts as down because it was not probed, and against a slow start at
 // the end of the pause.
 func TestPausingTargetIsNotProbed(t *testing.T) {
 	t.Parallel()
 	p := startWatcher(t)
+	successor := p.listEntry(membership.StatusLive)
+	successor.ID = "t2"
+	p.set(func() { p.list = []membership.ListedInstance{successor} })
+	time.Sleep(2 * listInterval) // the identifier of the target at the address has changed
+	if all := p.watcher.Targets("s"); len(all) != 1 || all[0].ID != "t2" {
+		t.Fatalf("targets %+v, want t2", all)
+	}
 	since := p.watcher.Targets("s")[0].HealthySince
-	p.set(func() { p.pausing = true })
+	p.set(func() { p.pausing = "t2" })
 	time.Sleep(200 * time.Millisecond) // probes under way end
 	p.set(func() { p.probes = 0 })
 	p.expectStatusFor(t, "healthy", membership.AnswerTTL+probeInterval)
@@ -185,7 +192,7 @@
 		if p.probes != 0 {
 			t.Errorf("%d probes within the pause", p.probes)
 		}
-		p.pausing = false
+		p.pausing = ""
 	})
 	p.expectStatusFor(t, "healthy", 2*probeInterval)
 	if got := p.watcher.Targets("s")[0].HealthySince; !got.Equal(since) {
