--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -29,6 +29,7 @@
 	BadError               Rule = "bad_error"    // an error without the documented body
 	RequestBodyChanged     Rule = "request_body_changed"
 	RequestOnLeavingTarget Rule = "new_request_on_leaving_target"
+	RequestsInPause        Rule = "requests_in_pause" // more than maxInPause requests and probes reached a target that wanted none
 	CallWithoutEnd         Rule = "call_without_end"
 	ServiceGap             Rule = "gap_in_service"      // no complete answer on a route for longer than MaxGap
 	DecisionNotLogged      Rule = "decision_not_logged" // the number of logged decisions differs from the number of requests that reached the target
@@ -67,6 +68,7 @@
 	MaxByShift             map[string]int `json:"most_by_shift"`
 	MaxByTarget            map[string]int `json:"most_by_target"`
 	Drains                 int            `json:"drains"`
+	Pauses                 int            `json:"pauses"`         // announced by targets
 	MaxStartAfterLeavingMs float64        `json:"last_new_ms"`    // longest time from a leaving record to a new request on that target
 	LongestGapMs           float64        `json:"longest_gap_ms"` // longest time between complete answers of a route
 	Findings               []Finding      `json:"findings"`
@@ -109,6 +111,7 @@
 	c.checkAnswers()
 	c.checkBodies()
 	c.checkDrains()
+	c.checkPauses()
 	c.checkGaps()
 	c.checkDecisions()
 	return c.report
@@ -166,6 +169,9 @@
 	if r.Drains > 0 {
 		fmt.Fprintf(w, "drains: %d, last new request %.1f ms after the mark\n", r.Drains, r.MaxStartAfterLeavingMs)
 	}
+	if r.Pauses > 0 {
+		fmt.Fprintf(w, "pauses: %d\n", r.Pauses)
+	}
 	if r.Calls > 0 {
 		fmt.Fprintf(w, "longest time without a whole answer on a route: %.1f ms\n", r.LongestGapMs)
 	}
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -54,6 +54,13 @@
 	logged.RequestID = "r"
 	unlogged := start(2, "b")
 	unlogged.RequestID = "other"
+	paused := journal.Target{Time: 0, Event: journal.Pause, Target: "t", Run: 1, Slots: 2, Call: "p", PauseMs: 1000}
+	noLength := paused
+	noLength.PauseMs = 0
+	probe := journal.Target{Time: 900 * ms, Event: journal.Probe, Target: "t", Run: 1, Slots: 2}
+	late, again := start(700, "a"), start(800, "b")
+	afterRestart := restarted
+	afterRestart.Time = 750 * ms
 	tests := []struct {
 		name    string
 		targets []journal.Target
@@ -79,6 +86,11 @@
 		{"drain", []journal.Target{leaving, start(6, "a")}, nil, []Rule{RequestOnLeavingTarget}},
 		{"gap", nil, []journal.Caller{gap}, []Rule{ServiceGap}},
 		{"decision", []journal.Target{logged, finish(2, logged), unlogged}, nil, []Rule{DecisionNotLogged}},
+		{"two requests in a pause", []journal.Target{paused, late, finish(701, late), again, finish(801, again)}, nil, nil},
+		{"three in a pause", []journal.Target{paused, late, finish(701, late), again, finish(801, again), probe}, nil, []Rule{RequestsInPause}},
+		{"before and after a pause", []journal.Target{paused, a, finish(2, a), late, finish(701, late), again, finish(801, again), start(1100, "c")}, nil, nil},
+		{"pause of the process before", []journal.Target{paused, late, finish(701, late), afterRestart, finish(790, afterRestart), again}, nil, nil},
+		{"pause without a length", []journal.Target{noLength, late, finish(701, late), again, finish(801, again), probe}, nil, nil},
 		{"back after drain", []journal.Target{leaving, back, start(11, "a")}, nil, nil},
 	}
 	for _, tt := range tests {
--- a/internal/lab/check/rules.go
+++ b/internal/lab/check/rules.go
@@ -206,4 +206,34 @@
 	}
 }
 
+// A target that has announced a pause gets at most maxInPause requests and probes from
+// pauseReaction after its answer until the end of the pause.
+const (
+	maxInPause    = 2
+	pauseReaction = 500 * time.Millisecond
+)
+
+// checkPauses finds targets that got requests or probes within a pause.
+func (c *checker) checkPauses() {
+	for i, t := range c.targets {
+		if t.Event != journal.Pause || t.PauseMs == 0 {
+			continue
+		}
+		c.report.Pauses++
+		from, until := t.Time+int64(pauseReaction), t.Time+t.PauseMs*int64(time.Millisecond)
+		n := 0
+		for _, later := range c.targets[i+1:] {
+			if later.Time > until {
+				break
+			}
+			if later.Target == t.Target && later.Run == t.Run && later.Time > from && later.Event.IsArrival() {
+				n++
+			}
+		}
+		if n > maxInPause {
+			c.addFinding(RequestsInPause, "target %s got %d requests and probes within the pause of %d ms that it announced to call %s", t.Target, n, t.PauseMs, t.Call)
+		}
+	}
+}
+
 func milliseconds(ns int64) float64 { return float64(ns) / float64(time.Millisecond) }
--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -25,8 +25,13 @@
 	Leaving  Event = "leaving" // the target must get no new requests from now on
 	Returned Event = "back"    // the target may get new requests again
 	Cold     Event = "cold"    // the target simulated a cold start
+	Pause    Event = "pause"   // a request was turned away with the announcement that the target wants none for a while
+	Probe    Event = "probe"   // a probe arrived within such a pause
 )
 
+// IsArrival reports whether the event is the arrival of a request or a probe.
+func (e Event) IsArrival() bool { return e == Start || e == Shed || e == Pause || e == Probe }
+
 // Target is one record of a target's journal.
 type Target struct {
 	Time       int64  `json:"time"` // Unix time, nanoseconds
@@ -48,6 +53,7 @@
 	Cancelled  bool   `json:"cancelled,omitempty"` // the caller cancelled the request or closed its connection
 	Expired    bool   `json:"expired,omitempty"`   // the deadline passed during the work
 	Fault      string `json:"fault,omitempty"`     // injected fault; empty if none
+	PauseMs    int64  `json:"pause_ms,omitempty"`  // announced pause; 0 if the announcement has no valid length
 }
 
 // Caller is one record of the load generator's journal: one attempt at a call.
--- a/internal/lab/target/handler.go
+++ b/internal/lab/target/handler.go
@@ -19,6 +19,8 @@
 	headerDeadline  = "Fescue-Deadline-Ms"
 	headerShift     = "Fescue-Shift"
 	headerNotRun    = "Fescue-Not-Run"
+	headerLeaving   = "Fescue-Leaving"
+	headerPause     = "Fescue-Pause-Ms"
 	headerKey       = "Idempotency-Key"
 	HeaderWork      = "Lab-Work-Ms"      // service time that the caller asks for, milliseconds
 	HeaderSize      = "Lab-Answer-Bytes" // length of the answer that the caller asks for
@@ -41,7 +43,7 @@
 	rec := newRecord(r)
 	b, ok := t.admit(r.Context(), &rec)
 	if !ok {
-		writeShed(w)
+		t.writeRefusal(w, b)
 		return
 	}
 	started := time.Now()
@@ -65,6 +67,7 @@
 
 func (t *Target) writeAnswer(w http.ResponseWriter, b Behaviour, rec journal.Target, own reply) {
 	w.Header().Set(headerRequestID, own.requestID)
+	t.setLeavingHeader(w)
 	switch {
 	case rec.Cancelled:
 		panic(http.ErrAbortHandler)
@@ -94,11 +97,25 @@
 	}
 }
 
-func writeShed(w http.ResponseWriter) {
+// writeRefusal answers a request that was not run.
+func (t *Target) writeRefusal(w http.ResponseWriter, b Behaviour) {
 	w.Header().Set(headerNotRun, "true")
+	t.setLeavingHeader(w)
+	if b.Pause != "" {
+		w.Header().Set(headerPause, b.Pause)
+		http.Error(w, "no requests are wanted for a while", http.StatusServiceUnavailable)
+		return
+	}
 	http.Error(w, "every slot is taken", http.StatusServiceUnavailable)
 }
 
+// setLeavingHeader announces that the target leaves, if it does at this moment.
+func (t *Target) setLeavingHeader(w http.ResponseWriter) {
+	if t.currentBehaviour().AnnounceLeaving {
+		w.Header().Set(headerLeaving, "true")
+	}
+}
+
 func newRecord(r *http.Request) journal.Target {
 	deadline, _ := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
 	attempt, _ := strconv.Atoi(r.Header.Get(HeaderAttempt))
@@ -174,6 +191,7 @@
 // awaitProbeDelay waits for the configured probe delay and reports whether the
 // probe is still to be answered. With stop_reports set it waits until ctx ends.
 func (t *Target) awaitProbeDelay(ctx context.Context) bool {
+	t.recordProbe()
 	simulateWork(ctx, t.spec.ProbeDelay.AsDuration(), t.currentBehaviour().StopReports)
 	return ctx.Err() == nil
 }
--- a/internal/lab/target/target.go
+++ b/internal/lab/target/target.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	history       []Report // oldest first; source of delayed load reports
 	connections   int
 	refused       int64
+	pauseUntil    time.Time // end of the longest pause that was announced
 }
 
 // waiter is a request that waits for a slot.
@@ -61,6 +63,10 @@
 	t.seq++
 	rec.Seq = t.seq
 	rec.Fault = t.behaviour.faultName()
+	if t.behaviour.Pause != "" {
+		t.recordPause(*rec)
+		return t.behaviour, false
+	}
 	if t.inProgress < t.spec.Slots {
 		t.takeSlot(rec)
 		return t.behaviour, true
@@ -73,6 +79,27 @@
 	return t.behaviour, false
 }
 
+// recordPause records a request that is turned away with an announced pause. The
+// caller holds the lock.
+func (t *Target) recordPause(rec journal.Target) {
+	if ms, err := strconv.ParseInt(t.behaviour.Pause, 10, 64); err == nil && ms > 0 {
+		rec.PauseMs = ms
+		if until := time.Now().Add(time.Duration(ms) * time.Millisecond); until.After(t.pauseUntil) {
+			t.pauseUntil = until
+		}
+	}
+	t.appendRecord(rec, journal.Pause)
+}
+
+// recordProbe records a probe that arrives within an announced pause.
+func (t *Target) recordProbe() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if time.Now().Before(t.pauseUntil) {
+		t.appendRecord(journal.Target{}, journal.Probe)
+	}
+}
+
 // awaitSlot queues the request until it gets a slot or ctx ends, and reports
 // whether it got one. The caller holds the lock, which is released while the
 // request waits.
@@ -225,8 +252,8 @@
 func (t *Target) apply(c controlRequest) Behaviour {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	left := c.MarkLeaving || c.Leaving && !t.behaviour.Leaving
-	back := c.MarkBack || !c.Leaving && t.behaviour.Leaving
+	left := c.MarkLeaving || c.leaves() && !t.behaviour.leaves()
+	back := c.MarkBack || !c.leaves() && t.behaviour.leaves()
 	t.behaviour = c.Behaviour
 	if c.Cold {
 		t.coldSince = time.Now()
--- a/internal/lab/target/target_test.go
+++ b/internal/lab/target/target_test.go
@@ -175,3 +175,32 @@
 		t.Fatalf("health = %s, %v; want leaving", body, err)
 	}
 }
+
+// Guards against a target that does not send what the script sets: on answers of every
+// kind that it leaves, and a pause in place of running a request, whatever its value.
+func TestAnnouncements(t *testing.T) {
+	f := start(t, Spec{Slots: 1, Work: document.Duration(time.Millisecond)})
+	expect := func(status int, leaving, pause string) {
+		t.Helper()
+		resp, _, err := f.get(t, "/a", "r")
+		if err != nil || resp.StatusCode != status || resp.Header.Get(headerLeaving) != leaving || resp.Header.Get(headerPause) != pause {
+			t.Fatalf("%v, %v; want status %d, leaving %q, pause %q", resp, err, status, leaving, pause)
+		}
+	}
+	expect(http.StatusOK, "", "")
+	f.control(t, `{"announce_leaving":true}`)
+	expect(http.StatusOK, "true", "")
+	f.control(t, `{"fail":true}`)
+	expect(http.StatusInternalServerError, "true", "")
+	f.control(t, `{"fail":false,"pause":"tomorrow"}`)
+	expect(http.StatusServiceUnavailable, "true", "tomorrow")
+	f.control(t, `{"announce_leaving":false,"pause":"60000"}`)
+	expect(http.StatusServiceUnavailable, "", "60000")
+	if _, body, err := f.get(t, "/-/health", ""); err != nil || !strings.Contains(string(body), "ok") {
+		t.Fatalf("health = %s, %v; want ok", body, err)
+	}
+	got := f.events(t)
+	if got[journal.Start] != 3 || got[journal.Pause] != 2 || got[journal.Probe] != 1 || got[journal.Leaving] != 1 || got[journal.Returned] != 1 {
+		t.Errorf("journal %v", got)
+	}
+}
