--- a/internal/request/announce/announce.go
+++ b/internal/request/announce/announce.go
@@ -128,9 +128,13 @@
 		return
 	}
 	r.paused.Inc(1)
-	r.logTarget(service, p, requestID).WithFields(logrus.Fields{
-		"pause_ms": stated.For.Milliseconds(), "until": time.Now().Add(stated.For).Format(time.RFC3339Nano), "fault": string(stated.Fault),
-	}).Info("target paused: it announced that it wants no requests")
+	line := r.logTarget(service, p, requestID).WithFields(logrus.Fields{
+		"pause_ms": stated.For.Milliseconds(), "until": time.Now().Add(stated.For).Format(time.RFC3339Nano),
+	})
+	if stated.Fault != "" {
+		line = line.WithField("fault", string(stated.Fault))
+	}
+	line.Info("target paused: it announced that it wants no requests")
 }
 
 func (r *Registry) logTarget(service string, p dispatch.Process, requestID string) *logrus.Entry {
