--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 
 func newDispatcher(sched scheduler, now func() time.Time) *Dispatcher {
 	d := &Dispatcher{now: now, scheduler: sched}
+	d.mu.Lock() // on a busy machine the first tick may come before the timer is stored
+	defer d.mu.Unlock()
 	d.timer = time.AfterFunc(runningTick, d.tick)
 	d.timerDelay = runningTick
 	return d
