--- a/internal/process/entry/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -44,10 +44,12 @@
 	failures      int       // consecutive failures
 	nextOpenAt    time.Time
 	nextUpgradeAt time.Time
+	searchSince   time.Time // when the loop last had no current source
+	searchOpened  int       // candidates opened since then
 }
 
 func newLoop(f *Follower) *loop {
-	return &loop{follower: f, events: ring.New[event](eventCapacity)}
+	return &loop{follower: f, events: ring.New[event](eventCapacity), searchSince: f.now()}
 }
 
 // run steps the loop and handles events until ctx ends.
@@ -171,6 +173,7 @@
 func (l *loop) open(ctx context.Context, s source, now time.Time) {
 	l.candidates = append(l.candidates, l.follower.openWatch(ctx, s, l.events))
 	l.lastOpened = now
+	l.searchOpened++
 }
 
 // tryUpgrade opens a candidate of the best rank if the current source has another
@@ -200,6 +203,7 @@
 		l.abandon(ev.watch, ev.err.Error(), now)
 		return
 	}
+	ev.watch.heardAt = now
 	if l.follower.applyUpdate(&ev.watch.progress, ev.update, now) == view.Gap {
 		l.abandon(ev.watch, "gap: update starts after the version held", now)
 		return
@@ -216,19 +220,25 @@
 			other.cancel()
 		}
 	}
-	l.current, l.candidates = w, nil
+	fields := logrus.Fields{"source": w.addr, "kind": string(w.kind), "opened": l.searchOpened}
+	if l.current == nil {
+		fields["search_ms"] = now.Sub(l.searchSince).Milliseconds()
+		l.follower.cfg.Metrics.Timer("follow_search").Record(now.Sub(l.searchSince))
+	}
+	l.current, l.candidates, l.searchOpened = w, nil, 0
 	l.current.session.Store(l.follower.nextSession())
 	l.current.acknowledge()
 	l.nextIndex, l.failures = 0, 0
 	l.nextUpgradeAt = now.Add(randomBetween(minUpgradeDelay, maxUpgradeDelay))
 	l.follower.cfg.Metrics.Counter("follow_source_changes").Inc(1)
-	l.follower.cfg.Log.WithFields(logrus.Fields{"source": l.current.addr, "kind": string(l.current.kind)}).Info("following source")
+	l.follower.cfg.Log.WithFields(fields).Info("following source")
 }
 
 // abandon closes a watch and sets the time at which the next one may be opened.
 func (l *loop) abandon(w *watch, reason string, now time.Time) {
 	if w == l.current {
 		l.lastAbandoned = w.addr
+		l.searchSince, l.searchOpened = now, 0
 	} else if l.lastAbandoned != "" && l.nextIndex >= len(l.follower.sources()) {
 		l.lastAbandoned = "" // every other source has been tried
 	}
@@ -237,7 +247,14 @@
 	delay := min(maxRetryDelay, minRetryDelay<<min(l.failures-1, 5))
 	l.nextOpenAt = now.Add(randomBetween(delay/2, delay))
 	l.follower.cfg.Metrics.Counter("follow_sources_abandoned").Inc(1)
-	l.follower.cfg.Log.WithFields(logrus.Fields{"source": w.addr, "kind": string(w.kind), "reason": reason}).Info("source abandoned")
+	fields := logrus.Fields{
+		"source": w.addr, "kind": string(w.kind), "reason": reason,
+		"counter": w.progress.lastCounter, "stood_ms": now.Sub(w.progress.lastProgress).Milliseconds(),
+	}
+	if !w.heardAt.IsZero() {
+		fields["heard_ms"] = now.Sub(w.heardAt).Milliseconds()
+	}
+	l.follower.cfg.Log.WithFields(fields).Info("source abandoned")
 }
 
 // close closes the current watch or a candidate.
--- a/internal/process/entry/follow/watch.go
+++ b/internal/process/entry/follow/watch.go
@@ -26,6 +26,7 @@
 	cancel   context.CancelFunc
 	acks     chan struct{}
 	session  atomic.Uint64 // 0 until the watch becomes the current one
+	heardAt  time.Time     // when the last update was received; zero before the first
 }
 
 // event is an update received on a watch, or the error that ended it.
