--- a/internal/process/control/server.go
+++ b/internal/process/control/server.go
@@ -72,6 +72,7 @@
 	s.hub = feed.NewHub(feed.Config{
 		Instance: cfg.Instance,
 		Source:   source{cfg.Machine, cfg.Log},
+		Stalled:  func() bool { return !s.ConfirmedWithin(feed.StallTimeout) },
 		Sessions: s.sessions,
 	})
 	return s
--- a/internal/process/entry/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -68,6 +68,7 @@
 		Instance:       cfg.Self.Instance,
 		Source:         relaySource{f},
 		Uninterrupted:  f.uninterrupted,
+		Stalled:        f.stalled,
 		OnAcknowledged: f.acknowledge,
 		Sessions:       f.sessions,
 	})
@@ -115,6 +116,13 @@
 	return f.freshness.isFresh(f.now())
 }
 
+// stalled reports whether the counter has not advanced within counterTimeout.
+func (f *Follower) stalled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshness.stalled(f.now())
+}
+
 // uninterrupted reports whether a version has been confirmed since the start. Only
 // then may restarted peers take a version from this process.
 func (f *Follower) uninterrupted() bool {
--- a/internal/process/entry/follow/freshness.go
+++ b/internal/process/entry/follow/freshness.go
@@ -1,12 +1,15 @@
 package follow
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
+)
 
 const (
 	// counterTimeout is how long the counter of a source may stand still before
-	// the source is abandoned. Sources push it every 500 ms, so at least two
-	// consecutive pushes were lost by then.
-	counterTimeout = 1200 * time.Millisecond
+	// the follower looks for another source.
+	counterTimeout = feed.StallTimeout
 	// freshnessWindow is how long the version counts as confirmed after an
 	// advance of the counter.
 	freshnessWindow = 1500 * time.Millisecond
@@ -65,6 +68,11 @@
 	return f.lastAdvance > 0 && now.Sub(f.advancedAt) < freshnessWindow
 }
 
+// stalled reports whether the counter has not advanced within counterTimeout.
+func (f *freshness) stalled(now time.Time) bool {
+	return f.lastAdvance == 0 || now.Sub(f.advancedAt) >= counterTimeout
+}
+
 // confirmsVersion reports whether the counter has advanced often enough on this
 // watch that a process that has not acted on any version yet may do so.
 func (w *watchProgress) confirmsVersion() bool { return w.advances >= requiredAdvances }
--- a/internal/process/shared/feed/hub.go
+++ b/internal/process/shared/feed/hub.go
@@ -25,6 +25,9 @@
 const (
 	// PushInterval is how often the counter is pushed while no version changes.
 	PushInterval = 500 * time.Millisecond
+	// StallTimeout is how long a counter may stand still before its source counts
+	// as stalled. At least two consecutive pushes were lost by then.
+	StallTimeout = 1200 * time.Millisecond
 	// A new follower may act only after it has seen the counter advance. For that
 	// reason the first initialCounterPushes counter values are pushed at
 	// initialPushInterval.
@@ -41,6 +44,9 @@
 	// Uninterrupted reports whether the instance has followed confirmed versions
 	// without interruption since its start. Nil means that it has not.
 	Uninterrupted func() bool
+	// Stalled reports whether the counter of the source has stood still for
+	// StallTimeout. Nil means that it is not known.
+	Stalled func() bool
 	// OnAcknowledged is called after a request changed an acknowledged version. It
 	// may be nil.
 	OnAcknowledged func()
@@ -59,7 +65,8 @@
 	wake    chan struct{}
 	version uint64
 	counter uint64
-	frames  map[uint64]*frame // encoded updates to version and counter, by base version
+	stalled bool
+	frames  map[uint64]*frame // encoded updates to version and counter with stalled, by base version
 	stopped bool
 }
 
@@ -96,10 +103,11 @@
 func (h *Hub) frame(base uint64) (*frame, error) {
 	counter := h.cfg.Source.Counter() // read before the version, so that it cannot be ahead of it
 	version := h.cfg.Source.Version()
+	stalled := h.cfg.Stalled != nil && h.cfg.Stalled()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if version != h.version || counter != h.counter || len(h.frames) >= maxCachedFrames {
-		h.version, h.counter = version, counter
+	if version != h.version || counter != h.counter || stalled != h.stalled || len(h.frames) >= maxCachedFrames {
+		h.version, h.counter, h.stalled = version, counter, stalled
 		h.frames = map[uint64]*frame{}
 	}
 	base = min(base, version)
@@ -107,7 +115,7 @@
 		return f, nil
 	}
 	u := h.cfg.Source.Since(base)
-	u.Counter = counter
+	u.Counter, u.Stalled = counter, stalled
 	u.Source = h.cfg.Instance
 	u.Uninterrupted = h.cfg.Uninterrupted != nil && h.cfg.Uninterrupted()
 	f, err := newFrame(u)
