--- a/internal/process/entry/follow/helpers_test.go
+++ b/internal/process/entry/follow/helpers_test.go
@@ -111,15 +111,18 @@
 	addr string
 	stop func()
 
-	mu       sync.Mutex
-	view     *view.View
-	counter  uint64
-	isCutOff bool
+	mu          sync.Mutex
+	view        *view.View
+	counter     uint64
+	isCutOff    bool
+	saysStalled bool // pushes that its counter stands still while it is cut off
+	opened      int  // watches that were opened
+	open        int  // watches that are open
 }
 
 func newFakeSource(t *testing.T, version, counter uint64) *fakeSource {
 	s := &fakeSource{view: view.New(), counter: counter}
-	s.hub = feed.NewHub(feed.Config{Instance: "fake", Source: s})
+	s.hub = feed.NewHub(feed.Config{Instance: "fake", Source: s, Stalled: s.stalled})
 	s.set(version)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -136,9 +139,18 @@
 }
 
 func (s *fakeSource) Watch(stream grpc.BidiStreamingServer[fescuepb.WatchRequest, fescuepb.Update]) error {
+	s.countWatch(1, 1)
+	defer s.countWatch(0, -1)
 	return s.hub.Watch(stream)
 }
 
+func (s *fakeSource) countWatch(opened, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened += opened
+	s.open += open
+}
+
 func (s *fakeSource) Join(context.Context, *fescuepb.JoinRequest) (*fescuepb.JoinReply, error) {
 	return &fescuepb.JoinReply{}, nil
 }
@@ -174,6 +186,12 @@
 	s.isCutOff = cut
 }
 
+func (s *fakeSource) stalled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.saysStalled && s.isCutOff
+}
+
 // watchedBy reports whether the instance has acknowledged on an open watch.
 func (s *fakeSource) watchedBy(instance string) bool {
 	_, ok := s.hub.Acks.LiveVersions()[instance]
--- a/internal/process/entry/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/ring"
+	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
 	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"github.com/sirupsen/logrus"
 )
@@ -20,9 +21,14 @@
 	// delay doubles with each consecutive failure.
 	minRetryDelay = 20 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// The same while a relay answers that has no news: the relay searches too and
+	// will push what it finds. All entries of a data centre are in this state
+	// together while control has no quorum.
+	minRelayedRetryDelay = 250 * time.Millisecond
+	maxRelayedRetryDelay = time.Second
 	// While there is no current source, a further candidate is opened in parallel
 	// each hedgeDelay until one catches up, up to maxCandidates. After an outage
-	// of all processes, a source may not listen yet or may not know a leader.
+	// of all processes, a source may not listen yet.
 	maxCandidates = 3
 	hedgeDelay    = 300 * time.Millisecond
 	// Bounds of the delay before a source of a better rank is tried again.
@@ -30,26 +36,26 @@
 	maxUpgradeDelay = 8 * time.Second
 )
 
-// loop chooses the source. It has at most one current watch and opens candidate
-// watches. The first candidate whose counter has caught up becomes the current
-// watch.
+// loop chooses the source. It has at most one current watch. While it has none, it
+// searches: it opens candidate watches, and keeps some of those whose source
+// answers but has no news, so that news reaches it as soon as such a source has
+// them. The first watch whose counter has caught up becomes the current one.
 type loop struct {
 	follower      *Follower
 	events        *ring.Ring[event]
 	current       *watch
-	candidates    []*watch  // in the order in which they were opened
+	candidates    []*watch // on trial, in the order in which they were opened
+	waiting       []*watch // of sources that answered without news; none while there is a current watch
+	search        search
 	lastOpened    time.Time // when the last candidate was opened
-	nextIndex     int       // index of the next candidate in the plan
-	lastAbandoned string    // address of the last current source that was abandoned; it is tried after all others
 	failures      int       // consecutive failures
 	nextOpenAt    time.Time
 	nextUpgradeAt time.Time
-	searchSince   time.Time // when the loop last had no current source
-	searchOpened  int       // candidates opened since then
+	nextBeatAt    time.Time
 }
 
 func newLoop(f *Follower) *loop {
-	return &loop{follower: f, events: ring.New[event](eventCapacity), searchSince: f.now()}
+	return &loop{follower: f, events: ring.New[event](eventCapacity), search: newSearch(f.now(), "")}
 }
 
 // run steps the loop and handles events until ctx ends.
@@ -77,12 +83,13 @@
 	return l.nextStepAt(now).Sub(now)
 }
 
-// step abandons the watches whose counter stopped and opens a candidate if one is
+// step gives up the watches whose counter stopped and opens a candidate if one is
 // due.
 func (l *loop) step(ctx context.Context, now time.Time) {
-	l.abandonStale(now)
+	l.checkProgress(now)
 	switch {
 	case l.current == nil:
+		l.beat(now)
 		if at, ok := l.nextOpening(); ok && !now.Before(at) {
 			l.openNext(ctx, now)
 		}
@@ -91,33 +98,52 @@
 	}
 }
 
+// beat pushes to the followers of this instance every feed.PushInterval during a
+// search. The pushes show them that the instance answers and has no news.
+func (l *loop) beat(now time.Time) {
+	if !now.Before(l.nextBeatAt) {
+		l.nextBeatAt = now.Add(feed.PushInterval)
+		l.follower.hub.Wake()
+	}
+}
+
 // nextOpening returns when another candidate may be opened while there is no
 // current source, or false if there are enough candidates.
 func (l *loop) nextOpening() (time.Time, bool) {
+	if len(l.candidates) >= maxCandidates {
+		return time.Time{}, false
+	}
 	if len(l.candidates) == 0 {
 		return l.nextOpenAt, true
 	}
-	if len(l.candidates) >= min(maxCandidates, len(l.follower.sources())) {
-		return time.Time{}, false
-	}
 	if hedge := l.lastOpened.Add(hedgeDelay); hedge.After(l.nextOpenAt) {
 		return hedge, true
 	}
 	return l.nextOpenAt, true
 }
 
-// abandonStale abandons the watches whose counter has not risen within
-// counterTimeout.
-func (l *loop) abandonStale(now time.Time) {
-	if l.current != nil && now.Sub(l.current.progress.lastProgress) >= counterTimeout {
-		l.abandon(l.current, "counter stopped", now)
-		l.nextOpenAt = now.Add(randomBetween(0, abandonJitter))
-	}
-	for _, w := range slices.Clone(l.candidates) {
-		if now.Sub(w.progress.lastProgress) >= counterTimeout {
-			l.abandon(w, "counter did not advance", now)
+// checkProgress gives up the current watch and the candidates whose counter has
+// not risen within counterTimeout, and abandons waiting watches that are silent.
+func (l *loop) checkProgress(now time.Time) {
+	followed := l.current != nil
+	for _, w := range l.watches() {
+		silent := now.Sub(w.heardAt) >= counterTimeout
+		switch {
+		case !slices.Contains(l.watches(), w): // closed for another one
+		case slices.Contains(l.waiting, w):
+			if silent {
+				l.abandon(w, "source silent", now)
+			}
+		case now.Sub(w.progress.lastProgress) < counterTimeout:
+		case silent:
+			l.abandon(w, "counter stopped, source silent", now)
+		default:
+			l.await(w, "counter stopped", now)
 		}
 	}
+	if followed && l.current == nil {
+		l.nextOpenAt = now.Add(randomBetween(0, abandonJitter))
+	}
 }
 
 // nextStepAt returns when step must run again if there is no event.
@@ -128,52 +154,55 @@
 			at = t
 		}
 	}
-	for _, w := range l.watches() {
+	for _, w := range l.waiting {
+		earliest(w.heardAt.Add(counterTimeout))
+	}
+	for _, w := range l.candidates {
 		earliest(w.progress.lastProgress.Add(counterTimeout))
 	}
 	if l.current != nil {
+		earliest(l.current.progress.lastProgress.Add(counterTimeout))
 		if len(l.candidates) == 0 {
 			earliest(l.nextUpgradeAt)
 		}
-	} else if open, ok := l.nextOpening(); ok {
+		return at
+	}
+	earliest(l.nextBeatAt)
+	if open, ok := l.nextOpening(); ok {
 		earliest(open)
 	}
 	return at
 }
 
-// watches returns the current watch, if there is one, and the candidates.
+// watches returns all open watches.
 func (l *loop) watches() []*watch {
-	if l.current == nil {
-		return l.candidates
+	out := slices.Concat(l.candidates, l.waiting)
+	if l.current != nil {
+		out = append(out, l.current)
 	}
-	return append([]*watch{l.current}, l.candidates...)
+	return out
 }
 
-// openNext opens the next source of the plan as a candidate. It skips sources that
-// are candidates already, and the source abandoned last unless it is the only one.
-func (l *loop) openNext(ctx context.Context, now time.Time) {
-	plan := l.follower.sources()
-	for range plan {
-		pick := plan[l.nextIndex%len(plan)]
-		l.nextIndex++
-		if !l.isCandidate(pick.addr) && (pick.addr != l.lastAbandoned || len(plan) == 1) {
-			l.open(ctx, pick, now)
-			return
-		}
-	}
-	l.nextOpenAt = now.Add(maxRetryDelay)
+// isOpen reports whether a watch follows an address.
+func (l *loop) isOpen(addr string) bool {
+	return slices.ContainsFunc(l.watches(), func(w *watch) bool { return w.addr == addr })
 }
 
-// isCandidate reports whether a candidate watch follows an address.
-func (l *loop) isCandidate(addr string) bool {
-	return slices.ContainsFunc(l.candidates, func(w *watch) bool { return w.addr == addr })
+// openNext opens the next source of the search as a candidate.
+func (l *loop) openNext(ctx context.Context, now time.Time) {
+	pick, ok := l.search.next(l.follower.sources(), l.isOpen)
+	if !ok {
+		l.nextOpenAt = now.Add(maxRetryDelay)
+		return
+	}
+	l.search.record(pick)
+	l.open(ctx, pick, now)
 }
 
 // open opens a watch of a source as a candidate.
 func (l *loop) open(ctx context.Context, s source, now time.Time) {
 	l.candidates = append(l.candidates, l.follower.openWatch(ctx, s, l.events))
 	l.lastOpened = now
-	l.searchOpened++
 }
 
 // tryUpgrade opens a candidate of the best rank if the current source has another
@@ -191,86 +220,111 @@
 	l.open(ctx, plan[rand.IntN(best)], now)
 }
 
-// handleEvent handles an event of a watch. It abandons stale watches first: if
-// this process was suspended, counters that were queued in its sockets are old
-// and must not count as fresh.
+// handleEvent handles an event of a watch. It checks the progress of all watches
+// first: if this process was suspended, counters that were queued in its sockets
+// are old and must not count as fresh.
 func (l *loop) handleEvent(ev event, now time.Time) {
-	l.abandonStale(now)
-	if !slices.Contains(l.watches(), ev.watch) {
+	l.checkProgress(now)
+	w := ev.watch
+	if !slices.Contains(l.watches(), w) {
 		return // the watch was closed
 	}
 	if ev.err != nil {
-		l.abandon(ev.watch, ev.err.Error(), now)
+		l.abandon(w, ev.err.Error(), now)
 		return
 	}
-	ev.watch.heardAt = now
-	if l.follower.applyUpdate(&ev.watch.progress, ev.update, now) == view.Gap {
-		l.abandon(ev.watch, "gap: update starts after the version held", now)
+	w.heardAt = now
+	if l.follower.applyUpdate(&w.progress, ev.update, now) == view.Gap {
+		l.abandon(w, "gap: update starts after the version held", now)
 		return
 	}
-	if ev.watch != l.current && ev.watch.progress.caughtUp {
-		l.promote(ev.watch, now)
+	switch {
+	case w == l.current:
+	case w.progress.caughtUp:
+		l.promote(w, now)
+	case ev.update.Stalled && slices.Contains(l.candidates, w):
+		l.await(w, "source has no news", now)
 	}
 }
 
-// promote makes a candidate the current watch and closes the other watches.
+// promote makes a watch the current one and closes the others.
 func (l *loop) promote(w *watch, now time.Time) {
 	for _, other := range l.watches() {
 		if other != w {
 			other.cancel()
 		}
 	}
-	fields := logrus.Fields{"source": w.addr, "kind": string(w.kind), "opened": l.searchOpened}
+	fields := logrus.Fields{"source": w.addr, "kind": string(w.kind)}
 	if l.current == nil {
-		fields["search_ms"] = now.Sub(l.searchSince).Milliseconds()
-		l.follower.cfg.Metrics.Timer("follow_search").Record(now.Sub(l.searchSince))
+		took := now.Sub(l.search.since)
+		fields["search_ms"], fields["opened"] = took.Milliseconds(), l.search.opened()
+		l.follower.cfg.Metrics.Timer("follow_search").Record(took)
 	}
-	l.current, l.candidates, l.searchOpened = w, nil, 0
-	l.current.session.Store(l.follower.nextSession())
-	l.current.acknowledge()
-	l.nextIndex, l.failures = 0, 0
+	l.current, l.candidates, l.waiting = w, nil, nil
+	if w.session.Load() == 0 { // a watch that was current before the search keeps its session
+		w.session.Store(l.follower.nextSession())
+	}
+	w.acknowledge()
+	l.failures = 0
 	l.nextUpgradeAt = now.Add(randomBetween(minUpgradeDelay, maxUpgradeDelay))
 	l.follower.cfg.Metrics.Counter("follow_source_changes").Inc(1)
 	l.follower.cfg.Log.WithFields(fields).Info("following source")
 }
 
-// abandon closes a watch and sets the time at which the next one may be opened.
-func (l *loop) abandon(w *watch, reason string, now time.Time) {
-	if w == l.current {
-		l.lastAbandoned = w.addr
-		l.searchSince, l.searchOpened = now, 0
-	} else if l.lastAbandoned != "" && l.nextIndex >= len(l.follower.sources()) {
-		l.lastAbandoned = "" // every other source has been tried
-	}
-	l.close(w)
-	l.failures++
-	delay := min(maxRetryDelay, minRetryDelay<<min(l.failures-1, 5))
-	l.nextOpenAt = now.Add(randomBetween(delay/2, delay))
-	l.follower.cfg.Metrics.Counter("follow_sources_abandoned").Inc(1)
-	fields := logrus.Fields{
-		"source": w.addr, "kind": string(w.kind), "reason": reason,
-		"counter": w.progress.lastCounter, "stood_ms": now.Sub(w.progress.lastProgress).Milliseconds(),
+// await moves a watch whose source answers without news to the waiting ones, as
+// far as keepWaiting allows. A watch that is not needed is closed.
+func (l *loop) await(w *watch, reason string, now time.Time) {
+	l.detach(w, now)
+	w.progress.caughtUp = false
+	var dropped []*watch
+	if l.current != nil {
+		dropped = []*watch{w}
+	} else {
+		l.waiting, dropped = keepWaiting(l.follower.sources(), append(l.waiting, w))
 	}
-	if !w.heardAt.IsZero() {
-		fields["heard_ms"] = now.Sub(w.heardAt).Milliseconds()
+	for _, d := range dropped {
+		d.cancel()
 	}
-	l.follower.cfg.Log.WithFields(fields).Info("source abandoned")
+	l.scheduleRetry(now)
+	l.follower.cfg.Log.WithFields(w.logFields(reason, now)).WithField("waiting", slices.Contains(l.waiting, w)).Info("source without news")
 }
 
-// close closes the current watch or a candidate.
-func (l *loop) close(w *watch) {
+// abandon closes a watch that failed.
+func (l *loop) abandon(w *watch, reason string, now time.Time) {
+	l.detach(w, now)
 	w.cancel()
+	l.scheduleRetry(now)
+	l.follower.cfg.Metrics.Counter("follow_sources_abandoned").Inc(1)
+	l.follower.cfg.Log.WithFields(w.logFields(reason, now)).Info("source abandoned")
+}
+
+// detach removes a watch from the loop. Without the current watch, a search begins.
+func (l *loop) detach(w *watch, now time.Time) {
 	if w == l.current {
 		l.current = nil
-		return
+		l.search, l.nextBeatAt = newSearch(now, w.addr), now
 	}
-	l.candidates = slices.DeleteFunc(l.candidates, func(c *watch) bool { return c == w })
+	isWatch := func(other *watch) bool { return other == w }
+	l.candidates = slices.DeleteFunc(l.candidates, isWatch)
+	l.waiting = slices.DeleteFunc(l.waiting, isWatch)
+}
+
+// scheduleRetry sets when the next candidate may be opened after a failure.
+func (l *loop) scheduleRetry(now time.Time) {
+	l.failures++
+	shortest, longest := minRetryDelay, maxRetryDelay
+	if slices.ContainsFunc(l.waiting, func(w *watch) bool { return w.kind == fromRelay }) {
+		shortest, longest = minRelayedRetryDelay, maxRelayedRetryDelay
+	}
+	delay := min(longest, shortest<<min(l.failures-1, 5))
+	l.nextOpenAt = now.Add(randomBetween(delay/2, delay))
 }
 
 func (l *loop) closeAll() {
-	for _, w := range slices.Clone(l.watches()) {
-		l.close(w)
+	for _, w := range l.watches() {
+		w.cancel()
 	}
+	l.current, l.candidates, l.waiting = nil, nil, nil
 }
 
 // acknowledge makes every watch send an acknowledgement.
--- a/internal/process/entry/follow/watch.go
+++ b/internal/process/entry/follow/watch.go
@@ -8,6 +8,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/ring"
 	"github.com/fescuejunction/fescuejunction/internal/process/shared/feed"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 )
 
@@ -110,3 +111,15 @@
 
 // acknowledge makes the watch send an acknowledgement soon.
 func (w *watch) acknowledge() { signal(w.acks) }
+
+// logFields returns what was received on a watch, and why it is given up.
+func (w *watch) logFields(reason string, now time.Time) logrus.Fields {
+	fields := logrus.Fields{
+		"source": w.addr, "kind": string(w.kind), "reason": reason,
+		"counter": w.progress.lastCounter, "stood_ms": now.Sub(w.progress.lastProgress).Milliseconds(),
+	}
+	if !w.heardAt.IsZero() {
+		fields["heard_ms"] = now.Sub(w.heardAt).Milliseconds()
+	}
+	return fields
+}
