--- a/internal/process/entry/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -143,13 +143,13 @@
 }
 
 // applyUpdate applies an update that was received on a watch. It wakes the hub if
-// there is something new to relay.
-func (f *Follower) applyUpdate(progress *watchProgress, u *fescuepb.Update, now time.Time) view.Outcome {
-	outcome, wake := f.mergeUpdate(progress, u, now)
-	if wake {
+// there is something new to relay, and reports whether it did.
+func (f *Follower) applyUpdate(progress *watchProgress, u *fescuepb.Update, now time.Time) (outcome view.Outcome, pushed bool) {
+	outcome, pushed = f.mergeUpdate(progress, u, now)
+	if pushed {
 		f.hub.Wake()
 	}
-	return outcome
+	return outcome, pushed
 }
 
 // mergeUpdate merges an update into the view and puts the view in force if it is
--- a/internal/process/entry/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -31,6 +31,10 @@
 	// of all processes, a source may not listen yet.
 	maxCandidates = 3
 	hedgeDelay    = 300 * time.Millisecond
+	// beatInterval is the longest time without a push to the followers of this
+	// instance. It is above feed.PushInterval, so that beats are pushed only if no
+	// counter arrives, and half of the time after which a source counts as silent.
+	beatInterval = feed.StallTimeout / 2
 	// Bounds of the delay before a source of a better rank is tried again.
 	minUpgradeDelay = 3 * time.Second
 	maxUpgradeDelay = 8 * time.Second
@@ -55,7 +59,8 @@
 }
 
 func newLoop(f *Follower) *loop {
-	return &loop{follower: f, events: ring.New[event](eventCapacity), search: newSearch(f.now(), "")}
+	now := f.now()
+	return &loop{follower: f, events: ring.New[event](eventCapacity), search: newSearch(now, ""), nextBeatAt: now.Add(beatInterval)}
 }
 
 // run steps the loop and handles events until ctx ends.
@@ -87,9 +92,9 @@
 // due.
 func (l *loop) step(ctx context.Context, now time.Time) {
 	l.checkProgress(now)
+	l.beat(now)
 	switch {
 	case l.current == nil:
-		l.beat(now)
 		if at, ok := l.nextOpening(); ok && !now.Before(at) {
 			l.openNext(ctx, now)
 		}
@@ -98,11 +103,11 @@
 	}
 }
 
-// beat pushes to the followers of this instance every feed.PushInterval during a
-// search. The pushes show them that the instance answers and has no news.
+// beat pushes to the followers of this instance if nothing was pushed for
+// beatInterval. It shows them that the instance answers, with or without news.
 func (l *loop) beat(now time.Time) {
 	if !now.Before(l.nextBeatAt) {
-		l.nextBeatAt = now.Add(feed.PushInterval)
+		l.nextBeatAt = now.Add(beatInterval)
 		l.follower.hub.Wake()
 	}
 }
@@ -160,6 +165,7 @@
 	for _, w := range l.candidates {
 		earliest(w.progress.lastProgress.Add(counterTimeout))
 	}
+	earliest(l.nextBeatAt)
 	if l.current != nil {
 		earliest(l.current.progress.lastProgress.Add(counterTimeout))
 		if len(l.candidates) == 0 {
@@ -167,7 +173,6 @@
 		}
 		return at
 	}
-	earliest(l.nextBeatAt)
 	if open, ok := l.nextOpening(); ok {
 		earliest(open)
 	}
@@ -234,7 +239,11 @@
 		return
 	}
 	w.heardAt = now
-	if l.follower.applyUpdate(&w.progress, ev.update, now) == view.Gap {
+	outcome, pushed := l.follower.applyUpdate(&w.progress, ev.update, now)
+	if pushed {
+		l.nextBeatAt = now.Add(beatInterval)
+	}
+	if outcome == view.Gap {
 		l.abandon(w, "gap: update starts after the version held", now)
 		return
 	}
@@ -301,8 +310,8 @@
 // detach removes a watch from the loop. Without the current watch, a search begins.
 func (l *loop) detach(w *watch, now time.Time) {
 	if w == l.current {
-		l.current = nil
-		l.search, l.nextBeatAt = newSearch(now, w.addr), now
+		l.current, l.failures = nil, 0
+		l.search = newSearch(now, w.addr)
 	}
 	isWatch := func(other *watch) bool { return other == w }
 	l.candidates = slices.DeleteFunc(l.candidates, isWatch)
