--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/announce"
@@ -297,7 +298,8 @@
 
 // Acquire asks the pool's dispatcher for a slot. If it does not answer, the next
 // entry in the order of preference is asked, and finally this entry's own
-// dispatcher.
+// dispatcher. This entry's own one also decides if another entry grants a slot of a
+// target that takes no requests.
 func (p poolSlots) Acquire(ctx context.Context, w dispatch.Work) (*dispatch.Ticket, error) {
 	for range maxDispatcherAttempts {
 		dispatcher := p.guarded.remoteDispatcher(p.pool)
@@ -313,6 +315,10 @@
 			p.guarded.Log.WithFields(logrus.Fields{"service": p.pool.Service, "region": p.pool.Region, "dispatcher": dispatcher.Instance}).Info("dispatcher passed over: no answer")
 			continue
 		}
+		if err == nil && !p.guarded.takesRequests(p.pool, ticket.Target.ID) {
+			p.returnGrant(ticket, dispatcher)
+			break
+		}
 		p.guarded.recordLoad(p.pool, load)
 		p.guarded.recordRefusal(p.pool, w, load, err)
 		return ticket, err
@@ -324,6 +330,36 @@
 	return d.Acquire(ctx, w)
 }
 
+// returnGrant gives back a slot of a target that takes no requests according to the
+// version in force here.
+func (p poolSlots) returnGrant(t *dispatch.Ticket, dispatcher *fescuepb.Member) {
+	t.Done(dispatch.Outcome{Result: dispatch.CancelledByCaller})
+	logging.Routine(p.guarded.Log, logrus.Fields{
+		"service": p.pool.Service, "region": p.pool.Region, "dispatcher": dispatcher.Instance, "target": t.Target.ID,
+	}, "slot returned: its target is leaving or drained")
+}
+
+// takesRequests reports whether a target that another entry has granted takes requests
+// according to the version in force here. The other entry may be without news and have
+// an older version. A target that is not listed here may be newer than this version.
+func (g *Guarded) takesRequests(pool slotlink.Pool, target string) bool {
+	g.mu.Lock()
+	s := g.snap
+	g.mu.Unlock()
+	svc := s.Services[pool.Service]
+	if svc == nil {
+		return false
+	}
+	for _, dc := range s.DataCentres(pool.Region) {
+		for _, t := range s.Targets(svc.Name, dc) {
+			if t.Id == target {
+				return targetInfo(s, svc, t).State == dispatch.Active
+			}
+		}
+	}
+	return true
+}
+
 // loadTTL is how long a load received from another entry is valid.
 const loadTTL = 500 * time.Millisecond
 
--- a/internal/process/entry/group/guarded_test.go
+++ b/internal/process/entry/group/guarded_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -12,6 +13,8 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 )
 
 const guardedYAML = `team: platform
@@ -20,26 +23,34 @@
 host_routes: [{name: r, host: rota.example, prefix: /, safe: true, max_attempts: 2, timeout: 2s, services: [{service: rota, weight: 1}]}]
 `
 
-// guardedEntries returns one Guarded for each of three entries of a region, all
-// with the same snapshot.
-func guardedEntries(t *testing.T, targets ...*fescuepb.Target) []*Guarded {
+var guardedNames = []string{"e1", "e2", "e3"}
+
+// guardedSnapshot returns a snapshot with three entries of a region.
+func guardedSnapshot(t *testing.T, version uint64, yaml string, targets ...*fescuepb.Target) *snapshot.Snapshot {
 	t.Helper()
 	var members []*fescuepb.Member
-	names := []string{"e1", "e2", "e3"}
-	for _, name := range names {
+	for _, name := range guardedNames {
 		members = append(members, &fescuepb.Member{
 			Instance: name, DataCentre: "a", Region: "north", Role: fescuepb.Role_ROLE_ENTRY, GrpcAddr: name + ":1", Session: 1,
 		})
 	}
 	var b snapshot.Builder
 	snap, err := b.Build(snapshot.Content{
-		Version: 1, Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(guardedYAML)}}, Members: members, Targets: targets,
+		Version: version, Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(yaml)}}, Members: members, Targets: targets,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return snap
+}
+
+// guardedEntries returns one Guarded for each of three entries of a region, all
+// with the same snapshot.
+func guardedEntries(t *testing.T, targets ...*fescuepb.Target) []*Guarded {
+	t.Helper()
+	snap := guardedSnapshot(t, 1, guardedYAML, targets...)
 	var out []*Guarded
-	for _, name := range names {
+	for _, name := range guardedNames {
 		g := &Guarded{Instance: name, DataCentre: "a", Client: &slotlink.Client{Log: logging.Discard()}, Now: time.Now, Log: logging.Discard()}
 		g.SetSnapshot(snap)
 		out = append(out, g)
@@ -109,3 +120,67 @@
 		}
 	}
 }
+
+// Guards against requests to a target that is leaving or drained, sent by an entry that
+// knows it, because a dispatcher without news has granted the target.
+func TestGrantOfOlderVersionIsNotUsed(t *testing.T) {
+	listed := func(id string, leaving bool) *fescuepb.Target {
+		return &fescuepb.Target{Id: id, Service: "rota", Address: "127.0.0.1:1", DataCentre: "a", Slots: 3, Leaving: leaving}
+	}
+	drained := guardedYAML + "drains: [{service: rota, data_centre: a, target: t1}]\n"
+	for _, tc := range []struct {
+		name, yaml string
+		targets    []*fescuepb.Target // according to the version in force at the entry that asks
+		want       string
+	}{
+		{"same", guardedYAML, []*fescuepb.Target{listed("t1", false), listed("t2", false)}, "t1"},
+		{"leaving", guardedYAML, []*fescuepb.Target{listed("t1", true), listed("t2", false)}, "t2"},
+		{"drained", drained, []*fescuepb.Target{listed("t1", false), listed("t2", false)}, "t2"},
+		{"not listed yet", guardedYAML, []*fescuepb.Target{listed("t2", false)}, "t1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			pool := slotlink.Pool{Service: "rota", Region: "north"}
+			entries := guardedEntries(t, listed("t1", false))
+			byName := map[string]*Guarded{}
+			for _, g := range entries {
+				byName[g.Instance] = g
+			}
+			asks := entries[0]
+			if asks.remoteDispatcher(pool) == nil {
+				asks = entries[1]
+			}
+			dispatches := byName[asks.remoteDispatcher(pool).Instance]
+			asks.Client = slotClient(t, dispatches)
+			asks.SetSnapshot(guardedSnapshot(t, 2, tc.yaml, tc.targets...))
+			now := time.Now()
+			w := dispatch.Work{Route: "r", Safe: true, Objective: now.Add(5 * time.Second), Deadline: now.Add(5 * time.Second)}
+			ticket, err := asks.Slots("rota").Acquire(t.Context(), w)
+			if err != nil || ticket.Target.ID != tc.want {
+				t.Fatalf("%+v, %v, want %s", ticket, err, tc.want)
+			}
+			ticket.Done(dispatch.Outcome{Result: dispatch.OK})
+			for until := time.Now().Add(3 * time.Second); dispatches.Dispatcher(pool).Load().InFlight > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(until) {
+					t.Fatal("the granted slot was not given back")
+				}
+			}
+		})
+	}
+}
+
+// slotClient returns a client whose links all lead to the dispatchers of g.
+func slotClient(t *testing.T, g *Guarded) *slotlink.Client {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	fescuepb.RegisterSlotsServer(server, &slotlink.Server{Now: time.Now, Slots: g.LocalSlots})
+	go func() { _ = server.Serve(lis) }()
+	c := &slotlink.Client{Log: logging.Discard(), Dial: func(string) (*grpc.ClientConn, error) {
+		return grpc.NewClient(lis.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	}}
+	t.Cleanup(func() { c.Close(); server.Stop() })
+	return c
+}
