--- a/internal/lab/target/handler.go
+++ b/internal/lab/target/handler.go
@@ -43,7 +43,7 @@
 	rec := newRecord(r)
 	b, ok := t.admit(r.Context(), &rec)
 	if !ok {
-		t.writeRefusal(w, b)
+		t.writeRefusal(w, b, rec.RequestID)
 		return
 	}
 	started := time.Now()
@@ -97,8 +97,10 @@
 	}
 }
 
-// writeRefusal answers a request that was not run.
-func (t *Target) writeRefusal(w http.ResponseWriter, b Behaviour) {
+// writeRefusal answers a request that was not run. An entry believes the refusal on a
+// kept connection only if it names the request.
+func (t *Target) writeRefusal(w http.ResponseWriter, b Behaviour, requestID string) {
+	w.Header().Set(headerRequestID, requestID)
 	w.Header().Set(headerNotRun, "true")
 	t.setLeavingHeader(w)
 	if b.Pause != "" {
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// peerTransport returns the transport for requests that are forwarded to other
+// entries.
+func (p *process) peerTransport() *target.Transport {
+	return &target.Transport{
+		Dial:       p.peers.DialHTTP,
+		RequestID:  func(req *http.Request) string { return proxy.ForwardID(req.Header) },
+		ResponseID: func(resp *http.Response) string { return proxy.ForwardID(resp.Header) },
+	}
+}
+
 // sharedRetryPolicy returns the limit on retries of all entries together, with the
 // number of entries among which its slack is divided. Entries that have just
 // joined may not be known here yet, so joiningAllowance entries are added.
@@ -69,7 +79,7 @@
 		Ready: p.ready, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   spill.NewRegionShiftLimiter(p.settings.Region, p.settings.RegionShift, spill.DefaultRegionShiftWindow),
-		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: &target.Transport{Dial: p.peers.DialHTTP},
+		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: p.peerTransport(),
 		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
 		Now:      time.Now, Log: p.log, Metrics: p.scope,
 	}
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -37,9 +37,10 @@
 		"request_id": c.id, "service": c.service.Name, "shift": c.shift,
 		"to_instance": peer.Instance, "to_dc": peer.DataCentre, "hops": c.hops + 1, "version": c.snap.Version,
 	}, "request forwarded")
+	header := c.peerHeader(h.Instance, remote, startRecorded, h.Now())
 	x := exchange{
-		transport: h.Peers, addr: peer.PeerAddr, host: c.host,
-		header: c.peerHeader(h.Instance, remote, startRecorded, h.Now()), answeredID: forwardedID,
+		transport: h.Peers, addr: peer.PeerAddr, host: c.host, header: header,
+		naming: func(resp *http.Response) naming { return peerNaming(resp.Header, header) },
 	}
 	rep, err := x.do(ctx, c)
 	switch errkind.Of(err) {
@@ -54,6 +55,9 @@
 	c.sends = max(c.sends, readSends(rep.header))
 	if kind := errkind.Kind(rep.header.Get(headerKind)); kind != "" {
 		defer rep.finish(nil)
+		if !rep.proved {
+			return nil, errkind.New(errkind.AnswerMismatch, "instance %q wrote a refusal that does not name the request, on a connection with earlier requests", peer.Instance)
+		}
 		c.provedNotStarted = c.provedNotStarted || rep.header.Get(headerNotRun) != ""
 		return nil, &peerError{
 			cause:      errkind.New(kind, "instance %q refused the request", peer.Instance),
@@ -62,6 +66,7 @@
 		}
 	}
 	rep.header.Del(headerID)
+	rep.header.Del(headerForward)
 	return rep, nil
 }
 
@@ -75,8 +80,19 @@
 	return n
 }
 
-// forwardedID returns the request identifier in the answer of another entry.
-func forwardedID(resp *http.Response) string { return resp.Header.Get(headerID) }
+// peerNaming compares the header of another entry's answer with that of the
+// forwarded request. An entry of an earlier version names only the request, which
+// may have been forwarded to it before.
+func peerNaming(answer, asked http.Header) naming {
+	if forward := ForwardID(answer); forward != "" {
+		return nameOf(forward, ForwardID(asked))
+	}
+	return nameOf(answer.Get(headerID), asked.Get(headerID))
+}
+
+// ForwardID returns the identifier of one forward of a request to another entry,
+// from the header of the request or of its answer.
+func ForwardID(h http.Header) string { return h.Get(headerForward) }
 
 // peerError is an error answer of another entry, with the load of that entry.
 type peerError struct {
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -146,6 +146,9 @@
 	}
 	if h.peer {
 		rep.header.Set(headerID, c.id)
+		if id := ForwardID(r.Header); id != "" {
+			rep.header.Set(headerForward, id)
+		}
 		rep.header.Set(headerSends, strconv.Itoa(c.sends))
 		rep.header.Set(headerHandled, strconv.FormatInt(h.Now().Sub(start).Microseconds(), 10))
 		h.addLoadHeaders(c, rep.header)
--- a/internal/request/proxy/headers.go
+++ b/internal/request/proxy/headers.go
@@ -10,6 +10,7 @@
 	headerRemote      = "Fescue-Remote"
 	headerRecorded    = "Fescue-Recorded"
 	headerID          = "Fescue-Forwarded-Id"
+	headerForward     = "Fescue-Forward" // identifier of this one forward; the answer repeats it
 	headerLeft        = "Fescue-Forwarded-Left-Ms"
 	headerService     = "Fescue-Forwarded-Service"
 	headerVersion     = "Fescue-Forwarded-Version"
@@ -28,6 +29,6 @@
 // internalHeaders are set by entries that forward a request. They are accepted
 // on the listener for other entries only, and removed from callers' requests.
 var internalHeaders = []string{
-	headerForwardedBy, headerHops, headerRemote, headerRecorded, headerID, headerLeft, headerService, headerVersion,
+	headerForwardedBy, headerHops, headerRemote, headerRecorded, headerID, headerForward, headerLeft, headerService, headerVersion,
 	headerObjective, headerSends,
 }
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -181,6 +181,7 @@
 		}
 		<-served
 		w.h.Targets.(*connection.Transport).CloseIdleConnections()
+		w.h.Peers.(*connection.Transport).CloseIdleConnections()
 	})
 	return w
 }
@@ -204,13 +205,22 @@
 	store.Swap(snap)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	transport := &connection.Transport{Dial: connection.Dial}
+	targetConns := &connection.Transport{
+		Dial:       connection.Dial,
+		RequestID:  func(req *http.Request) string { return req.Header.Get(dialect.HeaderRequestID) },
+		ResponseID: func(resp *http.Response) string { return resp.Header.Get(dialect.HeaderRequestID) },
+	}
+	peerConns := &connection.Transport{
+		Dial:       connection.Dial,
+		RequestID:  func(req *http.Request) string { return ForwardID(req.Header) },
+		ResponseID: func(resp *http.Response) string { return ForwardID(resp.Header) },
+	}
 	w.h = New(Config{
 		Instance: "e1", DataCentre: "a", Store: store, Dialect: dialect.Native{}, Ready: func() bool { return true },
 		Groups: w.groups, Guarded: testGuarded{w}, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
 		Shares:   spill.NewRegionShiftLimiter("north", 0, spill.DefaultRegionShiftWindow),
-		Services: &ServiceStates{}, Targets: transport, Peers: transport,
-		Suspects: &Suspects{Table: quarantine.NewTable("e1"), Crashed: transport.Crashed, Report: func(quarantine.Event) {}},
+		Services: &ServiceStates{}, Targets: targetConns, Peers: peerConns,
+		Suspects: &Suspects{Table: quarantine.NewTable("e1"), Crashed: targetConns.Crashed, Report: func(quarantine.Event) {}},
 		Now:      time.Now, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
 	}, peer)
 	return w
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -27,6 +27,10 @@
 	buffered []byte        // first bytes of the body, already read
 	rest     io.ReadCloser // the body after buffered, or nil if there is no more
 	length   int64         // length of the body in bytes, -1 if unknown
+	// proved is set if the answer provably belongs to the request: it names the
+	// request, or it is the first answer on its connection. A faulty target may
+	// write an earlier answer once more on a kept connection.
+	proved bool
 	// trailer has the announced names of the trailer fields. Their values are
 	// set once the body has been read.
 	trailer http.Header
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -32,9 +33,30 @@
 	// onHead is called with the head of an answer to the request; nil if nothing is
 	// to be done.
 	onHead func(resp *http.Response)
-	// answeredID returns the request identifier in an answer, "" if there is
-	// none.
-	answeredID func(resp *http.Response) string
+	// naming returns what the header of an answer says about the request that it
+	// belongs to.
+	naming func(resp *http.Response) naming
+}
+
+// naming is what an answer says about the request that it belongs to.
+type naming int
+
+const (
+	namesNone naming = iota // it names no request
+	namesThis
+	namesOther
+)
+
+// nameOf compares the identifier in an answer, which may be missing, with that of
+// the request.
+func nameOf(answered, asked string) naming {
+	switch answered {
+	case "":
+		return namesNone
+	case asked:
+		return namesThis
+	}
+	return namesOther
 }
 
 // writeReporter is a connection that reports its writes. It is needed because
@@ -45,9 +67,10 @@
 // An error of kind TargetUnreachable or DeadlineUnmeetable proves that nothing
 // was sent.
 func (x *exchange) do(ctx context.Context, c *call) (*reply, error) {
-	var headSent atomic.Bool
+	var headSent, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			reused.Store(info.Reused)
 			if c, ok := info.Conn.(writeReporter); ok {
 				c.AfterWrite(x.onWritten)
 			}
@@ -70,7 +93,19 @@
 	if err != nil {
 		return nil, sendError(ctx, err, headSent.Load())
 	}
-	return x.readHead(ctx, c, resp)
+	name := x.naming(resp)
+	if name == namesOther {
+		resp.Body.Close()
+		return nil, errkind.New(errkind.AnswerMismatch, "the answer names another request than %q", c.id)
+	}
+	if x.onHead != nil {
+		x.onHead(resp)
+	}
+	rep, err := x.readHead(ctx, c, resp)
+	if err == nil {
+		rep.proved = name == namesThis || !reused.Load()
+	}
+	return rep, err
 }
 
 // request returns the HTTP request to send.
@@ -132,18 +167,9 @@
 // admitted it had expired, or after its deadline.
 var errLeaseExpired = errors.New("budget lease or deadline expired during the send")
 
-// readHead checks that the answer belongs to the request and that a truncated body
-// can be detected, and reads the first bytes of the body.
+// readHead checks that a truncated body of the answer can be detected, and reads the
+// first bytes of the body.
 func (x *exchange) readHead(ctx context.Context, c *call, resp *http.Response) (*reply, error) {
-	if x.answeredID != nil {
-		if echoed := x.answeredID(resp); echoed != "" && echoed != c.id {
-			resp.Body.Close()
-			return nil, errkind.New(errkind.AnswerMismatch, "the answer names request %q instead of %q", echoed, c.id)
-		}
-	}
-	if x.onHead != nil {
-		x.onHead(resp)
-	}
 	if resp.StatusCode < http.StatusOK {
 		resp.Body.Close()
 		return nil, errkind.New(errkind.AnswerBroken, "the answer has status %d, which is not a final status", resp.StatusCode)
@@ -226,6 +252,7 @@
 func (c *call) peerHeader(self string, remote, recorded bool, now time.Time) http.Header {
 	h := copyHeader(c.header)
 	h.Set(headerID, c.id)
+	h.Set(headerForward, strconv.FormatUint(rand.Uint64(), 36))
 	h.Set(headerLeft, dialect.FormatMilliseconds(c.timeLeft(now)))
 	h.Set(headerService, c.service.Name)
 	left, _ := objectiveLeft(c, now)
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -97,7 +97,7 @@
 	}
 	x := exchange{
 		transport: h.Targets, addr: t.Target.Addr, host: c.targetHost(),
-		header: h.targetHeader(c, t.Target.ID, s.start), allowTransportRetry: c.route.Safe, answeredID: h.answerID,
+		header: h.targetHeader(c, t.Target.ID, s.start), allowTransportRetry: c.route.Safe, naming: func(resp *http.Response) naming { return nameOf(h.answerID(resp), c.id) },
 		onWritten: func() {
 			if !unit.Valid() || h.Now().After(c.deadline) {
 				s.cancel(errLeaseExpired)
@@ -141,13 +141,16 @@
 }
 
 // checkAnswer replaces the answer by an error if the target did not run the
-// request, or if nothing proves that the target produced the answer. It also
-// takes over the load that the target reports.
+// request, or if nothing proves that the target produced the answer. A statement
+// that the request did not run counts only if the answer provably belongs to the
+// request. checkAnswer also takes over the load that the target reports.
 func (h *Handler) checkAnswer(s *attemptResult) {
 	head := h.Dialect.Answer(s.reply.status, s.reply.header)
 	target := s.ticket.Target.ID
 	s.load = head.Load
 	switch {
+	case (head.OtherTarget || head.NotRun) && !s.reply.proved:
+		s.err = errkind.New(errkind.AnswerMismatch, "target %q wrote a refusal that does not name the request, on a connection with earlier requests", target)
 	case head.OtherTarget:
 		s.err = errkind.New(errkind.TargetGone, "another target answered instead of target %q", target)
 	case head.NotRun:
