--- a/internal/base/signals/signals.go
+++ b/internal/base/signals/signals.go
@@ -2,7 +2,10 @@
 // settings, from the start of the process to its exit.
 //
 // Only the main packages of long-running processes import it: a program that
-// imports it is no longer ended by SIGHUP, SIGTERM or SIGINT.
+// imports it is no longer ended by SIGHUP, SIGTERM, SIGINT or SIGPIPE. SIGQUIT and
+// SIGABRT still end it at once, with a dump of its goroutines; the Go runtime
+// ignores the other signals whose default action ends a process and that it does
+// not raise for faults of the program itself.
 package signals
 
 import (
@@ -20,6 +23,9 @@
 var (
 	reload = notify(syscall.SIGHUP)
 	stop   = notify(syscall.SIGTERM, syscall.SIGINT)
+	// An unregistered SIGPIPE ends the process when it writes its log to a pipe
+	// whose reader has ended, such as a log collector that is stopped first.
+	_ = notify(syscall.SIGPIPE)
 )
 
 // notify returns a channel that receives sigs. A signal is dropped if an earlier
--- a/internal/base/signals/signals_test.go
+++ b/internal/base/signals/signals_test.go
@@ -54,6 +54,7 @@
 	t     *testing.T
 	cmd   *exec.Cmd
 	in    io.WriteCloser
+	out   io.Closer
 	lines chan string
 }
 
@@ -70,6 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.out = out
 	if err := c.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -154,3 +156,40 @@
 	}
 	c.exit()
 }
+
+// Guards against a process that ends when the reader of its standard output, such as
+// a log collector, ends before it.
+func TestClosedOutputDoesNotEndTheProcess(t *testing.T) {
+	c := startChild(t)
+	c.expect("starting")
+	if _, err := io.WriteString(c.in, "\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.expect("running")
+	_ = c.out.Close()
+	for range 5 {
+		c.signal(syscall.SIGHUP) // the process writes a line
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.exit()
+}
+
+// Guards against a signal that an operator or a supervisor may send, other than those
+// that stop or reload, and that ends a process with requests in flight.
+func TestOtherSignalsHaveNoEffect(t *testing.T) {
+	c := startChild(t)
+	c.expect("starting")
+	if _, err := io.WriteString(c.in, "\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.expect("running")
+	for _, sig := range []syscall.Signal{
+		syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGVTALRM, syscall.SIGPROF, syscall.SIGIO,
+		syscall.SIGPWR, syscall.SIGXCPU, syscall.SIGXFSZ, syscall.SIGWINCH, syscall.SIGURG, syscall.SIGCHLD, syscall.SIGCONT,
+	} {
+		c.signal(sig)
+		c.signal(syscall.SIGHUP)
+		c.expect("reload")
+	}
+	c.exit()
+}
