--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -208,7 +208,7 @@
 }
 
 // idleTimeout returns how long the connection may stay idle: the timeout in the
-// Keep-Alive header less idleTimeoutMargin, or defaultIdleTimeout without one.
+// Keep-Alive header less idleTimeoutMargin, or DefaultIdleTimeout without one.
 func idleTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
@@ -219,7 +219,7 @@
 			return time.Duration(s)*time.Second - idleTimeoutMargin
 		}
 	}
-	return defaultIdleTimeout
+	return DefaultIdleTimeout
 }
 
 // requestWritten reports whether the whole request has been written.
--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -27,9 +27,9 @@
 	// respond before it reads the rest of the body, and a transport that first
 	// wrote the whole body would block.
 	maxInlineBody = 16 << 10
-	// defaultIdleTimeout is how long an idle connection is kept if the target
+	// DefaultIdleTimeout is how long an idle connection is kept if the target
 	// states no keep-alive timeout.
-	defaultIdleTimeout = 30 * time.Second
+	DefaultIdleTimeout = 30 * time.Second
 	// idleTimeoutMargin is subtracted from the keep-alive timeout that a target
 	// states. If the target closes the connection while a request is on its way,
 	// it cannot be known whether the request has run.
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -11,6 +11,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/connection/slots"
+	"github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/group"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/lifecycle"
@@ -105,11 +106,11 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
-// callerServer returns a server for requests that are routed to targets. refuser
+// requestServer returns a server for requests that are routed to targets. refuser
 // answers requests whose header cannot be read.
-func (p *process) callerServer(h http.Handler, refuser *proxy.Handler) *caller.Server {
+func (p *process) requestServer(h http.Handler, limits func() caller.Limits, refuser *proxy.Handler) *caller.Server {
 	return &caller.Server{
-		Handler: h, Limits: p.callerLimits, Refusal: refuser.RefuseHead,
+		Handler: h, Limits: limits, Refusal: refuser.RefuseHead,
 		FinalResponseTime: p.settings.Stop.final().responses, Log: p.log,
 	}
 }
@@ -124,6 +125,16 @@
 	return caller.Limits{HeaderBytes: l.MaxHeaderBytes, HeaderTimeout: l.HeaderTimeout.AsDuration(), IdleTimeout: l.IdleTimeout.AsDuration()}
 }
 
+// peerLimits returns the limits on other entries: those on callers, except that
+// idle connections are kept for longer than the other entry uses them. Otherwise a
+// request could cross the close of its connection, and it would not be known
+// whether it has run.
+func (p *process) peerLimits() caller.Limits {
+	l := p.callerLimits()
+	l.IdleTimeout = 2 * target.DefaultIdleTimeout
+	return l
+}
+
 // listen opens the listener of an endpoint and serves it in group.
 func (p *process) listen(group *errgroup.Group, l endpoint) error {
 	lis, err := p.netListener(l.addr)
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -93,5 +93,5 @@
 	mux.Handle("GET /lookup", lookups)
 	callerHandler, peerHandler := proxy.New(cfg, false), proxy.New(cfg, true)
 	mux.Handle("/", callerHandler)
-	return p.callerServer(mux, callerHandler), p.callerServer(peerHandler, peerHandler)
+	return p.requestServer(mux, p.callerLimits, callerHandler), p.requestServer(peerHandler, p.peerLimits, peerHandler)
 }
