--- a/internal/request/proxy/stop_test.go
+++ b/internal/request/proxy/stop_test.go
@@ -109,3 +109,39 @@
 		})
 	}
 }
+
+// Guards against requests that the entry which forwarded them loses when the other
+// entry stops: one at work there must be answered, one that waits there must be
+// handled elsewhere, and a kept connection that the other entry closed must not be
+// used.
+func TestRequestsForwardedToAStoppingEntry(t *testing.T) {
+	started := make(chan struct{}, 10)
+	home := newTestEntry(t, true, target(t, func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+	}))
+	next := newTestEntry(t, true, target(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	w := newTestEntry(t, false)
+	w.groups.moveTo(home.addr)
+	var answered sync.WaitGroup
+	const slots = 2
+	for range slots {
+		answered.Go(func() { w.expectError(w.request("POST", "/", ""), errkind.DeadlineExceeded, errkind.Unknown) })
+		<-started
+	}
+	answered.Go(func() {
+		if resp, body, err := w.do(w.request("POST", "/", "")); err != nil || body != "ok" {
+			t.Errorf("the request that waited: %v %q, %v", resp, body, err)
+		}
+	})
+	for home.d.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.groups.moveTo(next.addr)
+	end, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = home.server.Shutdown(end) // reports that requests were in progress
+	answered.Wait()
+	w.groups.moveTo(home.addr)
+	w.expectError(w.request("POST", "/", "", dialect.HeaderDeadline, "300"), errkind.TargetUnreachable, errkind.No)
+}
