--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -40,6 +40,8 @@
 	"waithttp": cmdWaitHTTP,
 	"http":     cmdHTTP,
 	"rawhttp":  cmdRawHTTP,
+	"sendraw":  cmdSendRaw,
+	"received": cmdReceived,
 	"ports":    cmdPorts,
 	"expand":   cmdExpand,
 	"sleep":    cmdSleep,
@@ -178,6 +180,44 @@
 // CRLF.
 func cmdRawHTTP(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && (len(args) == 2 || len(args) == 3), "rawhttp ADDRESS FILE [PAUSE]")
+	printReceived(ts, startRaw(ts, args))
+}
+
+// sendraw NAME ADDRESS FILE [PAUSE] does the same in the background. The connection
+// is open when it returns.
+func cmdSendRaw(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && (len(args) == 3 || len(args) == 4), "sendraw NAME ADDRESS FILE [PAUSE]")
+	x := startRaw(ts, args[1:])
+	procs := ts.Value(processesKey{}).(*processes)
+	procs.mu.Lock()
+	defer procs.mu.Unlock()
+	procs.raw[args[0]] = x
+}
+
+// received NAME waits for the end of the connection of sendraw and prints what came
+// back.
+func cmdReceived(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, !neg && len(args) == 1, "received NAME")
+	procs := ts.Value(processesKey{}).(*processes)
+	procs.mu.Lock()
+	x := procs.raw[args[0]]
+	procs.mu.Unlock()
+	if x == nil {
+		ts.Fatalf("sendraw did not start %s", args[0])
+	}
+	printReceived(ts, x)
+}
+
+// rawExchange is a connection on which a file is sent.
+type rawExchange struct {
+	address string
+	done    chan struct{} // closed when the other side has closed
+	got     bytes.Buffer  // valid after done is closed
+	err     error
+}
+
+// startRaw opens a connection and sends a file, as rawhttp describes it.
+func startRaw(ts *testscript.TestScript, args []string) *rawExchange {
 	var pause time.Duration
 	if len(args) == 3 {
 		pause = duration(ts, args[2])
@@ -188,14 +228,23 @@
 	})
 	conn, err := net.DialTimeout("tcp", args[0], defaultWait)
 	ts.Check(err)
-	defer conn.Close()
 	ts.Check(conn.SetDeadline(time.Now().Add(4 * defaultWait)))
+	x := &rawExchange{address: args[0], done: make(chan struct{})}
 	go sendSlowly(conn, strings.ReplaceAll(data, "\n", "\r\n"), pause)
-	var got bytes.Buffer
-	_, err = io.Copy(&got, conn)
-	_, _ = ts.Stdout().Write(got.Bytes())
-	if got.Len() == 0 {
-		ts.Fatalf("no answer from %s: %v", args[0], err)
+	go func() {
+		defer close(x.done)
+		defer conn.Close()
+		_, x.err = io.Copy(&x.got, conn)
+	}()
+	return x
+}
+
+// printReceived prints what came back, which must not be empty.
+func printReceived(ts *testscript.TestScript, x *rawExchange) {
+	<-x.done
+	_, _ = ts.Stdout().Write(x.got.Bytes())
+	if x.got.Len() == 0 {
+		ts.Fatalf("no answer from %s: %v", x.address, x.err)
 	}
 }
 
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -20,6 +20,7 @@
 type processes struct {
 	mu     sync.Mutex
 	byName map[string]*process
+	raw    map[string]*rawExchange // connections that sendraw opened
 }
 
 type processesKey struct{}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -126,7 +126,7 @@
 	env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
 	env.Setenv("RESTARTS", cmp.Or(os.Getenv("RESTARTS"), "200"))
 	env.Setenv("RESTART_PAUSE", cmp.Or(os.Getenv("RESTART_PAUSE"), "0s"))
-	procs := &processes{byName: map[string]*process{}}
+	procs := &processes{byName: map[string]*process{}, raw: map[string]*rawExchange{}}
 	env.Values[processesKey{}] = procs
 	env.Defer(procs.killAll)
 	return nil
