--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -143,7 +143,7 @@
 	kind := errkind.Of(err)
 	ref := dialect.Refusal{ID: c.id, Kind: kind, DidRun: c.didRun(kind)}
 	if kind.Response().Retry {
-		ref.RetryAfter = max(retryAfter(err), c.earliestRetry(h.Now()))
+		ref.RetryAfter = h.retryHint(c, err)
 	}
 	body, _ := json.Marshal(errorBody{Kind: kind, Message: err.Error(), DidRun: ref.DidRun, RequestID: c.id})
 	header := http.Header{}
@@ -167,6 +167,18 @@
 	}
 }
 
+// stoppingRetryAfter is the Retry-After hint of an entry that stops. Other entries can
+// serve the request at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// retryHint returns after which time the caller should try again.
+func (h *Handler) retryHint(c *call, err error) time.Duration {
+	if errkind.Of(err) == errkind.Stopping && !fromPeer(err) {
+		return stoppingRetryAfter
+	}
+	return max(retryAfter(err), c.earliestRetry(h.Now()))
+}
+
 // retryAfterShare is the share of the caller's remaining time after which it is
 // asked to try again. The caller has one more attempt, and the cause of a refusal
 // lasts for a while, so the hint is as late as callers follow it: they wait for a
--- a/internal/request/proxy/stop_test.go
+++ b/internal/request/proxy/stop_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
 // Guards against a request whose body ends late in a planned stop, that is sent to
@@ -61,6 +62,21 @@
 	}
 }
 
+// Guards against a caller that waits before it sends a request to another entry, which
+// can serve it at once. The hint of other refusals, a third of the time that the caller
+// has left, is meant for a lack of slots.
+func TestRefusalOfAStoppingEntryAsksForAnImmediateRetry(t *testing.T) {
+	w := newTestEntry(t, false)
+	c := &call{route: &snapshot.Route{Host: "rota.example"}, deadline: time.Now().Add(9 * time.Second)}
+	stopping := errkind.New(errkind.Stopping, "stopping")
+	if got := w.h.retryHint(c, stopping); got != stoppingRetryAfter {
+		t.Errorf("retry after %v, want %v", got, stoppingRetryAfter)
+	}
+	if got := w.h.retryHint(c, errkind.New(errkind.NoTarget, "none")); got < 2*time.Second {
+		t.Errorf("another refusal asks for a retry after %v", got)
+	}
+}
+
 // Guards against a target that works on a request, accepted during a planned stop,
 // longer than the process can deliver the answer.
 func TestDeadlineEndsWithPlannedStop(t *testing.T) {
