--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -160,12 +160,24 @@
 		_ = c.raw.SetReadDeadline(time.Time{})
 	}
 	c.mu.Unlock()
-	if _, err := c.r.Peek(1); err != nil {
+	_, err := c.r.Peek(1)
+	if err != nil && c.isEnding() && c.takeArrived() {
+		_, err = c.r.Peek(1)
+	}
+	if err != nil {
 		return errConnClosed // the caller closed the connection or was idle for too long
 	}
 	return nil
 }
 
+// isEnding reports whether Shutdown has ended the wait for a request. A read that is
+// ended by its deadline does not return bytes that have arrived.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending && !c.closed
+}
+
 // startReading marks that a request has begun to arrive and sets the deadline
 // for its head. It returns errNoMoreRequests if the connection accepts no
 // further request, and errConnClosed if it was closed meanwhile.
@@ -300,7 +312,7 @@
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.phase != waitingForRequest || len(c.inProgress) > 0 {
+	if c.closed || c.ending || c.phase != waitingForRequest || len(c.inProgress) > 0 {
 		return
 	}
 	c.ending = true
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -43,9 +44,11 @@
 
 	mu       sync.Mutex
 	lis      net.Listener
+	serving  chan struct{} // closed when Serve has returned; nil before Serve
 	conns    map[*conn]struct{}
 	draining bool // the last response of each connection says that it closes
-	closed   bool
+	closed   bool // Shutdown has begun
+	ended    bool // Shutdown has closed the connections
 }
 
 // Serve accepts connections until the listener fails or is closed. It returns
@@ -56,6 +59,8 @@
 	if s.conns == nil {
 		s.conns = map[*conn]struct{}{}
 	}
+	s.serving = make(chan struct{})
+	defer close(s.serving)
 	closed := s.closed
 	s.mu.Unlock()
 	if closed {
@@ -66,6 +71,7 @@
 		raw, err := lis.Accept()
 		if err != nil {
 			if s.isClosed() {
+				s.acceptRest(lis)
 				return http.ErrServerClosed
 			}
 			var temporary interface{ Temporary() bool }
@@ -76,9 +82,33 @@
 			}
 			return err
 		}
-		if c := s.add(raw); c != nil {
-			go c.serve()
-		}
+		s.start(raw)
+	}
+}
+
+// listenerWithDeadline is a listener whose Accept can be ended without closing it.
+type listenerWithDeadline interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
+// acceptRest accepts the connections that are established already and closes the
+// listener, which would reset them.
+func (s *Server) acceptRest(lis net.Listener) {
+	defer lis.Close()
+	l, ok := lis.(syscall.Conn)
+	if !ok {
+		return
+	}
+	for raw := acceptAvailable(l); raw != nil; raw = acceptAvailable(l) {
+		s.start(raw)
+	}
+}
+
+// start serves a new connection in its own goroutine.
+func (s *Server) start(raw net.Conn) {
+	if c := s.add(raw); c != nil {
+		go c.serve()
 	}
 }
 
@@ -94,12 +124,12 @@
 // connection, such as a lack of file descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// add registers a new connection. After Shutdown it closes the connection and
-// returns nil.
+// add registers a new connection. At the end of Shutdown it closes the connection
+// and returns nil.
 func (s *Server) add(raw net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.ended {
 		_ = raw.Close()
 		return nil
 	}
@@ -151,12 +181,7 @@
 // closes the remaining connections and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	s.mu.Lock()
-	s.closed = true
-	if s.lis != nil {
-		_ = s.lis.Close()
-	}
-	s.mu.Unlock()
+	s.stopAccepting()
 	if s.awaitIdle(ctx) {
 		return nil
 	}
@@ -168,6 +193,22 @@
 	return ctx.Err()
 }
 
+// stopAccepting ends Serve and waits until it has accepted the connections that are
+// established already.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	s.closed = true
+	lis, serving := s.lis, s.serving
+	s.mu.Unlock()
+	if lis == nil {
+		return
+	}
+	if l, ok := lis.(listenerWithDeadline); !ok || l.SetDeadline(expired) != nil {
+		_ = lis.Close()
+	}
+	<-serving
+}
+
 // awaitIdle ends connections as they become idle. It reports whether none is left
 // before ctx ends.
 func (s *Server) awaitIdle(ctx context.Context) bool {
@@ -207,6 +248,7 @@
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	for c := range s.conns {
 		c.abort()
 	}
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -322,6 +322,70 @@
 	}
 }
 
+// busyListener is a listener of a process that is too busy to accept connections and
+// to read from them until the channels are closed.
+type busyListener struct {
+	*net.TCPListener
+	accept, read chan struct{}
+}
+
+func (l busyListener) Accept() (net.Conn, error) {
+	<-l.accept
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return busyConn{c, l.read}, nil
+}
+
+type busyConn struct {
+	net.Conn
+	read chan struct{}
+}
+
+func (c busyConn) Read(p []byte) (int, error) {
+	<-c.read
+	return c.Conn.Read(p)
+}
+
+// Guards against connections that are reset, with requests that have arrived, when a
+// planned stop closes the listener and the connections without a request in a process
+// that was too busy to accept or to read.
+func TestRequestsThatHaveArrivedAreAnsweredAtShutdown(t *testing.T) {
+	for _, accepted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("accepted %v", accepted), func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			busy := busyListener{lis.(*net.TCPListener), make(chan struct{}), make(chan struct{})}
+			s := &Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Limits: func() Limits { return generousLimits }, Log: logging.Discard()}
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(busy) }()
+			if accepted {
+				close(busy.accept)
+			}
+			c := dial(t, lis.Addr().String())
+			c.send(getRequest("/"))
+			time.Sleep(20 * time.Millisecond) // lets the request arrive, and the accepted connection wait for it
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Shutdown(context.Background()) }()
+			time.Sleep(20 * time.Millisecond)
+			if !accepted {
+				close(busy.accept)
+			}
+			close(busy.read)
+			if resp, _ := c.readResponse(); resp.StatusCode != http.StatusOK || !resp.Close {
+				t.Errorf("status %d, close %v; want 200 and close", resp.StatusCode, resp.Close)
+			}
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+			<-served
+		})
+	}
+}
+
 // Guards against a planned stop that closes the connections of requests whose head or
 // body is incomplete at its end, without an answer.
 func TestShutdownAnswersIncompleteRequests(t *testing.T) {
