--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -99,7 +99,8 @@
 	c := newCall(r, snap, now)
 	head, err := h.Dialect.Request(r.Header)
 	c.id, c.hasKey, c.dataCentre = requestID(head.ID), head.Key != "", h.DataCentre
-	if limit := snap.CallerLimits.MaxHeaderBytes; headerSize(r) > limit {
+	// A forwarded request has internal headers beside those of its caller.
+	if limit := snap.CallerLimits.MaxHeaderBytes; !h.peer && headerSize(r) > limit {
 		return c, errkind.New(errkind.HeaderTooLarge, "the header has %d bytes, at most %d are allowed", headerSize(r), limit)
 	}
 	if err := c.parseForwardHeaders(r.Header, h.peer); err != nil {
--- a/internal/request/proxy/send_test.go
+++ b/internal/request/proxy/send_test.go
@@ -223,6 +223,19 @@
 	w.expectError(w.request("GET", "/claim", "", headerHops, "1", headerForwardedBy, "e2", headerRecorded, "1", dialect.HeaderKey, "k"), errkind.NotDispatcher, errkind.No)
 }
 
+// Guards against a request with a large header that its entry accepts, and that the
+// next entry refuses because of the internal headers.
+func TestForwardedHeaderMayExceedTheLimitOfCallers(t *testing.T) {
+	home := newTestEntry(t, true, target(t, func(http.ResponseWriter, *http.Request) {}))
+	w := newTestEntry(t, false)
+	w.groups.moveTo(home.addr)
+	const callerHeaders = 250 // bytes, with the line of the filler
+	filler := strings.Repeat("x", document.DefaultMaxHeaderBytes-callerHeaders)
+	if resp, body, err := w.do(w.request("GET", "/", "", "X-Filler", filler)); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%v %s, %v", resp, body, err)
+	}
+}
+
 // Guards against queued requests that are refused when the dispatcher stops. They
 // must be forwarded to the next dispatcher.
 func TestStopWhileQueued(t *testing.T) {
