--- a/internal/connection/slots/slots_test.go
+++ b/internal/connection/slots/slots_test.go
@@ -177,3 +177,30 @@
 		}
 	}
 }
+
+// Guards against a request that waits for a slot at a dispatcher whose process stops,
+// and that is not passed on to the next dispatcher before its deadline. A slot that
+// was granted before stays with the request that holds it.
+func TestDispatcherStopsWhileARequestWaits(t *testing.T) {
+	s := newTestSetup(t)
+	held := s.mustAcquire()
+	s.mustAcquire()
+	result := make(chan error, 1)
+	go func() {
+		_, err := s.acquire(t.Context(), pool, 20*time.Second)
+		result <- err
+	}()
+	for s.dispatcher.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.stop()
+	select {
+	case err := <-result:
+		if !errors.Is(err, ErrNoReply) {
+			t.Errorf("the waiting request got %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the waiting request is not passed on")
+	}
+	held.Done(dispatch.Outcome{Result: dispatch.OK, Latency: time.Millisecond})
+}
