--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -32,24 +32,21 @@
 // NewDispatcher returns a running dispatcher of a Group without targets. The
 // slots of its targets are hard limits.
 func NewDispatcher(s Settings, now func() time.Time) *Dispatcher {
-	return newDispatcher(NewGroup(now(), s), now)
+	return newDispatcher(NewGroup(now(), s), now, nil)
 }
 
 // NewPoolDispatcher returns a running dispatcher of a Pool without targets. Its
 // targets enforce their slots themselves. onBackoff, unless it is nil, is called
 // for each back-off of a target.
 func NewPoolDispatcher(s Settings, now func() time.Time, onBackoff func(Backoff)) *Dispatcher {
-	d := newDispatcher(NewPool(now(), s), now)
-	d.onBackoff = onBackoff
-	return d
+	return newDispatcher(NewPool(now(), s), now, onBackoff)
 }
 
-func newDispatcher(sched scheduler, now func() time.Time) *Dispatcher {
-	d := &Dispatcher{now: now, scheduler: sched}
-	d.mu.Lock() // on a busy machine the first tick may come before the timer is stored
+func newDispatcher(sched scheduler, now func() time.Time, onBackoff func(Backoff)) *Dispatcher {
+	d := &Dispatcher{now: now, scheduler: sched, onBackoff: onBackoff, timerDelay: runningTick}
+	d.mu.Lock() // tick may run before the timer is stored
 	defer d.mu.Unlock()
 	d.timer = time.AfterFunc(runningTick, d.tick)
-	d.timerDelay = runningTick
 	return d
 }
 
