--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -290,11 +290,30 @@
 // 1, with the bytes that answer(n) returns, and closes the connection if hangUp is
 // set. seen counts the requests that it has read.
 func rawTarget(t *testing.T, answer func(n int) (text string, hangUp bool)) (addr string, seen *atomic.Int32) {
+	seen = &atomic.Int32{}
+	return serveConns(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			text, hangUp := answer(int(seen.Add(1)))
+			_, _ = io.WriteString(conn, text)
+			if hangUp {
+				return
+			}
+		}
+	}), seen
+}
+
+// serveConns passes each connection to a new address to serve, in its own goroutine.
+func serveConns(t *testing.T, serve func(net.Conn)) (addr string) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	seen = &atomic.Int32{}
 	var wg sync.WaitGroup
 	t.Cleanup(func() { lis.Close(); wg.Wait() })
 	wg.Go(func() {
@@ -305,23 +324,11 @@
 			}
 			wg.Go(func() {
 				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					text, hangUp := answer(int(seen.Add(1)))
-					_, _ = io.WriteString(conn, text)
-					if hangUp {
-						return
-					}
-				}
+				serve(conn)
 			})
 		}
 	})
-	return lis.Addr().String(), seen
+	return lis.Addr().String()
 }
 
 // constantAnswer returns an answer function for rawTarget that always returns text
--- a/internal/request/proxy/repeated_refusal_test.go
+++ b/internal/request/proxy/repeated_refusal_test.go
@@ -30,26 +30,8 @@
 }
 
 func (p *repeater) start(t *testing.T) (addr string) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	p.runs = map[string]int{}
-	var wg sync.WaitGroup
-	t.Cleanup(func() { lis.Close(); wg.Wait() })
-	wg.Go(func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() {
-				defer conn.Close()
-				p.serve(conn)
-			})
-		}
-	})
-	return lis.Addr().String()
+	return serveConns(t, p.serve)
 }
 
 func (p *repeater) serve(conn net.Conn) {
