--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -162,7 +162,7 @@
 	b.forgetEstimate()
 	if o.Report.Slots > 0 {
 		b.report, b.reportAt = o.Report, at
-		b.foreign = max(0, o.Report.Running+o.Report.Waiting-len(b.running))
+		b.foreign = foreignRequests(o, len(b.running))
 	}
 	b.observe(at, r, o)
 }
@@ -356,6 +356,16 @@
 	return min(secondHighest, maxSlowdown)
 }
 
+// foreignRequests returns how many requests of others the report of a target names. own is
+// the number of the pool's requests there that have not ended. A report counts the request
+// that it answers, unless the target has shed it.
+func foreignRequests(o Outcome, own int) int {
+	if o.Result != Shed {
+		own++
+	}
+	return max(0, o.Report.Running+o.Report.Waiting-own)
+}
+
 // foreignTTL is how long requests of others at a target count after a report, in a
 // falling share, since they end meanwhile.
 const foreignTTL = time.Second
--- a/internal/request/dispatch/pool_foreign_test.go
+++ b/internal/request/dispatch/pool_foreign_test.go
@@ -99,6 +99,7 @@
 // end ends a request at its target, which then runs the next one of its queue.
 func (s *sharedTargets) end(e foreignEnd, objective time.Duration) {
 	t := &s.targets[e.target]
+	report := t.report() // counts the request that ends
 	t.running--
 	if len(t.queue) > 0 {
 		s.run(e.at, e.target, t.queue[0])
@@ -107,7 +108,7 @@
 	if e.at-e.req.arrived <= objective {
 		s.inTime++
 	}
-	e.req.pool.Done(epoch.Add(e.at), e.req.r, Outcome{Result: OK, Report: t.report()})
+	e.req.pool.Done(epoch.Add(e.at), e.req.r, Outcome{Result: OK, Report: report})
 }
 
 // play sends requests at a rate, each through a random pool.
@@ -151,6 +152,24 @@
 	}
 }
 
+// Guards against an answered request that counts as one of others, since the report of its
+// target still counts it. A target with three slots would lose one of them.
+func TestAnsweredRequestIsNotForeign(t *testing.T) {
+	w := newPoolHarness(t, poolTargetInfo("1", 3))
+	w.warmUp("x")
+	first, second := w.mustStart(w.work("x")), w.mustStart(w.work("x"))
+	w.mustStart(w.work("x"))
+	w.now = w.now.Add(100 * time.Millisecond)
+	w.pool.Done(w.now, first, Outcome{Result: OK, Report: Report{Slots: 3, Running: 3}})
+	if got := w.pool.Load(w.now).FreeSlots; got != 1 {
+		t.Errorf("%d slots free after one of three requests was answered, want 1", got)
+	}
+	w.pool.Done(w.now, second, Outcome{Result: Shed, Report: Report{Slots: 3, Running: 3, Waiting: 1}})
+	if got := w.pool.Load(w.now).FreeSlots; got != 0 {
+		t.Errorf("%d slots free at a target that runs three requests of others and of the pool, want 0", got)
+	}
+}
+
 // Guards against targets whose queues fill up, so that no request is in time, when
 // several entries dispatch the same pool because they do not reach each other: each of
 // them knows its own requests only.
