--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -117,9 +117,6 @@
 		}
 		if !h.mayRetry(ctx, c, c.sends, err) {
 			c.noMoreSends = true
-			if errkind.Of(err) == errkind.RequestQuarantined && c.mayHaveRun != nil {
-				return nil, c.mayHaveRun // the refusal would state that the request did not run
-			}
 			return nil, err
 		}
 	}
--- a/internal/request/proxy/suspects_test.go
+++ b/internal/request/proxy/suspects_test.go
@@ -222,20 +222,34 @@
 	return q.Slots.Acquire(ctx, w)
 }
 
+// slotsGuarded gives access to slots of the test.
+type slotsGuarded struct {
+	testGuarded
+	slots dispatch.Slots
+}
+
+func (g slotsGuarded) Slots(string) dispatch.Slots { return g.slots }
+
 // Guards against a refusal that states that a request did not run after an earlier
 // attempt sent it to a target.
 func TestQuarantineAfterSendIsNotRefusedAsNotRun(t *testing.T) {
 	w, crashes, _ := newSuspectEntry(t, 4)
+	w.useDocument(strings.Replace(endlessDocument, "max_attempts: 1", "max_attempts: 2", 1))
 	req := w.request("GET", "/safe/deadly", "")
-	req.Host = w.addr
+	req.Host = "rota.example"
 	c, err := w.h.accept(httptest.NewRecorder(), req, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
-	slots := &quarantiningSlots{Slots: w.d, quarantine: func() { w.quarantineElsewhere("/safe/deadly") }}
-	_, err = w.h.runAttempts(context.Background(), c, slots, uncappedUnit{})
-	if errkind.Of(err) != errkind.TargetFailed || crashes.Load() != 1 {
-		t.Errorf("got %v after %d crashes, want %s", err, crashes.Load(), errkind.TargetFailed)
+	slots := &quarantiningSlots{Slots: w.d, quarantine: func() {
+		w.h.Suspects.Table.Apply(time.Now(), []*fescuepb.Suspect{
+			{Id: c.fingerprint().String(), Crashes: []string{"x/1", "y/1", "z/1"}, ChangedVersion: 5},
+		})
+	}}
+	w.h.Guarded = slotsGuarded{testGuarded{w}, slots}
+	_, err = w.h.run(context.Background(), c)
+	if errkind.Of(err) != errkind.TargetFailed || crashes.Load() != 1 || slots.acquired != 2 {
+		t.Errorf("got %v after %d crashes and %d slots, want %s", err, crashes.Load(), slots.acquired, errkind.TargetFailed)
 	}
 	w.waitReleased()
 }
