--- a/internal/process/entry/follow/search_test.go
+++ b/internal/process/entry/follow/search_test.go
@@ -109,13 +109,6 @@
 	})
 }
 
-// sessionNumber returns the number of the latest session of the follower.
-func (f *Follower) sessionNumber() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastSession
-}
-
 // slowestNews makes a change and returns how long the last entry takes to put it in
 // force, and which it is.
 func slowestNews(t *testing.T, control fakeControl, entries []*Follower, version uint64) (time.Duration, string) {
