--- a/internal/request/proxy/cut_answer_test.go
+++ b/internal/request/proxy/cut_answer_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"testing"
 
+	connection "github.com/fescuejunction/fescuejunction/internal/connection/target"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 )
 
@@ -21,6 +22,9 @@
 		for _, hop := range []string{"target", "entry"} {
 			t.Run(name+", "+hop, func(t *testing.T) {
 				w := newTestEntry(t, false)
+				// The targets are closed before the entry, and wait for their connections.
+				defer w.h.Targets.(*connection.Transport).CloseIdleConnections()
+				defer w.h.Peers.(*connection.Transport).CloseIdleConnections()
 				for n := range len(text) + 1 {
 					addr, _ := rawTarget(t, constantAnswer(text[:n]))
 					if hop == "target" {
