--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -132,6 +132,7 @@
 	q := spill.RegionQuery{
 		Service: c.service.Name, Region: c.snap.Region(h.DataCentre),
 		Objective: c.objective.Sub(now), Deadline: c.timeLeft(now), Remote: c.remote, Allowed: c.route.AllowedIn, Tried: tried,
+		HasObject: c.affinity != "",
 	}
 	if !c.remote {
 		q.ShiftAllowed = func(region string) bool { return h.Shares.Allows(now, region) }
--- a/internal/request/spill/region.go
+++ b/internal/request/spill/region.go
@@ -47,6 +47,7 @@
 	Objective time.Duration
 	Deadline  time.Duration // time left until the deadline
 	Remote    bool          // the request came from another region, so it is not forwarded again
+	HasObject bool          // the request is about an object that targets may have cached
 	Load      dispatch.Load // load in the sender's region
 	// Allowed reports whether the route of the request permits a region at all.
 	Allowed func(region string) bool
@@ -74,12 +75,18 @@
 	ownRegion bool
 	wait      time.Duration // expected wait for a slot
 	roundTrip time.Duration // network round trip; 0 for the own region
+	inTime    bool          // of the own region: the objective is expected to be met there
 }
 
 // cost returns the estimate by which options are ordered: the wait for a slot,
-// and for other regions the round trip and interRegionPenalty.
+// and for other regions the round trip and interRegionPenalty. The own region comes first
+// as long as the objective can be met there: the objects of its callers are cached at its
+// targets, and a request that moves displaces others from the caches elsewhere.
 func (o regionOption) cost() time.Duration {
 	if o.ownRegion {
+		if o.inTime {
+			return 0
+		}
 		return o.wait
 	}
 	return o.wait + o.roundTrip + interRegionPenalty
@@ -135,9 +142,17 @@
 	if o.ownRegion {
 		return q.Objective > 0
 	}
-	return o.wait+o.roundTrip+q.Load.Run < q.Objective
+	run := q.Load.Run
+	if q.HasObject {
+		run *= uncachedRunFactor
+	}
+	return o.wait+o.roundTrip+run < q.Objective
 }
 
+// uncachedRunFactor is how much longer than usual a request for an object is expected to
+// run in another region, whose targets have usually not handled the object.
+const uncachedRunFactor = 2
+
 // regionOptions returns the allowed regions that have targets of the service
 // and may get requests now.
 func (c *Chooser) regionOptions(now time.Time, snap *snapshot.Snapshot, q RegionQuery) []regionOption {
@@ -150,7 +165,8 @@
 		}
 		if region == q.Region {
 			if !q.Load.Draining {
-				out = append(out, regionOption{region: region, ownRegion: true, wait: q.Load.ExpectedWait})
+				wait := q.Load.ExpectedWait
+				out = append(out, regionOption{region: region, ownRegion: true, wait: wait, inTime: wait+q.Load.Run < q.Objective})
 			}
 			continue
 		}
--- a/internal/request/spill/spill_test.go
+++ b/internal/request/spill/spill_test.go
@@ -193,3 +193,37 @@
 		}
 	}
 }
+
+// Guards against requests that leave a region which can answer them in time, and against
+// requests for objects that move to a region where they would be late, because their
+// objects are not cached there: both slow down the requests of the other region.
+func TestNextAttemptKeepsObjectsAtHome(t *testing.T) {
+	s, err := new(snapshot.Builder).Build(snapshot.Content{
+		Version:  1,
+		Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(regionsDocument)}},
+		Targets:  []*fescuepb.Target{{Id: "1", Service: "rota", DataCentre: "n1"}, {Id: "2", Service: "rota", DataCentre: "s1"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const objective = 600 * time.Millisecond
+	for _, tc := range []struct {
+		name      string
+		wait, run time.Duration // in the own region
+		object    bool
+		want      string
+	}{
+		{"in time here after a wait", 350 * time.Millisecond, 200 * time.Millisecond, true, "north in time"},
+		{"late here, in time there", 450 * time.Millisecond, 200 * time.Millisecond, true, "south in time"},
+		{"late here, late there without the object", 450 * time.Millisecond, 300 * time.Millisecond, true, "north in time"},
+		{"late here, no object", 450 * time.Millisecond, 300 * time.Millisecond, false, "south in time"},
+	} {
+		step, ok := NewChooser(nil, func() float64 { return 0.5 }).NextAttempt(epoch, s, RegionQuery{
+			Service: "rota", Region: "north", Objective: objective, Deadline: 2 * time.Second, HasObject: tc.object,
+			Load: dispatch.Load{ExpectedWait: tc.wait, Run: tc.run}, Allowed: func(string) bool { return true },
+		})
+		if got := step.Region + " " + step.Mode.String(); !ok || got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+	}
+}
