--- a/internal/request/proxy/announcements_test.go
+++ b/internal/request/proxy/announcements_test.go
@@ -288,8 +288,9 @@
 func TestPauseKeepsToRetryBudget(t *testing.T) {
 	var sends atomic.Int32
 	pausing := func() string {
-		return target(t, func(w http.ResponseWriter, _ *http.Request) {
+		return target(t, func(w http.ResponseWriter, r *http.Request) {
 			sends.Add(1)
+			w.Header().Set(dialect.HeaderRequestID, r.Header.Get(dialect.HeaderRequestID))
 			w.Header().Set(dialect.HeaderNotRun, "true")
 			w.Header().Set(dialect.HeaderPause, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -312,10 +313,11 @@
 func TestPauseIsNoFailure(t *testing.T) {
 	for _, headers := range [][]string{{}, {dialect.HeaderNotRun, "true"}} {
 		var seen atomic.Int32
-		addr := target(t, func(w http.ResponseWriter, _ *http.Request) {
+		addr := target(t, func(w http.ResponseWriter, r *http.Request) {
 			if seen.Add(1) > 4 {
 				return
 			}
+			w.Header().Set(dialect.HeaderRequestID, r.Header.Get(dialect.HeaderRequestID))
 			w.Header().Set(dialect.HeaderPause, "1")
 			for i := 0; i < len(headers); i += 2 {
 				w.Header().Set(headers[i], headers[i+1])
