--- a/internal/request/spill/spill_test.go
+++ b/internal/request/spill/spill_test.go
@@ -148,10 +148,9 @@
 services: [{name: rota, guarded_slots: true, health_path: /health}]
 `
 
-// Guards against attempts in a region that the shift limit excludes, for moves
-// to another region and back to the own one, and against a shift limit that
-// still applies when the own region has failed.
-func TestNextAttemptRespectsShiftLimit(t *testing.T) {
+// regionsSnapshot returns the snapshot of regionsDocument with a target in each region.
+func regionsSnapshot(t *testing.T) *snapshot.Snapshot {
+	t.Helper()
 	s, err := new(snapshot.Builder).Build(snapshot.Content{
 		Version:  1,
 		Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(regionsDocument)}},
@@ -160,6 +159,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return s
+}
+
+// Guards against attempts in a region that the shift limit excludes, for moves
+// to another region and back to the own one, and against a shift limit that
+// still applies when the own region has failed.
+func TestNextAttemptRespectsShiftLimit(t *testing.T) {
+	s := regionsSnapshot(t)
 	for _, tc := range []struct {
 		name   string
 		wait   time.Duration // expected wait in the own region
@@ -198,14 +205,7 @@
 // requests for objects that move to a region where they would be late, because their
 // objects are not cached there: both slow down the requests of the other region.
 func TestNextAttemptKeepsObjectsAtHome(t *testing.T) {
-	s, err := new(snapshot.Builder).Build(snapshot.Content{
-		Version:  1,
-		Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(regionsDocument)}},
-		Targets:  []*fescuepb.Target{{Id: "1", Service: "rota", DataCentre: "n1"}, {Id: "2", Service: "rota", DataCentre: "s1"}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := regionsSnapshot(t)
 	const objective = 600 * time.Millisecond
 	for _, tc := range []struct {
 		name      string
