--- a/internal/connection/caller/exchange.go
+++ b/internal/connection/caller/exchange.go
@@ -140,7 +140,7 @@
 	}
 	x.headWritten = true
 	if !x.writeDeadline.IsZero() {
-		_ = x.c.raw.SetWriteDeadline(x.writeDeadline)
+		_ = x.c.raw.SetWriteDeadline(x.deadlineFromTurn(time.Now()))
 	}
 	x.setFraming(status)
 	last := x.c.startHead(x.written)
@@ -156,6 +156,20 @@
 	_, x.writeErr = x.c.w.WriteString("\r\n") // and is returned by the last write
 }
 
+// minWriteTime is how long the caller has at least to take a response, from when its turn
+// has come.
+const minWriteTime = time.Second
+
+// deadlineFromTurn returns the write deadline of a response whose turn has come at now. The
+// deadline was set when the response was ready. It may have passed while the response waited
+// for earlier ones, and the connection would then be closed without it.
+func (x *exchange) deadlineFromTurn(now time.Time) time.Time {
+	if earliest := now.Add(minWriteTime); x.writeDeadline.Before(earliest) {
+		return earliest
+	}
+	return x.writeDeadline
+}
+
 // setFraming determines how the caller recognises the end of the response body:
 // by Content-Length, by chunked encoding or by the end of the connection.
 func (x *exchange) setFraming(status int) {
--- a/internal/connection/caller/server_test.go
+++ b/internal/connection/caller/server_test.go
@@ -475,6 +475,28 @@
 	<-served
 }
 
+// Guards against a connection that is closed without the response to a pipelined request,
+// because the time to write it has passed while it waited for an earlier response.
+func TestReadyResponseOutlastsTheWaitForItsTurn(t *testing.T) {
+	ready := make(chan struct{})
+	addr, _ := startServer(t, generousLimits, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-ready
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
+		close(ready)
+	})
+	c := dial(t, addr)
+	c.send(getRequest("/slow") + getRequest("/ready"))
+	for _, path := range []string{"/slow", "/ready"} {
+		if resp, _ := c.readResponse(); resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d", path, resp.StatusCode)
+		}
+	}
+}
+
 // Guards against a draining server whose connections with pipelined requests stay
 // open, and against closing such a connection before all accepted requests are
 // answered.
