--- a/internal/request/proxy/suspects.go
+++ b/internal/request/proxy/suspects.go
@@ -26,12 +26,22 @@
 	if f := c.cachedFingerprint.Load(); f != 0 {
 		return quarantine.Fingerprint(f)
 	}
-	r := quarantine.Request{Method: c.method, Host: c.host, Path: c.path, Caller: c.shift, Object: c.object, Body: c.body}
+	r := quarantine.Request{Method: c.method, Destination: c.destination(), Path: c.path, Caller: c.shift, Object: c.object, Body: c.body}
 	f := r.Fingerprint()
 	c.cachedFingerprint.Store(uint64(f))
 	return f
 }
 
+// destination returns what the caller has addressed: the host of a route by host, and
+// otherwise the service. Without a route by host the Host header may be the address of
+// the entry, and the same path belongs to several services.
+func (c *call) destination() string {
+	if c.route.Host != "" {
+		return c.route.Host
+	}
+	return c.service.Name
+}
+
 // targetCrashes returns how many processes of targets crashed under such requests.
 func (h *Handler) targetCrashes(c *call) int {
 	if h.Suspects == nil || !h.Suspects.Table.Active() {
--- a/internal/request/proxy/suspects_test.go
+++ b/internal/request/proxy/suspects_test.go
@@ -14,7 +14,9 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
 // crashingTarget starts a stand-in target whose process ends, with all its
@@ -101,10 +103,54 @@
 	w.waitReleased()
 }
 
+// callOf returns the call of a GET of path as it arrives at the entry.
+func (w *testEntry) callOf(path string) *call {
+	w.Helper()
+	return w.accepted(w.request("GET", path, ""))
+}
+
+func (w *testEntry) accepted(req *http.Request) *call {
+	w.Helper()
+	c, err := w.h.accept(httptest.NewRecorder(), req, time.Now())
+	if err != nil {
+		w.Fatal(err)
+	}
+	return c
+}
+
+// Guards against copies of a request with different fingerprints, because each entry
+// is addressed by another Host header, and against requests to different services with
+// the same fingerprint.
+func TestFingerprintNamesHostOrService(t *testing.T) {
+	byService := func(service, host string) *call {
+		return &call{method: "GET", host: host, path: "/safe", service: &snapshot.Service{Service: document.Service{Name: service}}, route: &snapshot.Route{}}
+	}
+	byHost := func(service, host string) *call {
+		c := byService(service, host)
+		c.route.Host = hostName(host)
+		return c
+	}
+	for _, x := range []struct {
+		what string
+		a, b *call
+		same bool
+	}{
+		{"addresses of two entries", byService("rota", "192.0.2.1:80"), byService("rota", "192.0.2.2:80"), true},
+		{"two services", byService("rota", "192.0.2.1:80"), byService("limits", "192.0.2.1:80"), false},
+		{"two spellings of a host", byHost("rota", "rota.example"), byHost("rota", "Rota.Example:80"), true},
+		{"two services of a host", byHost("rota", "rota.example"), byHost("limits", "rota.example"), true},
+		{"two hosts", byHost("rota", "rota.example"), byHost("rota", "limits.example"), false},
+	} {
+		if same := x.a.fingerprint() == x.b.fingerprint(); same != x.same {
+			t.Errorf("%s: the same fingerprint: %t, want %t", x.what, same, x.same)
+		}
+	}
+}
+
 // quarantineElsewhere makes the entry learn that other entries saw three targets
 // crash under a GET of path.
 func (w *testEntry) quarantineElsewhere(path string) {
-	c := &call{method: "GET", host: w.addr, path: path, shift: "s1"}
+	c := w.callOf(path)
 	w.h.Suspects.Table.Apply(time.Now(), []*fescuepb.Suspect{
 		{Id: c.fingerprint().String(), Crashes: []string{"x/1", "y/1", "z/1"}, ChangedVersion: 5},
 	})
@@ -167,7 +213,7 @@
 	if w.h.Suspects.Table.Active() {
 		t.Error("a broken connection counts as a crash")
 	}
-	c := &call{method: "GET", host: w.addr, path: "/safe", shift: "s1"}
+	c := w.callOf("/safe")
 	w.h.Suspects.Table.Crashed(time.Now(), c.fingerprint(), "x/1")
 	for range 8 {
 		_, _, _ = w.do(w.request("GET", "/safe", ""))
@@ -182,7 +228,7 @@
 // for it, is sent, and ends the quarantine if it is answered.
 func TestTrialEndsQuarantine(t *testing.T) {
 	w := newTestEntry(t, false, target(t, func(http.ResponseWriter, *http.Request) {}))
-	c := &call{method: "GET", host: w.addr, path: "/safe", shift: "s1"}
+	c := w.callOf("/safe")
 	apply := func(s *fescuepb.Suspect) {
 		s.Id, s.Crashes = c.fingerprint().String(), []string{"x/1", "y/1", "z/1"}
 		w.h.Suspects.Table.Apply(time.Now(), []*fescuepb.Suspect{s})
@@ -237,17 +283,14 @@
 	w.useDocument(strings.Replace(endlessDocument, "max_attempts: 1", "max_attempts: 2", 1))
 	req := w.request("GET", "/safe/deadly", "")
 	req.Host = "rota.example"
-	c, err := w.h.accept(httptest.NewRecorder(), req, time.Now())
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := w.accepted(req)
 	slots := &quarantiningSlots{Slots: w.d, quarantine: func() {
 		w.h.Suspects.Table.Apply(time.Now(), []*fescuepb.Suspect{
 			{Id: c.fingerprint().String(), Crashes: []string{"x/1", "y/1", "z/1"}, ChangedVersion: 5},
 		})
 	}}
 	w.h.Guarded = slotsGuarded{testGuarded{w}, slots}
-	_, err = w.h.run(context.Background(), c)
+	_, err := w.h.run(context.Background(), c)
 	if errkind.Of(err) != errkind.TargetFailed || crashes.Load() != 1 || slots.acquired != 2 {
 		t.Errorf("got %v after %d crashes and %d slots, want %s", err, crashes.Load(), slots.acquired, errkind.TargetFailed)
 	}
--- a/internal/version/quarantine/bench_test.go
+++ b/internal/version/quarantine/bench_test.go
@@ -9,7 +9,7 @@
 
 // BenchmarkCheck measures what a request pays: without a suspect, and with one.
 func BenchmarkCheck(b *testing.B) {
-	r := quarantine.Request{Method: "GET", Host: "nony93.example", Path: "/puje670/16/5e4b", Object: "16"}
+	r := quarantine.Request{Method: "GET", Destination: "nony93.example", Path: "/puje670/16/5e4b", Object: "16"}
 	for name, suspects := range map[string]int{"no suspect": 0, "one suspect": 1, "full": quarantine.MaxSuspects} {
 		b.Run(name, func(b *testing.B) {
 			t, now := quarantine.NewTable("e"), time.Now()
--- a/internal/version/quarantine/fingerprint.go
+++ b/internal/version/quarantine/fingerprint.go
@@ -28,18 +28,19 @@
 // Request holds what is the same when a request comes again. Its identifier, its
 // deadline and the address of its caller differ from one attempt to the next.
 type Request struct {
-	Method, Host string
-	Path         string // with the query
-	Caller       string // identity of the caller as far as the request states it
-	Object       string // that the request is about, as far as it states it
-	Body         []byte
+	Method      string
+	Destination string // host or service
+	Path        string // with the query
+	Caller      string // identity of the caller as far as the request states it
+	Object      string // that the request is about, as far as it states it
+	Body        []byte
 }
 
 // Fingerprint returns the fingerprint of the request. It does not allocate.
 func (r *Request) Fingerprint() Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, s := range [...]string{r.Method, r.Host, r.Path, r.Caller, r.Object} {
+	for _, s := range [...]string{r.Method, r.Destination, r.Path, r.Caller, r.Object} {
 		_, _ = d.WriteString(s)
 		_, _ = d.WriteString("\x00")
 	}
--- a/internal/version/quarantine/quarantine_test.go
+++ b/internal/version/quarantine/quarantine_test.go
@@ -322,17 +322,17 @@
 // Guards against different requests with the same fingerprint and against a fingerprint
 // that depends on more than the request.
 func TestFingerprint(t *testing.T) {
-	base := quarantine.Request{Method: "GET", Host: "h", Path: "/a?b", Caller: "c", Object: "o", Body: []byte("x")}
+	base := quarantine.Request{Method: "GET", Destination: "h", Path: "/a?b", Caller: "c", Object: "o", Body: []byte("x")}
 	same := base
 	if base.Fingerprint() != same.Fingerprint() {
 		t.Error("the same request has two fingerprints")
 	}
 	seen := map[quarantine.Fingerprint]bool{base.Fingerprint(): true}
 	for _, change := range []func(*quarantine.Request){
-		func(r *quarantine.Request) { r.Method = "PUT" }, func(r *quarantine.Request) { r.Host = "g" },
+		func(r *quarantine.Request) { r.Method = "PUT" }, func(r *quarantine.Request) { r.Destination = "g" },
 		func(r *quarantine.Request) { r.Path = "/a" }, func(r *quarantine.Request) { r.Caller = "d" },
 		func(r *quarantine.Request) { r.Object = "p" }, func(r *quarantine.Request) { r.Body = []byte("y") },
-		func(r *quarantine.Request) { r.Method, r.Host = "GETh", "" },
+		func(r *quarantine.Request) { r.Method, r.Destination = "GETh", "" },
 	} {
 		r := base
 		change(&r)
