group: log and measure how late a dispatcher's reply is

The log did not tell whether a request waited for a slot, for the dispatcher, or on the links between them. A ticket now says which entry granted the slot and how long its reply took without the time in the queue; both stand in "request dispatched", and slot_reply measures it.

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -16,6 +16,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -39,6 +40,7 @@
 	DataCentre string
 	Client     *slotlink.Client
 	Announced  *announce.Registry // what targets have announced to this entry; may be nil
+	Metrics    tally.Scope        // nil: none
 	Now        func() time.Time
 	Log        *logrus.Entry
 
@@ -309,12 +311,16 @@
 		if err := p.guarded.refusedLately(p.pool, w); err != nil {
 			return nil, err
 		}
-		ticket, load, err := p.guarded.Client.Acquire(ctx, dispatcher.GrpcAddr, p.pool, w, p.guarded.Now())
+		asked := p.guarded.Now()
+		ticket, load, err := p.guarded.Client.Acquire(ctx, dispatcher.GrpcAddr, p.pool, w, asked)
 		if errors.Is(err, slotlink.ErrNoReply) || errkind.Of(err) == errkind.NotDispatcher && err != nil {
 			p.guarded.MarkUnreachable(dispatcher.Instance)
 			p.guarded.Log.WithFields(logrus.Fields{"service": p.pool.Service, "region": p.pool.Region, "dispatcher": dispatcher.Instance}).Info("dispatcher passed over: no answer")
 			continue
 		}
+		if err == nil {
+			p.guarded.recordReply(ticket, dispatcher, asked)
+		}
 		if err == nil && !p.guarded.takesRequests(p.pool, ticket.Target.ID) {
 			p.returnGrant(ticket, dispatcher)
 			break
@@ -330,6 +336,14 @@
 	return d.Acquire(ctx, w)
 }
 
+// recordReply records how late the reply of another entry that granted a slot was.
+func (g *Guarded) recordReply(t *dispatch.Ticket, dispatcher *fescuepb.Member, asked time.Time) {
+	t.Dispatcher, t.ReplyTime = dispatcher.Instance, max(g.Now().Sub(asked)-t.QueuedFor, 0)
+	if g.Metrics != nil {
+		g.Metrics.Timer("slot_reply").Record(t.ReplyTime)
+	}
+}
+
 // returnGrant gives back a slot of a target that takes no requests according to the
 // version in force here.
 func (p poolSlots) returnGrant(t *dispatch.Ticket, dispatcher *fescuepb.Member) {
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -147,7 +147,7 @@
 		DispatcherChanged: func(string) { p.ledger.Wake() }, Log: p.log,
 	})
 	p.guarded = &group.Guarded{
-		Instance: s.Instance, DataCentre: s.DataCentre, Client: &slots.Client{Dial: p.peers.Dial, Log: p.log}, Announced: p.announced, Now: time.Now, Log: p.log,
+		Instance: s.Instance, DataCentre: s.DataCentre, Client: &slots.Client{Dial: p.peers.Dial, Log: p.log}, Announced: p.announced, Metrics: p.scope, Now: time.Now, Log: p.log,
 	}
 	p.ledger = once.New(once.Config{
 		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: incarnation, Store: p.store,
--- a/internal/request/dispatch/dispatcher.go
+++ b/internal/request/dispatch/dispatcher.go
@@ -167,6 +167,11 @@
 	Target    TargetInfo
 	QueuedFor time.Duration
 	Reason    string // why this target was chosen, for the log
+	// Dispatcher is the other entry that granted the slot, "" for this one.
+	Dispatcher string
+	// ReplyTime is the time from the question to that entry until its reply, without
+	// QueuedFor. It shows how late the links and that entry are.
+	ReplyTime time.Duration
 
 	d    *Dispatcher
 	req  Request
--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -169,7 +169,7 @@
 	logging.Routine(h.Log, logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "route": c.route.Name, "shift": c.shift,
 		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
-		"queued_ms": milliseconds(t.QueuedFor), "mode": c.step.Mode.String(), "region": c.step.Region,
+		"queued_ms": milliseconds(t.QueuedFor), "dispatcher": t.Dispatcher, "reply_ms": milliseconds(t.ReplyTime), "mode": c.step.Mode.String(), "region": c.step.Region,
 		"objective_ms": milliseconds(c.objective.Sub(h.Now())), "object": c.affinity, "wait_ms": milliseconds(c.callerTimeout), "here_ms": milliseconds(h.Now().Sub(c.received)), "version": c.snap.Version,
 	}, "request dispatched")
 }
