group: dispatch a large pool in parts

Cause: one entry of a region dispatches all targets of a service. Each request of the region asks it for a slot and reports the end, 124 bytes to it and 81 from it, over a link of 2 Mbit/s that it shares with its callers. Replies take 100 to 780 ms, while the dispatching entry itself decides at once.

SlotAsk names the part; an older entry asks for the first part.

--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -55,8 +55,12 @@
 	return c.link(addr).acquire(ctx, p, w, now)
 }
 
-// Pool identifies the targets of a service in a region.
-type Pool struct{ Service, Region string }
+// Pool identifies the targets of a service in a region, or one part of them if there are
+// too many for one dispatcher.
+type Pool struct {
+	Service, Region string
+	Part            int // counted from 0
+}
 
 func (c *Client) link(addr string) *link {
 	c.mu.Lock()
--- a/internal/connection/slots/codec.go
+++ b/internal/connection/slots/codec.go
@@ -14,7 +14,7 @@
 // then, so the clocks of the entries need not agree.
 func encodeAsk(p Pool, w dispatch.Work, now time.Time) *fescuepb.SlotAsk {
 	a := &fescuepb.SlotAsk{
-		Service: p.Service, Region: p.Region, Route: w.Route, Object: w.Object, From: w.FromDataCentre,
+		Service: p.Service, Region: p.Region, Part: uint32(p.Part), Route: w.Route, Object: w.Object, From: w.FromDataCentre,
 		Safe: w.Safe, AnySlot: w.AnySlot, NoQueue: w.NoQueue, Remote: w.Remote,
 		Priority: uint32(max(w.Priority, 0)), DeadlineUs: w.Deadline.Sub(now).Microseconds(), Exclude: w.Exclude,
 	}
--- a/internal/connection/slots/server.go
+++ b/internal/connection/slots/server.go
@@ -72,7 +72,7 @@
 }
 
 func (ss *serverStream) handleAsk(a *fescuepb.SlotAsk) {
-	d := ss.s.Slots(Pool{a.Service, a.Region})
+	d := ss.s.Slots(Pool{Service: a.Service, Region: a.Region, Part: int(a.Part)})
 	if d == nil {
 		ss.refuse(a.Id, errkind.New(errkind.NotDispatcher, "this entry does not dispatch the pool"), dispatch.Load{})
 		return
--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,8 +30,8 @@
 
 // Guarded dispatches the services with guarded_slots, whose targets refuse
 // requests beyond their slots. Each pool, which is the targets of a service in a
-// region, has one dispatcher. The entries of the region choose it by rendezvous
-// hashing over the members in the snapshot in force. While their snapshots
+// region or a part of them, has one dispatcher. The entries of the region choose it by
+// rendezvous hashing over the members in the snapshot in force. While their snapshots
 // differ, or while some of them cannot reach the dispatcher, several entries may
 // dispatch the same pool. The targets then refuse the excess requests, so the
 // entries need not divide the slots among themselves. Guarded is safe for
@@ -46,6 +47,7 @@
 
 	mu                sync.Mutex
 	snap              *snapshot.Snapshot
+	partitions        map[regionTargets]*partition // of snap, as far as they were needed
 	local             map[slotlink.Pool]*dispatch.Dispatcher
 	remoteLoads       map[slotlink.Pool]timedLoad // of pools that other entries dispatch
 	refusals          map[slotlink.Pool]refusal   // the last ones of pools that other entries dispatch
@@ -68,16 +70,16 @@
 		g.unreachableUntil, g.loggedDispatchers = map[string]time.Time{}, map[slotlink.Pool]string{}
 		g.refusals = map[slotlink.Pool]refusal{}
 	}
-	g.snap = s
+	g.snap, g.partitions = s, map[regionTargets]*partition{}
 	for pool, d := range g.local {
 		svc := s.Services[pool.Service]
-		if svc == nil || !svc.GuardedSlots {
+		if svc == nil || !svc.GuardedSlots || !g.partitionLocked(svc, pool.Region).has(pool.Part) {
 			d.Stop()
 			delete(g.local, pool)
 			continue
 		}
 		d.Configure(g.poolSettingsLocked(svc, pool))
-		d.SetTargets(g.targetInfos(s, svc, pool.Region))
+		d.SetTargets(g.targetInfosLocked(svc, pool))
 	}
 	g.Client.CloseExcept(g.peerAddrsLocked())
 }
@@ -134,7 +136,7 @@
 		return nil
 	}
 	d := dispatch.NewPoolDispatcher(g.poolSettingsLocked(svc, pool), g.Now, func(b dispatch.Backoff) { g.logBackoff(pool, b) })
-	d.SetTargets(g.targetInfos(g.snap, svc, pool.Region))
+	d.SetTargets(g.targetInfosLocked(svc, pool))
 	g.local[pool] = d
 	return d
 }
@@ -143,7 +145,7 @@
 // bounds the number of lines: it lasts 0.1 s at least.
 func (g *Guarded) logBackoff(pool slotlink.Pool, b dispatch.Backoff) {
 	g.Log.WithFields(logrus.Fields{
-		"service": pool.Service, "region": pool.Region, "target": b.Target, "cause": b.Cause.String(), "failures": b.Failures, "timeouts": b.Timeouts,
+		"service": pool.Service, "region": pool.Region, "part": pool.Part, "target": b.Target, "cause": b.Cause.String(), "failures": b.Failures, "timeouts": b.Timeouts,
 		"silent_ms": b.SilentFor.Milliseconds(), "backoff_ms": b.Duration.Milliseconds(), "failed_percent": b.FailedPercent,
 	}).Info("target backed off")
 }
@@ -159,9 +161,10 @@
 	return settings
 }
 
-// Slots returns the slots of a service in this entry's region, or nil if there
-// is no such service with guarded_slots.
-func (g *Guarded) Slots(service string) dispatch.Slots {
+// Slots returns the slots of a service in this entry's region for a request about an
+// object, or nil if there is no such service with guarded_slots. The object is "" if the
+// request has none.
+func (g *Guarded) Slots(service, object string) dispatch.Slots {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.snap == nil {
@@ -172,7 +175,8 @@
 	if svc == nil || !svc.GuardedSlots {
 		return nil
 	}
-	return poolSlots{g, slotlink.Pool{Service: service, Region: region}}
+	p := g.partitionLocked(svc, region)
+	return partedSlots{guarded: g, service: service, region: region, partition: p, order: p.order(object)}
 }
 
 // remoteDispatcher returns the entry that dispatches a pool, or nil if this entry
@@ -188,7 +192,7 @@
 	if previous := g.loggedDispatchers[pool]; previous != name {
 		g.loggedDispatchers[pool] = name
 		g.Log.WithFields(logrus.Fields{
-			"service": pool.Service, "region": pool.Region, "from_instance": previous, "to_instance": name, "version": g.snap.Version,
+			"service": pool.Service, "region": pool.Region, "part": pool.Part, "from_instance": previous, "to_instance": name, "version": g.snap.Version,
 		}).Info("dispatcher chosen")
 	}
 	return m
@@ -219,8 +223,15 @@
 	return best
 }
 
-// rankKey returns the key by which the entries are ranked for a pool.
-func rankKey(pool slotlink.Pool) string { return pool.Service + "\x00" + pool.Region }
+// rankKey returns the key by which the entries are ranked for a pool. That of the first
+// part is the same as that of a pool without parts.
+func rankKey(pool slotlink.Pool) string {
+	key := pool.Service + "\x00" + pool.Region
+	if pool.Part > 0 {
+		key += "\x00" + strconv.Itoa(pool.Part)
+	}
+	return key
+}
 
 // prefers reports whether entry a is preferred to entry b for a key, by
 // rendezvous hashing.
@@ -315,7 +326,7 @@
 		ticket, load, err := p.guarded.Client.Acquire(ctx, dispatcher.GrpcAddr, p.pool, w, asked)
 		if errors.Is(err, slotlink.ErrNoReply) || errkind.Of(err) == errkind.NotDispatcher && err != nil {
 			p.guarded.MarkUnreachable(dispatcher.Instance)
-			p.guarded.Log.WithFields(logrus.Fields{"service": p.pool.Service, "region": p.pool.Region, "dispatcher": dispatcher.Instance}).Info("dispatcher passed over: no answer")
+			p.guarded.Log.WithFields(logrus.Fields{"service": p.pool.Service, "region": p.pool.Region, "part": p.pool.Part, "dispatcher": dispatcher.Instance}).Info("dispatcher passed over: no answer")
 			continue
 		}
 		if err == nil {
@@ -412,13 +423,19 @@
 	return out
 }
 
-// targetInfos returns the targets of a service in a region. A target is leaving if
-// the snapshot says so or if the target has announced it.
-func (g *Guarded) targetInfos(s *snapshot.Snapshot, svc *snapshot.Service, region string) []dispatch.TargetInfo {
+// targetInfosLocked returns the targets of a pool.
+func (g *Guarded) targetInfosLocked(svc *snapshot.Service, pool slotlink.Pool) []dispatch.TargetInfo {
+	p := g.partitionLocked(svc, pool.Region)
+	return slices.DeleteFunc(g.regionTargetInfosLocked(svc, pool.Region), func(i dispatch.TargetInfo) bool { return p.partOf[i.ID] != pool.Part })
+}
+
+// regionTargetInfosLocked returns the targets of a service in a region. A target is
+// leaving if the snapshot says so or if the target has announced it.
+func (g *Guarded) regionTargetInfosLocked(svc *snapshot.Service, region string) []dispatch.TargetInfo {
 	var infos []dispatch.TargetInfo
-	for _, dc := range s.DataCentres(region) {
-		for _, t := range s.Targets(svc.Name, dc) {
-			info := targetInfo(s, svc, t)
+	for _, dc := range g.snap.DataCentres(region) {
+		for _, t := range g.snap.Targets(svc.Name, dc) {
+			info := targetInfo(g.snap, svc, t)
 			if g.Announced.Of(info.Process()).Leaving {
 				info.State = dispatch.Leaving
 			}
--- a/internal/process/entry/group/guarded_test.go
+++ b/internal/process/entry/group/guarded_test.go
@@ -34,6 +34,12 @@
 			Instance: name, DataCentre: "a", Region: "north", Role: fescuepb.Role_ROLE_ENTRY, GrpcAddr: name + ":1", Session: 1,
 		})
 	}
+	return snapshotOf(t, version, yaml, members, targets...)
+}
+
+// snapshotOf returns a snapshot with one section.
+func snapshotOf(t *testing.T, version uint64, yaml string, members []*fescuepb.Member, targets ...*fescuepb.Target) *snapshot.Snapshot {
+	t.Helper()
 	var b snapshot.Builder
 	snap, err := b.Build(snapshot.Content{
 		Version: version, Sections: []*fescuepb.Section{{Team: "platform", Yaml: []byte(yaml)}}, Members: members, Targets: targets,
@@ -93,7 +99,7 @@
 func TestGuardedBeforeTheFirstSnapshot(t *testing.T) {
 	g := &Guarded{Instance: "e1", DataCentre: "a", Client: &slotlink.Client{Log: logging.Discard()}, Now: time.Now, Log: logging.Discard()}
 	pool := slotlink.Pool{Service: "rota", Region: "north"}
-	if g.Ready() || g.Slots("rota") != nil || g.Dispatcher(pool) != nil || g.RegionEntries("north", "id") != nil {
+	if g.Ready() || g.Slots("rota", "") != nil || g.Dispatcher(pool) != nil || g.RegionEntries("north", "id") != nil {
 		t.Error("entries, slots or a dispatcher without a snapshot")
 	}
 }
@@ -154,7 +160,7 @@
 			asks.SetSnapshot(guardedSnapshot(t, 2, tc.yaml, tc.targets...))
 			now := time.Now()
 			w := dispatch.Work{Route: "r", Safe: true, Objective: now.Add(5 * time.Second), Deadline: now.Add(5 * time.Second)}
-			ticket, err := asks.Slots("rota").Acquire(t.Context(), w)
+			ticket, err := asks.Slots("rota", "").Acquire(t.Context(), w)
 			if err != nil || ticket.Target.ID != tc.want {
 				t.Fatalf("%+v, %v, want %s", ticket, err, tc.want)
 			}
--- a/internal/request/proxy/announcements_test.go
+++ b/internal/request/proxy/announcements_test.go
@@ -135,7 +135,7 @@
 	slots dispatch.Slots
 }
 
-func (s slotsOf) Slots(string) dispatch.Slots { return s.slots }
+func (s slotsOf) Slots(string, string) dispatch.Slots { return s.slots }
 
 // Guards against a slot that was granted before an announcement and is used after it,
 // and against a dispatcher that does not learn why it was not used. A dispatcher that
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -17,8 +17,9 @@
 // such a service refuse requests that exceed their slots, and prove that these
 // requests did not run.
 type Guarded interface {
-	// Slots returns the slots of a service in this entry's region, or nil.
-	Slots(service string) dispatch.Slots
+	// Slots returns the slots of a service in this entry's region for a request about
+	// an object, or nil. The object is "" if the request has none.
+	Slots(service, object string) dispatch.Slots
 	// RegionEntries returns the entries of another region to which a request may be
 	// forwarded, in order of preference. The key spreads requests over them.
 	RegionEntries(region, key string) []*fescuepb.Member
@@ -137,7 +138,7 @@
 	if !c.remote {
 		q.ShiftAllowed = func(region string) bool { return h.Shares.Allows(now, region) }
 	}
-	if s := h.Guarded.Slots(c.service.Name); s != nil {
+	if s := h.Guarded.Slots(c.service.Name, c.affinity); s != nil {
 		q.Load = s.Load()
 	}
 	return q
@@ -148,7 +149,7 @@
 	if !step.OwnRegion {
 		return h.forwardToRegion(ctx, c, step.Region)
 	}
-	s := h.Guarded.Slots(c.service.Name)
+	s := h.Guarded.Slots(c.service.Name, c.affinity)
 	if s == nil {
 		return nil, errkind.New(errkind.NotReady, "service %q is not in the version in force", c.service.Name)
 	}
--- a/internal/request/proxy/guarded_test.go
+++ b/internal/request/proxy/guarded_test.go
@@ -113,7 +113,7 @@
 	slots *countingSlots
 }
 
-func (g countingGuarded) Slots(string) dispatch.Slots { return g.slots }
+func (g countingGuarded) Slots(string, string) dispatch.Slots { return g.slots }
 
 // Guards against a dispatcher that is asked twice for each request that it refuses: the
 // second time for a slot that is free now, right after it found none. After a time in
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -250,7 +250,7 @@
 	if !c.service.GuardedSlots {
 		return nil
 	}
-	return h.Guarded.Slots(c.service.Name)
+	return h.Guarded.Slots(c.service.Name, c.affinity)
 }
 
 // addLoadHeaders reports the load of the service's dispatcher to the entry that
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -131,7 +131,7 @@
 	w *testEntry
 }
 
-func (g testGuarded) Slots(string) dispatch.Slots { return g.w.d }
+func (g testGuarded) Slots(string, string) dispatch.Slots { return g.w.d }
 
 func (g testGuarded) RegionEntries(region, _ string) (out []*fescuepb.Member) {
 	for _, m := range g.w.h.Store.Load().Members() {
--- a/internal/request/proxy/suspects_test.go
+++ b/internal/request/proxy/suspects_test.go
@@ -274,7 +274,7 @@
 	slots dispatch.Slots
 }
 
-func (g slotsGuarded) Slots(string) dispatch.Slots { return g.slots }
+func (g slotsGuarded) Slots(string, string) dispatch.Slots { return g.slots }
 
 // Guards against a refusal that states that a request did not run after an earlier
 // attempt sent it to a target.
