slots: a late reply does not make a dispatcher absent

Cause: silence of a dispatcher was counted from its last reply on the stream, whether or not there had been a question since. The first question after 120 ms without one was given up as soon as its time was over, 120 ms for a question for any slot, while a tenth of the replies took 200 to 350 ms. The entry then passed the dispatcher over for a second and dispatched with all slots itself.

Change: silence counts from the oldest question without a reply, and 500 ms of it make a dispatcher absent. A question is waited for up to the objective and 120 ms, at least 500 ms; after that the request is refused, and the dispatcher is not asked for any slot in addition.

TestSlowDispatcherIsNotPassedOver: the new case, a reply after 400 ms on a stream without questions before, was an absent dispatcher after 120 ms. The case of one that answers others only is stricter (500 ms instead of 740 ms).

--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -22,22 +22,22 @@
 	// request may wait in the dispatcher's queue. Round trips within a region
 	// take a few milliseconds.
 	replyMargin = 120 * time.Millisecond
-	// maxReplyDelay is how much longer than replyMargin a reply may take if the
-	// dispatcher answers other requests meanwhile. It has too much to do then, and
-	// another dispatcher of the same targets would only add to their load.
-	maxReplyDelay = 500 * time.Millisecond
-	sendQueueSize = 1024                   // messages
-	reopenDelay   = 200 * time.Millisecond // minimum time between two attempts to open a stream
-	openTimeout   = time.Second
+	// silentAfter is how long a dispatcher may leave all questions of a link without a
+	// reply before it counts as absent. While the links are full, a tenth of the
+	// replies take 350 ms. A dispatcher that is late answers others, and a second
+	// dispatcher of the same targets would only add to their load.
+	silentAfter = 500 * time.Millisecond
+	// overloadedRetryAfter is when a request may come again whose dispatcher was late.
+	overloadedRetryAfter = 500 * time.Millisecond
+	sendQueueSize        = 1024                   // messages
+	reopenDelay          = 200 * time.Millisecond // minimum time between two attempts to open a stream
+	openTimeout          = time.Second
 )
 
 // ErrNoReply reports that a dispatcher did not reply to a slot request in time.
 // No slot was obtained; the slot of a late reply is released.
 var ErrNoReply = errkind.New(errkind.NotDispatcher, "the dispatcher did not reply in time")
 
-// errOverloaded reports that a dispatcher answers, but not in time.
-var errOverloaded = errkind.New(errkind.QueueFull, "the dispatcher is overloaded")
-
 // Client holds the streams to other entries. It is safe for concurrent use.
 type Client struct {
 	Dial func(addr string) (*grpc.ClientConn, error)
@@ -101,9 +101,11 @@
 	sendQueue  *ring.Ring[*fescuepb.SlotRequest] // nil while there is no stream
 	cancel     context.CancelFunc
 	lastOpened time.Time // when the last attempt to open a stream began
-	lastReply  time.Time // when the last reply arrived
-	lastID     uint64
-	pending    map[uint64]chan *fescuepb.SlotReply // by request ID; closed if the stream fails
+	// unansweredSince is when the last reply arrived or, if later, the oldest pending
+	// question was sent. It is zero without pending questions.
+	unansweredSince time.Time
+	lastID          uint64
+	pending         map[uint64]chan *fescuepb.SlotReply // by request ID; closed if the stream fails
 }
 
 func (l *link) acquire(ctx context.Context, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, dispatch.Load, error) {
@@ -113,50 +115,57 @@
 	}
 	timer := time.NewTimer(replyTimeout(w, now))
 	defer timer.Stop()
-	for extra := time.Duration(0); ; extra += replyMargin {
-		select {
-		case r, open := <-reply:
-			if !open {
-				return nil, dispatch.Load{}, ErrNoReply
-			}
-			return l.decodeReply(r)
-		case <-timer.C:
-			switch {
-			case l.silent(time.Now()):
-				l.cancelAsk(id)
-				return nil, dispatch.Load{}, ErrNoReply
-			case extra >= maxReplyDelay:
-				l.cancelAsk(id)
-				return nil, dispatch.Load{}, dispatch.NewRefusal(errkind.QueueFull, errOverloaded.Error(), maxReplyDelay)
-			}
-			timer.Reset(replyMargin)
-		case <-ctx.Done():
-			l.cancelAsk(id)
-			return nil, dispatch.Load{}, dispatch.Cancelled(ctx)
+	select {
+	case r, open := <-reply:
+		if !open {
+			return nil, dispatch.Load{}, ErrNoReply
 		}
+		return l.decodeReply(r)
+	case <-timer.C:
+		silent := l.silent(time.Now())
+		l.cancelAsk(id)
+		if silent {
+			return nil, dispatch.Load{}, ErrNoReply
+		}
+		return nil, dispatch.Load{}, dispatch.RefuseOverloaded(overloadedRetryAfter)
+	case <-ctx.Done():
+		l.cancelAsk(id)
+		return nil, dispatch.Load{}, dispatch.Cancelled(ctx)
 	}
 }
 
-// silent reports whether no reply has arrived for replyMargin.
+// silent reports whether the entry has left all pending questions without a reply for
+// silentAfter. A link without questions is not silent.
 func (l *link) silent(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Sub(l.lastReply) >= replyMargin
+	return !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) >= silentAfter
 }
 
-// replyTimeout returns how long to wait for the reply to a slot request. The
-// dispatcher replies to a queued request at the latest at its objective or
-// deadline. A request with NoQueue or AnySlot is not queued, so the reply comes at
+// removePending removes a question and returns the channel of its reply, or nil. The
+// caller holds l.mu.
+func (l *link) removePending(id uint64) chan *fescuepb.SlotReply {
+	reply := l.pending[id]
+	delete(l.pending, id)
+	if len(l.pending) == 0 {
+		l.unansweredSince = time.Time{}
+	}
+	return reply
+}
+
+// replyTimeout returns how long to wait for the reply to a slot request, at least
+// silentAfter. The dispatcher replies to a queued request at the latest at its objective
+// or deadline. A request with NoQueue or AnySlot is not queued, so the reply comes at
 // once.
 func replyTimeout(w dispatch.Work, now time.Time) time.Duration {
 	if w.NoQueue || w.AnySlot {
-		return replyMargin
+		return silentAfter
 	}
 	until := w.Deadline
 	if !w.Objective.IsZero() && w.Objective.Before(until) {
 		until = w.Objective
 	}
-	return max(until.Sub(now), 0) + replyMargin
+	return max(until.Sub(now)+replyMargin, silentAfter)
 }
 
 // sendAsk registers a slot request and queues it for sending. It returns the ID of
@@ -174,6 +183,9 @@
 		return 0, nil, false
 	}
 	reply = make(chan *fescuepb.SlotReply, 1)
+	if len(l.pending) == 0 {
+		l.unansweredSince = time.Now()
+	}
 	l.pending[a.Id] = reply
 	return a.Id, reply, true
 }
@@ -240,9 +252,8 @@
 // pending, it releases the slot of the reply.
 func (l *link) deliver(r *fescuepb.SlotReply) {
 	l.mu.Lock()
-	reply := l.pending[r.Id]
-	delete(l.pending, r.Id)
-	l.lastReply = time.Now()
+	l.unansweredSince = time.Now()
+	reply := l.removePending(r.Id)
 	l.mu.Unlock()
 	if reply != nil {
 		reply <- r
@@ -257,8 +268,7 @@
 // releases the slot of the reply.
 func (l *link) cancelAsk(id uint64) {
 	l.mu.Lock()
-	reply := l.pending[id]
-	delete(l.pending, id)
+	reply := l.removePending(id)
 	l.mu.Unlock()
 	select {
 	case r, open := <-reply: // the reply arrived before the request was removed
@@ -313,7 +323,7 @@
 		return
 	}
 	l.cancel()
-	l.sendQueue = nil
+	l.sendQueue, l.unansweredSince = nil, time.Time{}
 	for id, reply := range l.pending {
 		delete(l.pending, id)
 		close(reply)
--- a/internal/connection/slots/slow_test.go
+++ b/internal/connection/slots/slow_test.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +18,7 @@
 // request must not hold it until its deadline.
 func TestSlowDispatcherIsNotPassedOver(t *testing.T) {
 	const never = time.Hour
-	overloaded := errkind.New(errkind.QueueFull, "the dispatcher is overloaded")
+	overloaded := dispatch.RefuseOverloaded(overloadedRetryAfter)
 	for _, tc := range []struct {
 		name      string
 		others    time.Duration // between replies to other requests
@@ -29,8 +28,9 @@
 	}{
 		{"answers in time", never, 50 * time.Millisecond, nil, 50 * time.Millisecond},
 		{"answers others, and this request late", 50 * time.Millisecond, 400 * time.Millisecond, nil, 400 * time.Millisecond},
-		{"answers no one", never, never, ErrNoReply, replyMargin},
-		{"answers others only", 50 * time.Millisecond, never, overloaded, replyMargin + maxReplyDelay + replyMargin},
+		{"answers this request late, after a time without questions", never, 400 * time.Millisecond, nil, 400 * time.Millisecond},
+		{"answers no one", never, never, ErrNoReply, silentAfter},
+		{"answers others only", 50 * time.Millisecond, never, overloaded, silentAfter},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -62,7 +62,7 @@
 				close(done)
 				switch {
 				case tc.want == nil && err != nil,
-					tc.want != nil && (errkind.Of(err) != errkind.Of(tc.want) || errors.Is(tc.want, ErrNoReply) != errors.Is(err, ErrNoReply)):
+					tc.want != nil && (errkind.Of(err) != errkind.Of(tc.want) || dispatch.IsOverloaded(tc.want) != dispatch.IsOverloaded(err)):
 					t.Errorf("got %v, want %v", err, tc.want)
 				case took > tc.wantAfter || tc.want == nil && took != tc.wantAfter:
 					t.Errorf("decided after %v, want %v", took, tc.wantAfter)
--- a/internal/process/entry/group/parted_slots.go
+++ b/internal/process/entry/group/parted_slots.go
@@ -44,7 +44,7 @@
 // with err, or false if there is none.
 func (s partedSlots) alternative(err error) (poolSlots, bool) {
 	kind := errkind.Of(err)
-	full := kind == errkind.QueueFull || kind == errkind.DeadlineUnmeetable
+	full := (kind == errkind.QueueFull || kind == errkind.DeadlineUnmeetable) && !dispatch.IsOverloaded(err)
 	for i := 1; i < len(s.order); i++ {
 		if kind == errkind.NoTarget || full && s.part(i).Load().FreeSlots > 0 {
 			return s.part(i), true
--- a/internal/request/dispatch/refusal.go
+++ b/internal/request/dispatch/refusal.go
@@ -25,6 +25,12 @@
 	return &Refusal{RetryAfter: max(pause, minRetryAfter), err: errPausing}
 }
 
+// RefuseOverloaded returns the refusal of a request whose dispatcher in another entry works
+// but did not reply in time.
+func RefuseOverloaded(after time.Duration) *Refusal {
+	return &Refusal{RetryAfter: max(after, minRetryAfter), err: errOverloaded}
+}
+
 // Error returns the message of the refusal.
 func (r *Refusal) Error() string { return r.err.Error() }
 
@@ -35,6 +41,10 @@
 // pauses.
 func IsPausing(err error) bool { return errors.Is(err, errPausing) }
 
+// IsOverloaded reports whether err is the refusal of a request whose dispatcher in another
+// entry did not reply in time.
+func IsOverloaded(err error) bool { return errors.Is(err, errOverloaded) }
+
 // RetryAfter returns the retry delay of err, or false if err is no Refusal.
 func RetryAfter(err error) (time.Duration, bool) {
 	var r *Refusal
@@ -53,6 +63,7 @@
 	errNoTarget   = errkind.New(errkind.NoTarget, "no target of the dispatch group takes requests")
 	errCancelled  = errkind.New(errkind.Cancelled, "the caller went away while the request was queued")
 	errPausing    = errkind.New(errkind.NoTarget, "every target of the dispatch group wants no requests for a while")
+	errOverloaded = errkind.New(errkind.QueueFull, "the dispatcher is overloaded")
 	errStopping   = errkind.New(errkind.Stopping, "the dispatcher is stopping")
 )
 
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -65,8 +65,8 @@
 			break
 		}
 		tried[step.AttemptKey] = true
-		if _, refused := dispatch.RetryAfter(err); refused && step.OwnRegion && h.Now().Sub(asked) < refusedAtOnce {
-			// The dispatcher found no slot for the request that is free now.
+		if _, refused := dispatch.RetryAfter(err); refused && step.OwnRegion && (h.Now().Sub(asked) < refusedAtOnce || dispatch.IsOverloaded(err)) {
+			// The dispatcher found no slot for the request that is free now, or is late.
 			tried[spill.AttemptKey{Region: step.Region, Mode: spill.AnySlot}] = true
 		}
 	}
