dispatch: a request that overruns its deadline is no failure of its target

Cause: a target answers 504 at the deadline that it was told. That counted as a server error: two in a row start a back-off, the pool forgets which objects the target has cached, and the target gets one request at a time until one succeeds. Some 3 in 100 requests run several times as long as usual, so a busy target reaches two in a row every few seconds. A timeout without an answer counted as a whole failure as well, also at a target that answered others meanwhile, and so cost it 500 ms in each comparison for seconds.

Change: a 504 at the deadline that the target was told is a result of its own, Overran, and no error. At a target that has answered since the request began, a timeout counts like it: as a long running time, and as .3 of a failure.

--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -118,11 +118,12 @@
 	TimedOut                        // the deadline passed before the target had answered
 	Pausing                         // the target answered that it wants no requests from the entry for a while
 	NotUsed                         // nothing was sent: the entry knows that the target leaves or pauses
+	Overran                         // the target answered that the deadline passed while it ran the request
 )
 
 // String returns the name of a result in log lines.
 func (r Result) String() string {
-	names := [...]string{"ok", "shed", "unreachable", "failed", "cancelled", "server error", "timed out"}
+	names := [...]string{"ok", "shed", "unreachable", "failed", "cancelled", "server error", "timed out", "pausing", "not used", "overran"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -69,6 +69,7 @@
 	failureShare   float64 // moving average of the share of its requests that failed
 	failureShareAt time.Duration
 
+	answeredAt   time.Duration // last answer of any kind, since its process was first seen
 	failures     int           // consecutive
 	timeouts     int           // consecutive
 	silentSince  time.Duration // end of the first of these timeouts
@@ -109,7 +110,7 @@
 	restarted := b.info.Incarnation != info.Incarnation || b.info.Addr != info.Addr
 	if restarted && b.info.ID != "" {
 		b.objects.clear()
-		b.logSlowdown, b.failureShare, b.failures, b.timeouts, b.backoffUntil, b.backoff = 0, 0, 0, 0, 0, 0
+		b.logSlowdown, b.failureShare, b.failures, b.timeouts, b.backoffUntil, b.backoff, b.answeredAt = 0, 0, 0, 0, 0, 0, 0
 	}
 	b.forgetEstimate()
 	b.idHash = xxhash.Sum64String(info.ID)
@@ -170,6 +171,10 @@
 // observe updates the slowdown and the failures of the target from the outcome
 // of r.
 func (b *backend) observe(at time.Duration, r *Request, o Outcome) {
+	switch o.Result {
+	case OK, Shed, ServerError, Pausing, Overran:
+		b.answeredAt = at
+	}
 	switch o.Result {
 	case OK:
 		b.failures, b.timeouts, b.backoff = 0, 0, 0
@@ -186,6 +191,9 @@
 		b.startBackoff(at, o.Result)
 	case TimedOut:
 		b.observeTimeout(at, r, o)
+	case Overran:
+		b.endSilence()
+		b.observeOverrun(at, r, o)
 	case Shed:
 		b.recordFailure(at, shedFailure)
 		b.endSilence()
@@ -219,9 +227,11 @@
 	if o.Latency < r.runStats.all.meanOrZero() {
 		return
 	}
-	b.recordFailure(at, 1)
-	if r.expectedRun > 0 {
-		b.recordSlowdown(at, float64(o.Latency)/float64(r.expectedRun))
+	if b.answeredAt > r.started {
+		b.observeOverrun(at, r, o)
+	} else {
+		b.recordFailure(at, 1)
+		b.recordLateness(at, r, o)
 	}
 	if b.timeouts == 0 {
 		b.silentSince = at
@@ -232,6 +242,27 @@
 	}
 }
 
+// overrunFailure is the part of a failure that a request counts as whose deadline passed
+// at a target that answers others. Some requests run much longer than usual, and a busy
+// target has more of them, so one says little about the target.
+const overrunFailure = 0.3
+
+// observeOverrun takes over that the deadline of r passed at a target that works.
+func (b *backend) observeOverrun(at time.Duration, r *Request, o Outcome) {
+	if o.Latency < r.runStats.all.meanOrZero() {
+		return
+	}
+	b.recordFailure(at, overrunFailure)
+	b.recordLateness(at, r, o)
+}
+
+// recordLateness takes over that r took at least the latency of o.
+func (b *backend) recordLateness(at time.Duration, r *Request, o Outcome) {
+	if r.expectedRun > 0 {
+		b.recordSlowdown(at, float64(o.Latency)/float64(r.expectedRun))
+	}
+}
+
 // shedFailure is the part of a failure that a shed request counts as. It is less
 // than 1 because the request did not run and may still be answered by another
 // target.
--- a/internal/request/dispatch/group.go
+++ b/internal/request/dispatch/group.go
@@ -355,7 +355,7 @@
 	if o.Latency <= 0 {
 		o.Latency = at - r.started
 	}
-	if o.Result != ServerError || g.mayStartBackoff(at) {
+	if o.Result != ServerError && o.Result != Overran || g.mayStartBackoff(at) {
 		r.target.observe(at, o.Result)
 	}
 	if r.target.halfOpen {
--- a/internal/request/dispatch/target.go
+++ b/internal/request/dispatch/target.go
@@ -114,7 +114,7 @@
 	case Shed:
 		t.startBackoff(at, shedBackoff)
 		t.halfOpen = false
-	case Failed, ServerError, TimedOut:
+	case Failed, ServerError, TimedOut, Overran:
 		if t.failures++; t.failures >= failuresBeforeBackoff {
 			t.startBackoff(at, minBackoff)
 		}
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -183,7 +183,10 @@
 	s.reply.end = func(err error) {
 		s.cancel(nil)
 		o := dispatch.Outcome{Result: dispatch.OK, Latency: h.Now().Sub(s.start), FirstByte: firstByte, Report: s.loadReport()}
-		if s.reply.status >= http.StatusInternalServerError {
+		switch {
+		case s.reply.status == http.StatusGatewayTimeout && overran(s.call, s.start, firstByte):
+			o.Result = dispatch.Overran
+		case s.reply.status >= http.StatusInternalServerError:
 			o.Result = dispatch.ServerError
 		}
 		if err != nil {
@@ -198,6 +201,13 @@
 	return s.reply, nil
 }
 
+// overran reports whether an answer that came after the given time since start came at
+// the deadline that the target was told, give or take the way there and back.
+func overran(c *call, start time.Time, after time.Duration) bool {
+	told := c.timeLeft(start)
+	return after >= told-told/10
+}
+
 // logAnswer logs the result of a request at its target. Only a complete answer
 // without a server error counts as routine.
 func (h *Handler) logAnswer(s attemptResult, o dispatch.Outcome) {
