dispatch: requests on their way do not occupy slots of a pool

Callers saw: targets of a full region are half idle while its requests are refused.

Cause: a pool counts a slot as taken from its grant until the end of the request was reported to it. On full links that is 200 ms more than the 240 ms for which the target works, so a pool at its limit uses half of its targets' slots. Class: a window that is counted in units of work while each unit is held for the way there and back as well.

Change: a target's report in an answer says how many requests it has; the share of the pool's requests that are not among them is on the way, at most a half of them. Slots are free as far as requests are on the way. Without reports nothing changes.

--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -63,6 +63,10 @@
 	reportAt time.Duration
 	// foreign is the number of requests that others had at the target at reportAt.
 	foreign int
+	// onTheWay is the moving average of the share of the pool's requests that are not at
+	// the target: those granted whose request has not arrived there, and those answered
+	// whose end has not arrived here.
+	onTheWay float64
 
 	logSlowdown    float64 // logarithm of its running times relative to the typical ones
 	logSlowdownAt  time.Duration
@@ -110,7 +114,7 @@
 	restarted := b.info.Incarnation != info.Incarnation || b.info.Addr != info.Addr
 	if restarted && b.info.ID != "" {
 		b.objects.clear()
-		b.logSlowdown, b.failureShare, b.failures, b.timeouts, b.backoffUntil, b.backoff, b.answeredAt = 0, 0, 0, 0, 0, 0, 0
+		b.logSlowdown, b.failureShare, b.failures, b.timeouts, b.backoffUntil, b.backoff, b.answeredAt, b.onTheWay = 0, 0, 0, 0, 0, 0, 0, 0
 	}
 	b.forgetEstimate()
 	b.idHash = xxhash.Sum64String(info.ID)
@@ -153,6 +157,7 @@
 
 // finish removes r from the requests in flight and takes over its outcome.
 func (b *backend) finish(at time.Duration, r *Request, o Outcome) {
+	b.observeOnTheWay(o)
 	last := len(b.running) - 1
 	moved := b.running[last]
 	b.running[r.pos] = moved
@@ -412,10 +417,35 @@
 	return int(math.Round(float64(b.foreign) * (1 - age.Seconds()/foreignTTL.Seconds())))
 }
 
+const (
+	onTheWayWeight = 0.05
+	// maxOnTheWay bounds the requests that a target gets beyond its slots. If all
+	// arrive at once, as many wait as run.
+	maxOnTheWay = 0.5
+)
+
+// observeOnTheWay compares the requests that the target reports with those that the pool
+// has given to it, including the one that ends.
+func (b *backend) observeOnTheWay(o Outcome) {
+	if o.Report.Slots == 0 || o.Result == Shed {
+		return
+	}
+	own := float64(len(b.running))
+	missing := max(0, own-float64(o.Report.Running+o.Report.Waiting)) / own
+	b.onTheWay += (min(missing, maxOnTheWay) - b.onTheWay) * onTheWayWeight
+}
+
+// inUse returns the number of slots that the pool's requests occupy. A slot is free again
+// for the target before the pool learns it, and it is granted before the request arrives;
+// on slow links that takes as long as the request itself, and the target would be idle.
+func (b *backend) inUse() int {
+	return int(math.Ceil(float64(len(b.running)) * (1 - b.onTheWay)))
+}
+
 // freeSlots returns the slots of the target that are not in use, negative if requests
 // wait at the target.
 func (b *backend) freeSlots(at time.Duration) int {
-	return b.slots() - len(b.running) - b.foreignLoad(at)
+	return b.slots() - b.inUse() - b.foreignLoad(at)
 }
 
 // expectedWait returns how long a request is expected to wait for a slot of this
--- a/internal/request/dispatch/pool_overload_test.go
+++ b/internal/request/dispatch/pool_overload_test.go
@@ -370,3 +370,16 @@
 		}
 	}
 }
+
+// Guards against targets that are idle while the requests for them are on slow links: a slot
+// counted as taken from its grant until the end was reported.
+func TestRequestsOnTheirWayLeaveSlotsFree(t *testing.T) {
+	inTime := func(perSecond float64) float64 {
+		o := steadyAtKerala(perSecond)
+		o.way, o.overrun = 100*time.Millisecond, Overran
+		return share(o.run(20*time.Second), 8, 18)
+	}
+	if idle, busy := inTime(200), inTime(600); busy < 0.9*idle {
+		t.Errorf("%.2f of the requests are in time, %.2f of few requests: the targets could serve them all", busy, idle)
+	}
+}
--- a/internal/request/dispatch/pool_queue.go
+++ b/internal/request/dispatch/pool_queue.go
@@ -16,7 +16,7 @@
 func (p *Pool) fill(at time.Duration, b *backend) {
 	b.ahead = 0
 	compared := 0
-	for i := 0; i < len(p.queue) && b.usable(at) && len(b.running) < b.slots(); {
+	for i := 0; i < len(p.queue) && b.usable(at) && b.inUse() < b.slots(); {
 		r := p.queue[i]
 		if r.choice.target != b {
 			if compared++; compared > maxComparisons {
