group: refuse at once what a late dispatcher cannot serve in time

Cause: an entry asks a dispatcher, and waits, although the replies of the last seconds took longer than the request has. The links are full then, and each such question and its reply delay those of requests that could be served.

Change: an entry keeps a moving average of how late the replies of each pool's dispatcher are, halved with each half second without a reply. A request that would spend more than half of the time to its objective on the question is refused at once (not run, to come again after as long as a reply takes).

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -51,6 +51,7 @@
 	local             map[slotlink.Pool]*dispatch.Dispatcher
 	remoteLoads       map[slotlink.Pool]timedLoad // of pools that other entries dispatch
 	refusals          map[slotlink.Pool]refusal   // the last ones of pools that other entries dispatch
+	replyTimes        map[slotlink.Pool]replyTime // of the dispatchers in other entries
 	unreachableUntil  map[string]time.Time        // by instance, until when it is skipped
 	loggedDispatchers map[slotlink.Pool]string    // the dispatcher of each pool that was last logged
 }
@@ -68,7 +69,7 @@
 	if g.local == nil {
 		g.local, g.remoteLoads = map[slotlink.Pool]*dispatch.Dispatcher{}, map[slotlink.Pool]timedLoad{}
 		g.unreachableUntil, g.loggedDispatchers = map[string]time.Time{}, map[slotlink.Pool]string{}
-		g.refusals = map[slotlink.Pool]refusal{}
+		g.refusals, g.replyTimes = map[slotlink.Pool]refusal{}, map[slotlink.Pool]replyTime{}
 	}
 	g.snap, g.partitions = s, map[regionTargets]*partition{}
 	for pool, d := range g.local {
@@ -322,6 +323,9 @@
 		if err := p.guarded.refusedLately(p.pool, w); err != nil {
 			return nil, err
 		}
+		if err := p.guarded.refuseLate(p.pool, w); err != nil {
+			return nil, err
+		}
 		asked := p.guarded.Now()
 		ticket, load, err := p.guarded.Client.Acquire(ctx, dispatcher.GrpcAddr, p.pool, w, asked)
 		if errors.Is(err, slotlink.ErrNoReply) || errkind.Of(err) == errkind.NotDispatcher && err != nil {
@@ -329,8 +333,11 @@
 			p.guarded.Log.WithFields(logrus.Fields{"service": p.pool.Service, "region": p.pool.Region, "part": p.pool.Part, "dispatcher": dispatcher.Instance}).Info("dispatcher passed over: no answer")
 			continue
 		}
-		if err == nil {
-			p.guarded.recordReply(ticket, dispatcher, asked)
+		switch {
+		case err == nil:
+			p.guarded.recordReply(p.pool, ticket, dispatcher, asked)
+		case dispatch.IsOverloaded(err):
+			p.guarded.recordReplyTime(p.pool, p.guarded.Now().Sub(asked))
 		}
 		if err == nil && !p.guarded.takesRequests(p.pool, ticket.Target.ID) {
 			p.returnGrant(ticket, dispatcher)
@@ -348,8 +355,9 @@
 }
 
 // recordReply records how late the reply of another entry that granted a slot was.
-func (g *Guarded) recordReply(t *dispatch.Ticket, dispatcher *fescuepb.Member, asked time.Time) {
+func (g *Guarded) recordReply(pool slotlink.Pool, t *dispatch.Ticket, dispatcher *fescuepb.Member, asked time.Time) {
 	t.Dispatcher, t.ReplyTime = dispatcher.Instance, max(g.Now().Sub(asked)-t.QueuedFor, 0)
+	g.recordReplyTime(pool, t.ReplyTime)
 	if g.Metrics != nil {
 		g.Metrics.Timer("slot_reply").Record(t.ReplyTime)
 	}
