--- a/internal/process/control/controlmain/targetlist.go
+++ b/internal/process/control/controlmain/targetlist.go
@@ -40,8 +40,10 @@
 
 // TargetPage is a page of the list of targets.
 type TargetPage struct {
-	Targets []*fescuepb.Target // those that can be used or are leaving
-	Next    string             // token of the next page; empty on the last one
+	// Targets are those that can be used or are leaving. Their identifiers have 1 to
+	// state.MaxNameBytes bytes: with another one, the state refuses the whole change.
+	Targets []*fescuepb.Target
+	Next    string // token of the next page; empty on the last one
 }
 
 // targetList is a reading of the list of targets.
--- a/internal/version/state/change.go
+++ b/internal/version/state/change.go
@@ -16,10 +16,10 @@
 // malformed, which does not depend on the state.
 func CheckRequest(r *fescuepb.ApplyRequest) error {
 	switch {
-	case r.Team == "" || len(r.Team) > maxNameBytes:
-		return errkind.New(errkind.BadRequest, "team: 1 to %d bytes are required", maxNameBytes)
-	case r.ChangeId == "" || len(r.ChangeId) > maxNameBytes:
-		return errkind.New(errkind.BadRequest, "change_id: 1 to %d bytes are required", maxNameBytes)
+	case r.Team == "" || len(r.Team) > MaxNameBytes:
+		return errkind.New(errkind.BadRequest, "team: 1 to %d bytes are required", MaxNameBytes)
+	case r.ChangeId == "" || len(r.ChangeId) > MaxNameBytes:
+		return errkind.New(errkind.BadRequest, "change_id: 1 to %d bytes are required", MaxNameBytes)
 	case len(r.Yaml) > MaxSectionBytes:
 		return errkind.New(errkind.BadRequest, "yaml: %d bytes exceed the limit of %d", len(r.Yaml), MaxSectionBytes)
 	case r.Delete && len(r.Yaml) > 0:
--- a/internal/version/state/claims.go
+++ b/internal/version/state/claims.go
@@ -19,11 +19,11 @@
 func CheckClaim(c *fescuepb.GroupClaim) error {
 	g := c.GetGroup()
 	switch {
-	case g.GetService() == "" || len(g.GetService()) > maxNameBytes:
-		return errkind.New(errkind.BadRequest, "group.service: 1 to %d bytes are required", maxNameBytes)
-	case g.GetDataCentre() == "" || len(g.GetDataCentre()) > maxNameBytes:
-		return errkind.New(errkind.BadRequest, "group.data_centre: 1 to %d bytes are required", maxNameBytes)
-	case c.Home == "" || len(c.Home) > maxNameBytes || c.HomeIncarnation == 0:
+	case g.GetService() == "" || len(g.GetService()) > MaxNameBytes:
+		return errkind.New(errkind.BadRequest, "group.service: 1 to %d bytes are required", MaxNameBytes)
+	case g.GetDataCentre() == "" || len(g.GetDataCentre()) > MaxNameBytes:
+		return errkind.New(errkind.BadRequest, "group.data_centre: 1 to %d bytes are required", MaxNameBytes)
+	case c.Home == "" || len(c.Home) > MaxNameBytes || c.HomeIncarnation == 0:
 		return errkind.New(errkind.BadRequest, "home and home_incarnation are required")
 	case c.Epoch == 0:
 		return errkind.New(errkind.BadRequest, "epoch: must not be 0")
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -23,7 +23,9 @@
 	maxProblems = 50    // problems kept per rejected change
 	// MaxSectionBytes bounds the size of one section's YAML.
 	MaxSectionBytes = 1 << 20
-	maxNameBytes    = 128 // of a change identifier, team, instance, service, data centre or target ID
+	// MaxNameBytes bounds a change identifier, team, instance, service, data centre or
+	// target ID.
+	MaxNameBytes = 128
 )
 
 // Machine is the replicated state. Its methods are safe for concurrent use;
--- a/internal/version/state/members.go
+++ b/internal/version/state/members.go
@@ -17,8 +17,8 @@
 // CheckMember returns an error of kind BadRequest if a member is malformed.
 func CheckMember(m *fescuepb.Member) error {
 	switch {
-	case m.GetInstance() == "" || len(m.GetInstance()) > maxNameBytes:
-		return errkind.New(errkind.BadRequest, "instance: 1 to %d bytes are required", maxNameBytes)
+	case m.GetInstance() == "" || len(m.GetInstance()) > MaxNameBytes:
+		return errkind.New(errkind.BadRequest, "instance: 1 to %d bytes are required", MaxNameBytes)
 	case m.Incarnation == 0:
 		return errkind.New(errkind.BadRequest, "incarnation: must not be 0")
 	case m.Role == fescuepb.Role_ROLE_UNSPECIFIED:
@@ -66,7 +66,7 @@
 // if the incarnation is no member, so that a join that arrives after the removal
 // is rejected.
 func (m *Machine) applyLeave(index uint64, r *fescuepb.LeaveRequest) *fescuepb.CommandResult {
-	if r.Instance == "" || len(r.Instance) > maxNameBytes || r.Incarnation == 0 {
+	if r.Instance == "" || len(r.Instance) > MaxNameBytes || r.Incarnation == 0 {
 		return errorResult(errkind.BadRequest, "instance and incarnation are required")
 	}
 	cur := m.view.Members[r.Instance]
--- a/internal/version/state/session.go
+++ b/internal/version/state/session.go
@@ -12,7 +12,7 @@
 // instance that served it. A session that was reported lost too early may be
 // opened again.
 func (m *Machine) applySession(index uint64, c *fescuepb.SessionChange) *fescuepb.CommandResult {
-	if c.Instance == "" || len(c.Instance) > maxNameBytes || len(c.Via) > maxNameBytes || c.Session == 0 {
+	if c.Instance == "" || len(c.Instance) > MaxNameBytes || len(c.Via) > MaxNameBytes || c.Session == 0 {
 		return errorResult(errkind.BadRequest, "instance and session are required")
 	}
 	cur := m.view.Members[c.Instance]
--- a/internal/version/state/suspects.go
+++ b/internal/version/state/suspects.go
@@ -16,7 +16,7 @@
 	items := len(c.Cleared) + len(c.TrialsDue) + len(c.Claims)
 	for _, crash := range c.Crashes {
 		items += len(crash.Suspects)
-		if crash.Target == "" || len(crash.Target) > 2*maxNameBytes {
+		if crash.Target == "" || len(crash.Target) > 2*MaxNameBytes {
 			return errkind.New(errkind.BadRequest, "a crash has no valid target")
 		}
 		for _, id := range crash.Suspects {
@@ -25,7 +25,7 @@
 			}
 		}
 	}
-	if len(c.Instance) > maxNameBytes || items > maxSuspectItems {
+	if len(c.Instance) > MaxNameBytes || items > maxSuspectItems {
 		return errkind.New(errkind.BadRequest, "the instance name or the %d fingerprints exceed their limits", items)
 	}
 	return nil
--- a/internal/version/state/suspects_test.go
+++ b/internal/version/state/suspects_test.go
@@ -33,7 +33,7 @@
 	for _, c := range []*fescuepb.SuspectsChange{
 		{Crashes: []*fescuepb.TargetCrash{{Suspects: []string{id}}}},
 		{Crashes: []*fescuepb.TargetCrash{{Target: "t", Suspects: []string{"deadly"}}}},
-		{Instance: strings.Repeat("e", maxNameBytes+1)},
+		{Instance: strings.Repeat("e", MaxNameBytes+1)},
 		{Cleared: make([]string, maxSuspectItems+1)},
 	} {
 		if err := apply(9, c); errkind.Of(err) != errkind.BadRequest || m.Version() != 1 {
--- a/internal/version/state/targets.go
+++ b/internal/version/state/targets.go
@@ -16,7 +16,7 @@
 		return errorResult(errkind.BadRequest, "too many targets")
 	}
 	for _, t := range c.Set {
-		if t.Id == "" || len(t.Id) > maxNameBytes {
+		if t.Id == "" || len(t.Id) > MaxNameBytes {
 			return errorResult(errkind.BadRequest, "a target has no valid ID")
 		}
 	}
