--- a/internal/version/document/validate.go
+++ b/internal/version/document/validate.go
@@ -7,9 +7,18 @@
 	"time"
 )
 
+// Bounds of the document's fields that hold for listed targets as well.
+const (
+	// MaxSlotsPerTarget bounds the slots of a target. Targets of the deployments have 3
+	// to 7, and accept about 330 connections.
+	MaxSlotsPerTarget = 10_000
+	// MaxWarmup bounds how long a target is warmed up or cold after its start. Targets
+	// of the deployments are cold for some seconds.
+	MaxWarmup = time.Hour
+)
+
 // Bounds of the document's fields.
 const (
-	maxSlotsPerTarget     = 10_000
 	maxQueueLimit         = 100_000
 	maxDispatchShards     = 64
 	maxCap                = 10_000_000
@@ -19,7 +28,6 @@
 	minTTL                = 100 * time.Millisecond
 	maxTTL                = time.Hour
 	maxRetention          = 24 * time.Hour
-	maxWarmup             = time.Hour
 	maxLinkDelayMs        = 10_000
 	maxRetryAttempts      = 10
 	maxPriority           = 1000
@@ -220,7 +228,7 @@
 		v.checkGuardedService(svc, at)
 	} else {
 		v.checkDataCentres(svc.DataCentres, at("data_centres"))
-		checkRange(v, svc.SlotsPerTarget, 1, maxSlotsPerTarget, at("slots_per_target")...)
+		checkRange(v, svc.SlotsPerTarget, 1, MaxSlotsPerTarget, at("slots_per_target")...)
 		v.checkRoutes(withDefaults.Routes, at("routes"))
 	}
 	checkRange(v, withDefaults.QueueLimit, 1, maxQueueLimit, at("queue_limit")...)
@@ -229,7 +237,7 @@
 	checkRange(v, withDefaults.MaxBodyBytes, 1, maxBodyBytes, at("max_body_bytes")...)
 	v.checkDuration(withDefaults.DefaultDeadline, minDeadline, maxDeadline, at("default_deadline")...)
 	v.checkDuration(withDefaults.MaxDeadline, 0, maxDeadline, at("max_deadline")...)
-	v.checkDuration(withDefaults.Warmup, 0, maxWarmup, at("warmup")...)
+	v.checkDuration(withDefaults.Warmup, 0, MaxWarmup, at("warmup")...)
 	checkRange(v, withDefaults.Retry.BudgetPercent, 0, 100, at("retry", "budget_percent")...)
 	checkRange(v, withDefaults.Retry.MaxAttempts, 1, maxRetryAttempts, at("retry", "max_attempts")...)
 	if h := withDefaults.Hedge; h != nil {
--- a/internal/version/document/validate_routes.go
+++ b/internal/version/document/validate_routes.go
@@ -29,7 +29,7 @@
 	}
 	checkRange(v, svc.MaxConnections, 0, maxConnections, at("max_connections")...)
 	if c := svc.ColdStart; c != nil {
-		v.checkDuration(c.Period, 0, maxWarmup, at("cold", "for")...)
+		v.checkDuration(c.Period, 0, MaxWarmup, at("cold", "for")...)
 		if !(c.PerSecond >= 0 && c.PerSecond <= maxColdStartPerSecond) {
 			v.addProblem(at("cold", "per_second"), "%v is outside the allowed range 0 to %v", c.PerSecond, maxColdStartPerSecond)
 		}
