proxy: a target's odd address is not the caller's fault

Seen: callers got 400 "create request to 10.0.0.1:-1: ... invalid port" for sound requests, also with another target that works. A 400 ends a call, and the dispatcher did not count the target as unreachable, so it kept sending requests there.

Cause: the address of the target was parsed as part of the request's URL, and an error of that had the kind of an invalid request.

The request is created without the address. An address that cannot be used then fails when it is dialled: nothing was sent, the target is in back-off, and the request goes to another one.

--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -108,6 +108,9 @@
 	return rep, err
 }
 
+// placeholderURL is replaced after a request has been created.
+const placeholderURL = "http://target"
+
 // request returns the HTTP request to send.
 func (x *exchange) request(ctx context.Context, c *call) (*http.Request, error) {
 	u, err := url.ParseRequestURI(c.path)
@@ -116,9 +119,11 @@
 	}
 	// Opaque keeps path and query exactly as the caller sent them.
 	u.Scheme, u.Host, u.Opaque, u.RawQuery, u.ForceQuery = "http", x.addr, c.path, "", false
-	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+x.addr, x.body(c))
+	// The address is not parsed here: an invalid one fails when it is dialled, as one
+	// that cannot be reached, and is not the caller's fault.
+	req, err := http.NewRequestWithContext(ctx, c.method, placeholderURL, x.body(c))
 	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "create request to %s", x.addr)
+		return nil, errkind.Wrap(errkind.BadRequest, err, "create request to %q", x.addr)
 	}
 	req.URL, req.Host = u, x.host
 	req.ContentLength = int64(len(c.body))
