entry: bound the numbers of stored targets where they are used

Targets with slots added up to more free slots than the message between entries holds, which cuts the sum to 32 bits, so 2^32 free slots read as none.

Cause: milliseconds became a duration by a multiplication that overflows to a negative or small value, and slots were used as stored.

No value of a stored target causes a panic or memory in proportion to it: pools allocate by requests and not by slots.

Entries bound both numbers to what an operator may configure when they make the dispatcher's targets. The sum for the 100,000 targets that the state takes fits into the message. The state machine is unchanged: it must return the same results for an old log on all replicas.

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -15,6 +15,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -454,11 +455,12 @@
 }
 
 // targetInfo converts a target of the snapshot for a dispatcher. No load is known
-// for it, which is -1.
+// for it, which is -1. Numbers are bounded here and not when they are committed, since
+// a log of an older build may hold any.
 func targetInfo(s *snapshot.Snapshot, svc *snapshot.Service, t *fescuepb.Target) dispatch.TargetInfo {
 	info := dispatch.TargetInfo{
-		ID: t.Id, Addr: t.Address, DataCentre: t.DataCentre, Slots: int(t.Slots), ReportedLoad: -1, Incarnation: t.BornUnixMs,
-		ColdRemaining: time.Duration(t.ColdMs) * time.Millisecond,
+		ID: t.Id, Addr: t.Address, DataCentre: t.DataCentre, Slots: int(min(t.Slots, document.MaxSlotsPerTarget)), ReportedLoad: -1, Incarnation: t.BornUnixMs,
+		ColdRemaining: time.Duration(min(t.ColdMs, uint64(document.MaxWarmup.Milliseconds()))) * time.Millisecond,
 	}
 	if svc.ColdStart != nil {
 		info.ColdRate, info.ColdDuration = svc.ColdStart.PerSecond, svc.ColdStart.Period.AsDuration()
--- a/internal/process/entry/group/guarded_test.go
+++ b/internal/process/entry/group/guarded_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
@@ -190,3 +192,33 @@
 	t.Cleanup(func() { c.Close(); server.Stop() })
 	return c
 }
+
+// Guards against numbers of a target in a log of an older build that overflow where they
+// are used: a cold time that becomes negative, so that a cold target gets all requests at
+// once, and free slots that other entries see as none.
+func TestStoredTargetOutOfBounds(t *testing.T) {
+	pool := slotlink.Pool{Service: "rota", Region: "north"}
+	for _, cold := range []uint64{math.MaxUint64, 1 << 63, math.MaxInt64, math.MaxInt64/uint64(time.Millisecond) + 1, 1 << 44, 1 << 32} {
+		granted := 0
+		for _, g := range guardedEntries(t, &fescuepb.Target{Id: "t1", Service: "rota", Address: "127.0.0.1:1", DataCentre: "a", Slots: 3, ColdMs: cold}) {
+			for range 3 {
+				w := dispatch.Work{Route: "r", Deadline: time.Now().Add(time.Second), NoQueue: true}
+				if _, err := g.Dispatcher(pool).Acquire(t.Context(), w); err == nil {
+					granted++
+				}
+			}
+		}
+		if granted != 1 {
+			t.Errorf("cold for %d ms: %d requests at once, want 1", cold, granted)
+		}
+	}
+	var targets []*fescuepb.Target
+	for i, slots := range []uint32{math.MaxUint32, 1, 0, 1 << 31, document.MaxSlotsPerTarget + 1} {
+		id := string(rune('a' + i))
+		targets = append(targets, &fescuepb.Target{Id: id, Service: "rota", Address: "127.0.0.1:1", DataCentre: "a", Slots: slots})
+	}
+	g := guardedEntries(t, targets...)[0]
+	if free := g.Dispatcher(pool).Load().FreeSlots; free != 3*document.MaxSlotsPerTarget+1 {
+		t.Errorf("%d free slots", free)
+	}
+}
