control: keep the targets of a data centre that has no list

Seen: when something else than an array stood in place of a data centre's entries, all its targets were removed, and their services had none there.

Cause: the adapter skipped such a value, and a data centre without targets on a page that was read counts as one whose targets are no longer listed.

Evidence, before (covers without the new condition): TestUnreadDataCentreKeepsItsTargets says "removed [a1 b2]", both when the list is read as a whole and by data centre; b2 alone is right.

A page now names the data centres that it could not read, and their last reading remains in force, as with a page that fails. The others are read as before.

--- a/internal/process/control/controlmain/targetlist.go
+++ b/internal/process/control/controlmain/targetlist.go
@@ -43,7 +43,10 @@
 	// Targets are those that can be used or are leaving. Their identifiers have 1 to
 	// state.MaxNameBytes bytes: with another one, the state refuses the whole change.
 	Targets []*fescuepb.Target
-	Next    string // token of the next page; empty on the last one
+	// Unread are the data centres that have something else in place of their targets.
+	// Their last reading remains in force.
+	Unread []string
+	Next   string // token of the next page; empty on the last one
 }
 
 // targetList is a reading of the list of targets.
@@ -52,12 +55,15 @@
 	// dataCentres are those that were read to the end. It is nil if the list was read
 	// as a whole.
 	dataCentres map[string]bool
+	unread      []string // data centres as in TargetPage.Unread
 	pages       int
 	pageTime    time.Duration // of all pages together
 }
 
 // covers reports whether the reading contains every listed target of a data centre.
-func (l *targetList) covers(dc string) bool { return l.dataCentres == nil || l.dataCentres[dc] }
+func (l *targetList) covers(dc string) bool {
+	return (l.dataCentres == nil || l.dataCentres[dc]) && !slices.Contains(l.unread, dc)
+}
 
 // listReader reads all pages of the list within the platform's rate limit. It is not
 // safe for concurrent use.
@@ -133,6 +139,7 @@
 		}
 		list.dataCentres[dc] = true
 		list.targets = append(list.targets, parts[i].targets...)
+		list.unread = append(list.unread, parts[i].unread...)
 	}
 	return list, errors.Join(errs...)
 }
@@ -157,6 +164,7 @@
 		}
 		part.pages++
 		part.targets = append(part.targets, page.Targets...)
+		part.unread = append(part.unread, page.Unread...)
 		if page.Next == "" {
 			return part
 		}
--- a/internal/process/control/controlmain/targetlist_test.go
+++ b/internal/process/control/controlmain/targetlist_test.go
@@ -123,3 +123,34 @@
 		}
 	})
 }
+
+// unreadList is a list in which one data centre has something else in place of its
+// targets.
+type unreadList struct{}
+
+func (unreadList) Page(_ context.Context, dc, _ string) (*TargetPage, error) {
+	switch dc {
+	case "a":
+		return &TargetPage{Unread: []string{"a"}}, nil
+	case "b":
+		return &TargetPage{Targets: []*fescuepb.Target{{Id: "b1", DataCentre: "b"}}}, nil
+	}
+	return &TargetPage{Targets: []*fescuepb.Target{{Id: "b1", DataCentre: "b"}}, Unread: []string{"a"}}, nil
+}
+
+// Guards against a data centre that loses all its targets because another writer put
+// something in place of its entries.
+func TestUnreadDataCentreKeepsItsTargets(t *testing.T) {
+	committed := []*fescuepb.Target{{Id: "a1", DataCentre: "a"}, {Id: "b1", DataCentre: "b"}, {Id: "b2", DataCentre: "b"}}
+	for _, byDataCentre := range []bool{false, true} {
+		r := newListReader(unreadList{}, 0, logging.Discard())
+		r.byDataCentre = byDataCentre
+		list, err := r.read(t.Context(), []string{"a", "b"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if change := targetChanges(committed, list); len(change.Set) != 0 || len(change.Removed) != 1 || change.Removed[0] != "b2" {
+			t.Errorf("by data centre %t: set %v, removed %v", byDataCentre, change.Set, change.Removed)
+		}
+	}
+}
