--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"strings"
 	"testing"
 
@@ -272,3 +274,45 @@
 		t.Fatal("the version after the restored one was reported as restored")
 	}
 }
+
+// Guards against replicas that disagree about a log with targets that no list should
+// name, and against one that cannot restore them.
+func TestOddTargetsInTheLog(t *testing.T) {
+	log := []*fescuepb.TargetsChange{
+		{Set: []*fescuepb.Target{
+			{Id: "a", Slots: math.MaxUint32, ColdMs: math.MaxUint64, BornUnixMs: math.MinInt64, Address: "10.0.0.1:808080"},
+			{Id: "b", Address: "\x00", Service: strings.Repeat("s", 1<<20)},
+		}},
+		{Set: []*fescuepb.Target{{Id: "c"}, {Id: strings.Repeat("d", MaxNameBytes+1)}}},
+		{Set: []*fescuepb.Target{{Id: "a", Slots: math.MaxUint32 - 1}, {Id: "a", ColdMs: 1}}, Removed: []string{"b", "b", "none"}},
+	}
+	var images []string
+	for range 2 {
+		m := New()
+		for i, c := range log {
+			res := applyCommand(t, m, uint64(i)+1, &fescuepb.Command{Body: &fescuepb.Command_Targets{Targets: proto.Clone(c).(*fescuepb.TargetsChange)}})
+			if refused := i == 1; refused != (res.GetError() != "") {
+				t.Errorf("command %d: %v", i, res)
+			}
+		}
+		image, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := New()
+		if err := restored.Restore(image); err != nil {
+			t.Fatal(err)
+		}
+		again, err := restored.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		images = append(images, string(image), string(again))
+		if targets := restored.Targets(); len(targets) != 1 || targets[0].ColdMs != 1 {
+			t.Errorf("targets %v", targets)
+		}
+	}
+	if slices.ContainsFunc(images, func(s string) bool { return s != images[0] }) {
+		t.Error("replicas that applied or restored the same log differ")
+	}
+}
