group: parts of a pool have four targets at least

A target with very many slots made more parts than there are targets (TestStoredTargetOutOfBounds of the odd entries: the first part had no slot).

--- a/internal/process/entry/group/partition.go
+++ b/internal/process/entry/group/partition.go
@@ -12,10 +12,13 @@
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
-// minPartSlots is the least number of slots in each part of a partition. A dispatcher gets
-// a question and a report for each request, over a link that it shares with its callers, so
-// its part must not grow with the region; parts with fewer slots even out bursts badly.
-const minPartSlots = 45
+// The least numbers of slots and targets in each part of a partition. A dispatcher gets a
+// question and a report for each request, over a link that it shares with its callers, so
+// its part must not grow with the region; smaller parts even out bursts and failures badly.
+const (
+	minPartSlots   = 45
+	minPartTargets = 4
+)
 
 // regionTargets identifies the targets of a service in a region.
 type regionTargets struct{ service, region string }
@@ -46,7 +49,7 @@
 	for _, t := range targets {
 		total += t.Slots
 	}
-	parts := partCount(total)
+	parts := partCount(total, len(targets))
 	p := &partition{partOf: make(map[string]int, len(targets)), slots: make([]int, parts)}
 	room := make([]int, parts) // targets that still fit
 	for i := range room {
@@ -67,11 +70,12 @@
 	return p
 }
 
-// partCount returns the largest power of two for which each part has minPartSlots. With
-// powers of two, a change of the number leaves half of the targets in their parts.
-func partCount(slots int) int {
+// partCount returns the largest power of two for which each part has minPartSlots and
+// minPartTargets. With powers of two, a change of the number leaves half of the targets in
+// their parts.
+func partCount(slots, targets int) int {
 	parts := 1
-	for slots >= 2*parts*minPartSlots {
+	for slots >= 2*parts*minPartSlots && targets >= 2*parts*minPartTargets {
 		parts *= 2
 	}
 	return parts
--- a/internal/process/entry/group/partition_test.go
+++ b/internal/process/entry/group/partition_test.go
@@ -51,6 +51,11 @@
 		if total := partitionTestSlots * len(targets); len(size) > 1 && total < len(size)*minPartSlots {
 			t.Errorf("%d parts for %d slots", len(size), total)
 		}
+		large := partitionTargets(0, 1, 2, 3, 4, 5, 6)
+		large[0].Slots = rapid.IntRange(1, 1<<30).Draw(t, "slots of one target")
+		if parts := len(newPartition(large).slots); parts > 1 {
+			t.Errorf("%d parts for %d targets", parts, len(large))
+		}
 	})
 }
 
