storage: a replica acknowledged records that were not synced

Operators saw changes unanswered long after full disks had room again, while all processes ran.

Cause: a save whose sync fails, or whose process ends between the write and the sync, leaves a whole record in the log that can be read but is not durable. The replica started again, read the record as saved and acknowledged it to its leader, which counts it for the quorum. A power loss then removed it. The leader takes the rejections of that replica for outdated ones, as they lie at or below the acknowledged index, and never sends the record again. The replica stayed out of step until the next change of the leader, and with three replicas the next full disk left no quorum for writes, although heartbeats were answered and the leader stayed.

This also replaces the truncation of a torn record.

TestCrashAnywhere is as strict as before: the identity counts as created as soon as a durable one is seen.

--- a/internal/process/control/replica/failure_test.go
+++ b/internal/process/control/replica/failure_test.go
@@ -4,13 +4,10 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
-	"github.com/fescuejunction/fescuejunction/internal/process/control/storage"
 )
 
 // maxWriteGap is the longest time without a successful write that the design
@@ -159,41 +156,11 @@
 	}
 }
 
-// fullDisk is a file system on which writes fail with ENOSPC while full is set.
-type fullDisk struct {
-	storage.OS
-	full atomic.Bool
-}
-
-// fullFile is a file on a fullDisk.
-type fullFile struct {
-	storage.File
-	disk *fullDisk
-}
-
-func (d *fullDisk) Append(name string) (storage.File, error) {
-	f, err := d.OS.Append(name)
-	return fullFile{f, d}, err
-}
-
-func (f fullFile) Write(p []byte) (int, error) {
-	if f.disk.full.Load() {
-		return 0, syscall.ENOSPC
-	}
-	return f.File.Write(p)
-}
-
 // Guards against a leader that acknowledges a write although its disk is full, and
 // against a cluster that accepts no writes because one disk is full.
 func TestLeaderDiskFull(t *testing.T) {
 	c := newCluster(t, 3, 0)
-	disks := map[*node]*fullDisk{}
-	for _, n := range c.nodes {
-		n.stop()
-		disks[n] = &fullDisk{}
-		n.cfg.fs = disks[n]
-		n.start()
-	}
+	disks := c.replaceDisks()
 	l := c.leader()
 	disk := disks[l]
 	disk.full.Store(true)
--- a/internal/process/control/storage/fs.go
+++ b/internal/process/control/storage/fs.go
@@ -15,7 +15,6 @@
 	ReadFile(name string) ([]byte, error)
 	Create(name string) (File, error) // truncates an existing file
 	Append(name string) (File, error)
-	Truncate(name string, size int64) error // the new size is durable on return
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir(dir string) error
@@ -69,20 +68,6 @@
 	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
-// Truncate changes the size of a file to size bytes and makes the new size
-// durable.
-func (OS) Truncate(name string, size int64) error {
-	f, err := os.OpenFile(name, os.O_WRONLY, fileMode)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	if err := f.Truncate(size); err != nil {
-		return err
-	}
-	return f.Sync()
-}
-
 // Rename renames a file. It replaces an existing file of the new name.
 func (OS) Rename(from, to string) error { return os.Rename(from, to) }
 
--- a/internal/process/control/storage/load.go
+++ b/internal/process/control/storage/load.go
@@ -8,12 +8,17 @@
 )
 
 // load reads the snapshot and the log. It removes an incomplete frame at the end
-// of the log.
+// of the log. Everything that it returns is durable, although the last process may
+// have ended before it had synced its last save.
 func (s *Store) load() (raft.State, error) {
 	names, err := s.fs.ReadDir(s.dir)
 	if err != nil {
 		return raft.State{}, storageError(err, "list %s", s.dir)
 	}
+	// loadSnapshot removes older snapshots, so the newest one must be durable.
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return raft.State{}, storageError(err, "sync directory %s", s.dir)
+	}
 	snap, err := s.loadSnapshot(names)
 	if err != nil {
 		return raft.State{}, err
@@ -36,41 +41,46 @@
 	return r.state, s.reconcileSnapshot(&r.state)
 }
 
-// loadSegment replays one segment. A torn write is accepted in the last segment
-// only. The first record of a segment may start a new log; any segments before it
-// are then ignored, also if the oldest of them have already been removed.
+// loadSegment replays one segment. The records at the end of the last segment may
+// be unsynced, so it is replaced by a durable copy of its intact records. A sync of
+// the segment is not enough: after a sync has failed, Linux still returns the data
+// to readers, but the next sync does not write it.
 func (s *Store) loadSegment(r *replayState, name string, last bool) error {
 	path := filepath.Join(s.dir, name)
 	data, err := s.fs.ReadFile(path)
 	if err != nil {
 		return storageError(err, "read segment %s", path)
 	}
-	for offset := 0; offset < len(data); {
+	intact, err := s.replaySegment(r, path, data, last)
+	if err != nil || !last {
+		return err
+	}
+	s.size = int64(intact)
+	return writeFile(s.fs, s.dir, name, data[:intact])
+}
+
+// replaySegment replays the data of one segment and returns the size in bytes of
+// its intact records. A torn write is accepted in the last segment only. The first
+// record of a segment may start a new log; any segments before it are then ignored,
+// also if the oldest of them have already been removed.
+func (s *Store) replaySegment(r *replayState, path string, data []byte, last bool) (int, error) {
+	offset := 0
+	for offset < len(data) {
 		rec, seq, size, ok := decodeFrame(data[offset:])
+		if !ok && last && isTornWrite(data, offset) {
+			s.log.WithField("segment", path).WithField("offset", offset).WithField("bytes", len(data)-offset).
+				Warn("removing an incomplete record at the end of the log; it was never acknowledged")
+			break
+		}
 		if !ok {
-			if !last || !isTornWrite(data, offset) {
-				return corruptLogError(s.dir, "segment %s has a damaged record at byte %d", path, offset)
-			}
-			return s.truncateTail(path, offset, len(data))
+			return 0, corruptLogError(s.dir, "segment %s has a damaged record at byte %d", path, offset)
 		}
 		if err := r.apply(rec, seq); err != nil {
-			return err
+			return 0, err
 		}
 		offset += size
-		s.size = int64(offset)
 	}
-	s.size = int64(len(data))
-	return nil
-}
-
-func (s *Store) truncateTail(path string, offset, size int) error {
-	s.log.WithField("segment", path).WithField("offset", offset).WithField("bytes", size-offset).
-		Warn("removing an incomplete record at the end of the log; it was never acknowledged")
-	s.size = int64(offset)
-	if err := s.fs.Truncate(path, int64(offset)); err != nil {
-		return storageError(err, "truncate segment %s", path)
-	}
-	return nil
+	return offset, nil
 }
 
 // reconcileSnapshot makes the log consistent with the snapshot. They differ after
--- a/internal/process/control/storage/store_test.go
+++ b/internal/process/control/storage/store_test.go
@@ -150,6 +150,41 @@
 	})
 }
 
+// Guards against a replica that acknowledges a record which a failed sync or the end
+// of the process left in the log unsynced and a later power loss removes: its leader
+// counts the record as saved there and never sends it again. Also guards against a
+// data directory that cannot be opened after the disk was full.
+func TestFullDiskThenPowerLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fsys := newMemFS()
+		w := &storeModel{t: t, fsys: fsys}
+		for range rapid.IntRange(1, 6).Draw(t, "faults") {
+			steps := rapid.IntRange(0, 40).Draw(t, "steps")
+			fsys.tornBytes = rapid.IntRange(0, 300).Draw(t, "torn")
+			if rapid.Bool().Draw(t, "full") {
+				fsys.stepsUntilFull = steps
+			} else {
+				fsys.stepsUntilCrash = steps
+			}
+			for w.store != nil || w.open() {
+				if !w.save(rapid.IntRange(0, 9).Draw(t, "save")) {
+					break
+				}
+			}
+			w.restarted = !rapid.Bool().Draw(t, "power loss")
+			if w.restarted {
+				fsys = fsys.afterRestart()
+			} else {
+				fsys = fsys.afterCrash()
+			}
+			w.fsys, w.store = fsys, nil
+		}
+		if !w.open() {
+			t.Fatalf("the store does not open on a working disk: %v", w.err)
+		}
+	})
+}
+
 // storeModel records the state that a correct store must return.
 type storeModel struct {
 	t         *rapid.T
@@ -158,6 +193,7 @@
 	state     raft.State // last state whose save succeeded
 	attempted raft.State // state of the last save, which a crash may have interrupted
 	created   bool
+	restarted bool // the last process ended without a power loss, so what it left may not be durable
 	err       error
 }
 
@@ -177,9 +213,10 @@
 	}
 	var st raft.State
 	if err == nil {
-		w.created = true
+		w.created = w.created || !w.restarted
 		w.store, st, err = Open(w.fsys, testDir, discardLog)
 	}
+	w.created = w.created || err == nil
 	if w.err = err; err != nil {
 		if errkind.Of(err) == errkind.CorruptLog {
 			w.t.Fatalf("a crash was reported as corruption: %v", err)
