--- a/internal/process/control/raft/follower.go
+++ b/internal/process/control/raft/follower.go
@@ -27,7 +27,7 @@
 }
 
 func (r *Raft) handleAppend(m *pb.RaftMessage) {
-	reply := &pb.RaftMessage{Type: pb.MessageType_MESSAGE_APPEND_REPLY, To: m.From, Term: r.term}
+	reply := r.newReply(pb.MessageType_MESSAGE_APPEND_REPLY, m)
 	match, ok := r.log.merge(m.Index, m.LogTerm, m.Entries)
 	if ok {
 		r.log.commitTo(min(m.Commit, match))
@@ -45,7 +45,9 @@
 func (r *Raft) handleHeartbeat(m *pb.RaftMessage) {
 	r.log.commitTo(m.Commit)
 	r.learnCounter(indexedCounter{m.Counter, m.Index})
-	r.send(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_HEARTBEAT_REPLY, To: m.From, Term: r.term, ReadSeq: m.ReadSeq})
+	reply := r.newReply(pb.MessageType_MESSAGE_HEARTBEAT_REPLY, m)
+	reply.ReadSeq = m.ReadSeq
+	r.send(reply)
 }
 
 func (r *Raft) handleSnapshot(m *pb.RaftMessage) {
@@ -56,5 +58,13 @@
 		r.log.restore(s)
 		r.unsavedSnapshot = s
 	}
-	r.send(&pb.RaftMessage{Type: pb.MessageType_MESSAGE_SNAPSHOT_REPLY, To: m.From, Term: r.term, Index: r.log.committed})
+	reply := r.newReply(pb.MessageType_MESSAGE_SNAPSHOT_REPLY, m)
+	reply.Index = r.log.committed
+	r.send(reply)
+}
+
+// newReply returns a reply to the message m of the leader. Its Counter is the session
+// of this replica.
+func (r *Raft) newReply(t pb.MessageType, m *pb.RaftMessage) *pb.RaftMessage {
+	return &pb.RaftMessage{Type: t, To: m.From, Term: r.term, Counter: r.cfg.Session}
 }
--- a/internal/process/control/raft/leader.go
+++ b/internal/process/control/raft/leader.go
@@ -111,6 +111,7 @@
 		return
 	}
 	p.lastReplyTick = r.ticks
+	p.noteSession(m.Counter)
 	switch m.Type {
 	case pb.MessageType_MESSAGE_APPEND_REPLY, pb.MessageType_MESSAGE_SNAPSHOT_REPLY:
 		r.handleAppendReply(p, m)
--- a/internal/process/control/raft/progress.go
+++ b/internal/process/control/raft/progress.go
@@ -25,6 +25,7 @@
 	snapshotTick  uint64   // snapshotting: tick at which it was sent
 	lastReplyTick uint64   // tick of the last reply, or at which the peer was added
 	ackedRound    uint64   // last heartbeat round that the peer has answered
+	session       uint64   // of the peer, as in its last reply; 0 if unknown
 }
 
 func (p *progress) paused(maxInflight int) bool {
@@ -44,6 +45,15 @@
 	p.next = max(next, p.match+1)
 }
 
+// noteSession records the session of the peer. A peer that has restarted has lost a
+// snapshot that it had not installed.
+func (p *progress) noteSession(session uint64) {
+	if p.state == snapshotting && p.session != 0 && session != p.session {
+		p.startProbing(p.match + 1)
+	}
+	p.session = session
+}
+
 // sent records an append message with the given number of entries that ends at
 // index last.
 func (p *progress) sent(last uint64, entries int) {
--- a/internal/process/control/raft/raft.go
+++ b/internal/process/control/raft/raft.go
@@ -71,6 +71,9 @@
 	// interval must exceed the network delay; otherwise both advances could date
 	// from before a network partition.
 	InitialHeartbeatTicks int
+	// Session differs for each start of the replica and is not 0. Replies carry it,
+	// so that the leader notices a restart. 0 if the starts are not told apart.
+	Session uint64
 
 	MaxMessageEntries     int    // entries in one append message
 	MaxMessageBytes       int    // bytes of entry data in one append message; a larger single entry is still sent
--- a/internal/process/control/raft/sim_test.go
+++ b/internal/process/control/raft/sim_test.go
@@ -23,6 +23,8 @@
 	crashPoint   int // crash at the next output: 1 before the save, 2 after it, 0 never
 	partitioned  bool
 	clockStopped bool // ticks are ignored
+	diskFull     bool // the next save fails
+	down         bool // stopped after a failed save; ticks and messages are lost
 	applied      uint64
 	stateHash    uint64
 	counter      uint64
@@ -43,6 +45,7 @@
 	maxCommitted   uint64            // highest commit index of any node
 	committedTerms map[uint64]uint64 // term of each committed entry, by index
 	lastID         int
+	lastSession    uint64
 	stats          *simStats
 }
 
@@ -71,8 +74,9 @@
 func (s *sim) boot(n *simNode, id string) {
 	st := n.disk
 	st.Entries = slices.Clone(st.Entries)
+	s.lastSession++
 	n.Raft = New(Config{
-		ID: id, Rand: s.rng, ElectionTicks: 4, HeartbeatTicks: 1, MaxMessageEntries: 3, MaxInflight: 3, TrailingEntries: 2,
+		ID: id, Rand: s.rng, Session: s.lastSession, ElectionTicks: 4, HeartbeatTicks: 1, MaxMessageEntries: 3, MaxInflight: 3, TrailingEntries: 2,
 	}, st)
 	n.crashPoint, n.applied, n.stateHash, n.counter = 0, 0, 0, 0
 	n.reads = map[uint64]uint64{}
@@ -116,6 +120,10 @@
 		if !rd.MustSave() && len(rd.Messages) == 0 && len(rd.Reads) == 0 {
 			break
 		}
+		if n.diskFull && rd.MustSave() {
+			n.down = true
+			return
+		}
 		if n.crashPoint == 1 {
 			s.stats.crashes++
 			s.boot(n, n.id)
@@ -266,6 +274,9 @@
 		s.inTransit = slices.Delete(s.inTransit, i, i+1)
 	}
 	from, to := s.nodeAt(m.From), s.nodeAt(m.To)
+	if to.down {
+		return
+	}
 	if from.partitioned || to.partitioned {
 		if s.rng.IntN(2) == 0 {
 			s.inTransit = append(s.inTransit, m)
@@ -284,7 +295,7 @@
 }
 
 func (s *sim) tick(n *simNode) {
-	if n.clockStopped {
+	if n.clockStopped || n.down {
 		return
 	}
 	n.Tick()
@@ -295,6 +306,9 @@
 func (s *sim) propose() {
 	s.lastID++
 	for _, n := range s.nodes {
+		if n.down {
+			continue
+		}
 		if _, _, err := n.Propose(fmt.Appendf(nil, "v%d", s.lastID)); err == nil {
 			s.processReady(n)
 		}
@@ -355,8 +369,13 @@
 
 func (s *sim) compact(n *simNode) {
 	data := binary.LittleEndian.AppendUint64(nil, n.stateHash)
-	if n.applied > 0 && n.Compact(n.applied, data) != nil {
-		n.disk = n.CompactedState()
-		n.disk.Entries = slices.Clone(n.disk.Entries)
+	if n.down || n.applied == 0 || n.Compact(n.applied, data) == nil {
+		return
+	}
+	if n.diskFull {
+		n.down = true
+		return
 	}
+	n.disk = n.CompactedState()
+	n.disk.Entries = slices.Clone(n.disk.Entries)
 }
--- a/internal/process/control/replica/replica.go
+++ b/internal/process/control/replica/replica.go
@@ -155,6 +155,7 @@
 		ElectionTicks:         max(2*heartbeatTicks, int(cfg.ElectionTimeout/cfg.TickInterval)),
 		HeartbeatTicks:        heartbeatTicks,
 		InitialHeartbeatTicks: newTermHeartbeatTicks,
+		Session:               rand.Uint64() | 1,
 		TrailingEntries:       cfg.SnapshotEvery / 2,
 	}
 }
