--- a/internal/process/control/replica/diskfull_test.go
+++ b/internal/process/control/replica/diskfull_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -155,3 +157,60 @@
 		t.Fatalf("write with one full disk of three: %v", err)
 	}
 }
+
+// inStep reports whether the replicas have applied the same values and are voters.
+func (c *cluster) inStep() bool {
+	want := c.nodes[0].machine.list()
+	for _, n := range c.nodes {
+		if !slices.Equal(n.machine.list(), want) || !n.status.Load().isVoter() || len(n.Status().Peers) != len(c.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// fillDisk makes the disk of n full while two changes are made at the other nodes,
+// and then starts n again. The second change makes n fail if the first did not.
+func (c *cluster) fillDisk(n *node, disk *faultyDisk) {
+	c.t.Helper()
+	disk.full.Store(true)
+	for range 2 {
+		c.writeWithinBound(c.others(n))
+	}
+	n.awaitDiskFull()
+	n.stop()
+	disk.full.Store(false)
+	n.start()
+	c.writeWithinBound(c.others(n))
+}
+
+// Guards against replicas that stay out of step, and against changes that are not
+// accepted within maxWriteGap, after the disks of all replicas were full one after
+// another, never two at once: the leader first and last, a snapshot due about every
+// fourth change, and between two of them the restart of another replica.
+func TestDisksFullInTurn(t *testing.T) {
+	for _, size := range []int{3, 5, 6} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, size, 0)
+			for _, n := range c.nodes {
+				n.cfg.SnapshotEvery = 4
+			}
+			disks := c.replaceDisks()
+			l := c.leader()
+			turns := slices.Concat([]*node{l}, c.others(l))
+			for i, n := range turns {
+				c.fillDisk(n, disks[n])
+				if i == 1 {
+					o := turns[0]
+					o.stop()
+					o.start()
+				}
+			}
+			l = c.leader()
+			c.fillDisk(l, disks[l])
+			c.writeWithinBound(c.nodes)
+			eventually(t, 5*time.Second, "all replicas are in step", c.inStep)
+		})
+	}
+}
