dispatch: sheds end the allowance for requests on their way

A target that sheds gets no more than its slots for 5 s. The number of slots in use is rounded instead of raised, since with three slots nothing was ever on the way.

--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -66,7 +66,9 @@
 	// onTheWay is the moving average of the share of the pool's requests that are not at
 	// the target: those granted whose request has not arrived there, and those answered
 	// whose end has not arrived here.
-	onTheWay float64
+	onTheWay     float64
+	shedAt       time.Duration // last time that the target shed a request of the pool
+	shedSomeTime bool
 
 	logSlowdown    float64 // logarithm of its running times relative to the typical ones
 	logSlowdownAt  time.Duration
@@ -157,7 +159,7 @@
 
 // finish removes r from the requests in flight and takes over its outcome.
 func (b *backend) finish(at time.Duration, r *Request, o Outcome) {
-	b.observeOnTheWay(o)
+	b.observeOnTheWay(at, o)
 	last := len(b.running) - 1
 	moved := b.running[last]
 	b.running[r.pos] = moved
@@ -406,12 +408,19 @@
 	// maxOnTheWay bounds the requests that a target gets beyond its slots. If all
 	// arrive at once, as many wait as run.
 	maxOnTheWay = 0.5
+	// A target that sheds has no room for requests beyond its slots, whatever it
+	// reports. It gets none for shedMemory.
+	shedMemory = 5 * time.Second
 )
 
 // observeOnTheWay compares the requests that the target reports with those that the pool
 // has given to it, including the one that ends.
-func (b *backend) observeOnTheWay(o Outcome) {
-	if o.Report.Slots == 0 || o.Result == Shed {
+func (b *backend) observeOnTheWay(at time.Duration, o Outcome) {
+	switch {
+	case o.Result == Shed:
+		b.onTheWay, b.shedAt, b.shedSomeTime = 0, at, true
+		return
+	case o.Report.Slots == 0, b.shedSomeTime && at-b.shedAt < shedMemory:
 		return
 	}
 	own := float64(len(b.running))
@@ -423,7 +432,7 @@
 // for the target before the pool learns it, and it is granted before the request arrives;
 // on slow links that takes as long as the request itself, and the target would be idle.
 func (b *backend) inUse() int {
-	return int(math.Ceil(float64(len(b.running)) * (1 - b.onTheWay)))
+	return int(math.Round(float64(len(b.running)) * (1 - b.onTheWay)))
 }
 
 // freeSlots returns the slots of the target that are not in use, negative if requests
