slots: a dispatcher that queues is not silent, and one that is absent is noticed

Found by a review. Silence now counts from when the first reply after the last one was due, also if its question was given up.

TestQueueingDispatcherIsNotSilent, TestAbsentDispatcherIsNoticedByShortRequests (by the reviewer) failed before.

--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -101,15 +101,16 @@
 	sendQueue  *ring.Ring[*fescuepb.SlotRequest] // nil while there is no stream
 	cancel     context.CancelFunc
 	lastOpened time.Time // when the last attempt to open a stream began
-	// unansweredSince is when the last reply arrived or, if later, the oldest pending
-	// question was sent. It is zero without pending questions.
-	unansweredSince time.Time
-	lastID          uint64
-	pending         map[uint64]chan *fescuepb.SlotReply // by request ID; closed if the stream fails
+	// replyDue is when a reply was first due after the last one that arrived, even if its
+	// question was given up. It is zero if none is.
+	replyDue time.Time
+	lastID   uint64
+	pending  map[uint64]chan *fescuepb.SlotReply // by request ID; closed if the stream fails
+	due      map[uint64]time.Time                // when the reply to each pending request is due
 }
 
 func (l *link) acquire(ctx context.Context, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, dispatch.Load, error) {
-	id, reply, ok := l.sendAsk(encodeAsk(p, w, now), now)
+	id, reply, ok := l.sendAsk(encodeAsk(p, w, now), QueueTime(w, now), now)
 	if !ok {
 		return nil, dispatch.Load{}, ErrNoReply
 	}
@@ -122,35 +123,26 @@
 		}
 		return l.decodeReply(r)
 	case <-timer.C:
-		silent := l.silent(time.Now())
 		l.cancelAsk(id)
-		if silent {
+		if l.silent(time.Now()) {
 			return nil, dispatch.Load{}, ErrNoReply
 		}
 		return nil, dispatch.Load{}, dispatch.RefuseOverloaded(overloadedRetryAfter)
 	case <-ctx.Done():
 		l.cancelAsk(id)
+		if l.silent(time.Now()) {
+			return nil, dispatch.Load{}, ErrNoReply
+		}
 		return nil, dispatch.Load{}, dispatch.Cancelled(ctx)
 	}
 }
 
-// silent reports whether the entry has left all pending questions without a reply for
-// silentAfter. A link without questions is not silent.
+// silent reports whether a question has had no reply for silentAfter since it should have
+// had it, and no other one either.
 func (l *link) silent(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) >= silentAfter
-}
-
-// removePending removes a question and returns the channel of its reply, or nil. The
-// caller holds l.mu.
-func (l *link) removePending(id uint64) chan *fescuepb.SlotReply {
-	reply := l.pending[id]
-	delete(l.pending, id)
-	if len(l.pending) == 0 {
-		l.unansweredSince = time.Time{}
-	}
-	return reply
+	return !l.replyDue.IsZero() && now.Sub(l.replyDue) >= silentAfter
 }
 
 // replyTimeout returns how long to wait for the reply to a slot request, at least
@@ -158,20 +150,25 @@
 // or deadline. A request with NoQueue or AnySlot is not queued, so the reply comes at
 // once.
 func replyTimeout(w dispatch.Work, now time.Time) time.Duration {
+	return max(QueueTime(w, now)+replyMargin, silentAfter)
+}
+
+// QueueTime returns how long a request may wait in the dispatcher's queue.
+func QueueTime(w dispatch.Work, now time.Time) time.Duration {
 	if w.NoQueue || w.AnySlot {
-		return silentAfter
+		return 0
 	}
 	until := w.Deadline
 	if !w.Objective.IsZero() && w.Objective.Before(until) {
 		until = w.Objective
 	}
-	return max(until.Sub(now)+replyMargin, silentAfter)
+	return max(until.Sub(now), 0)
 }
 
 // sendAsk registers a slot request and queues it for sending. It returns the ID of
 // the request and the channel of its reply; ok is false if there is no stream or
 // the send queue is full.
-func (l *link) sendAsk(a *fescuepb.SlotAsk, now time.Time) (id uint64, reply chan *fescuepb.SlotReply, ok bool) {
+func (l *link) sendAsk(a *fescuepb.SlotAsk, queue time.Duration, now time.Time) (id uint64, reply chan *fescuepb.SlotReply, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.sendQueue == nil && !l.startStream(now) {
@@ -183,13 +180,29 @@
 		return 0, nil, false
 	}
 	reply = make(chan *fescuepb.SlotReply, 1)
-	if len(l.pending) == 0 {
-		l.unansweredSince = time.Now()
+	if l.due == nil {
+		l.due = map[uint64]time.Time{}
 	}
+	l.due[a.Id] = now.Add(queue)
+	l.noteDue(l.due[a.Id])
 	l.pending[a.Id] = reply
 	return a.Id, reply, true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// noteDue takes over that a reply is due. The caller holds l.mu.
+func (l *link) noteDue(due time.Time) {
+	if l.replyDue.IsZero() || due.Before(l.replyDue) {
+		l.replyDue = due
+	}
+}
+
 // startStream starts a stream, unless the last attempt began less than reopenDelay
 // ago. The caller holds l.mu.
 func (l *link) startStream(now time.Time) bool {
@@ -252,8 +265,14 @@
 // pending, it releases the slot of the reply.
 func (l *link) deliver(r *fescuepb.SlotReply) {
 	l.mu.Lock()
-	l.unansweredSince = time.Now()
-	reply := l.removePending(r.Id)
+	reply := l.pending[r.Id]
+	delete(l.pending, r.Id)
+	delete(l.due, r.Id)
+	l.replyDue = time.Time{}
+	now := time.Now()
+	for id := range l.pending {
+		l.noteDue(later(l.due[id], now))
+	}
 	l.mu.Unlock()
 	if reply != nil {
 		reply <- r
@@ -268,7 +287,9 @@
 // releases the slot of the reply.
 func (l *link) cancelAsk(id uint64) {
 	l.mu.Lock()
-	reply := l.removePending(id)
+	reply := l.pending[id]
+	delete(l.pending, id)
+	delete(l.due, id)
 	l.mu.Unlock()
 	select {
 	case r, open := <-reply: // the reply arrived before the request was removed
@@ -323,9 +344,10 @@
 		return
 	}
 	l.cancel()
-	l.sendQueue, l.unansweredSince = nil, time.Time{}
+	l.sendQueue, l.replyDue = nil, time.Time{}
 	for id, reply := range l.pending {
 		delete(l.pending, id)
+		delete(l.due, id)
 		close(reply)
 	}
 }
