scenarios: start waits for a process that was sent SIGKILL

The scenario leader failed once beside a load of 40 to 60 with "process c2 still runs". No process hangs at its stop: nothing but SIGKILL was sent to it, which no process can refuse.

Cause: the script kills a replica, makes a change and starts the replica again without waiting for its end. A killed process took 4 ms to end (median of 60), 17 ms at most, beside two busy processes on its core; the change that passes in between can be quicker than that on a busy machine, above all if a follower was killed. start also checked for the old process only after it had started the new one, which could then meet the ports and the data directory of the old one. control-inforce, control-leader and control-behind start replicas the same way.

start now checks first, and waits up to 10 s for a process that was sent SIGKILL. Any other process that still runs fails the script as before. sigkill itself does not wait, so that the limits of 3 s for a write after it count from the signal.

--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -16,6 +16,10 @@
 // stopLimit bounds how long a process may take to stop.
 const stopLimit = 90 * time.Second
 
+// killLimit bounds how long a process may take to end by SIGKILL. It took 17 ms at
+// most beside two busy processes on its core.
+const killLimit = 10 * time.Second
+
 // processes are the processes that a script started.
 type processes struct {
 	mu     sync.Mutex
@@ -27,16 +31,20 @@
 
 // process is one started process. Signals go to its process identifier only.
 type process struct {
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the process has ended
-	err  error         // result of Wait; valid after done is closed
+	cmd    *exec.Cmd
+	killed bool          // SIGKILL was sent
+	done   chan struct{} // closed when the process has ended
+	err    error         // result of Wait; valid after done is closed
 }
 
 // start NAME PROGRAM ARGS... starts a process in the background that logs to
 // NAME.log. A name can be used again after its process has ended; the log is
-// appended to.
+// appended to. start waits for a process that was sent SIGKILL: none can refuse
+// it, but on a busy machine it takes a moment.
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, !neg && len(args) >= 2, "start NAME PROGRAM ARGS...")
+	procs := ts.Value(processesKey{}).(*processes)
+	procs.awaitEnded(ts, args[0])
 	log, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	ts.Check(err)
 	defer log.Close() // the process has its own copy
@@ -49,16 +57,30 @@
 		p.err = cmd.Wait()
 		close(p.done)
 	}()
-	procs := ts.Value(processesKey{}).(*processes)
 	procs.mu.Lock()
 	defer procs.mu.Unlock()
-	if old := procs.byName[args[0]]; old != nil && !old.ended() {
-		_ = cmd.Process.Kill()
-		ts.Fatalf("process %s still runs", args[0])
-	}
 	procs.byName[args[0]] = p
 }
 
+// awaitEnded fails the script unless the process of a name has ended or ends by
+// a SIGKILL that was sent.
+func (ps *processes) awaitEnded(ts *testscript.TestScript, name string) {
+	ps.mu.Lock()
+	old := ps.byName[name]
+	ps.mu.Unlock()
+	if old == nil || old.ended() {
+		return
+	}
+	if !old.killed {
+		ts.Fatalf("process %s still runs", name)
+	}
+	select {
+	case <-old.done:
+	case <-time.After(killLimit):
+		ts.Fatalf("process %s still runs %s after SIGKILL", name, killLimit)
+	}
+}
+
 func (p *process) ended() bool {
 	select {
 	case <-p.done:
@@ -110,7 +132,9 @@
 	return func(ts *testscript.TestScript, neg bool, args []string) {
 		usage(ts, !neg && len(args) > 0, "sigterm|sighup|sigkill|freeze|thaw NAME...")
 		for _, name := range args {
-			ts.Check(findProcess(ts, name).cmd.Process.Signal(sig))
+			p := findProcess(ts, name)
+			ts.Check(p.cmd.Process.Signal(sig))
+			p.killed = p.killed || sig == syscall.SIGKILL
 		}
 	}
 }
