replica: tests wait until every node of a new cluster votes

Beside a load, TestLeaderFailover failed with no write for 6.0 s, want 3 s, in one of 30 runs (six processes and four busy ones on one core). The log of that run, which the test discarded so far, tells the cause. The third node started 1.2 s after the second. The other two had elected a leader by then, so it joined with a new identity and without a vote ("the cluster already exists; joining it although bootstrap is set"), as a replica that lost its disk does. The test stopped the leader 0.4 s after the join, and of the three voters one was left. No disk sync took 0.1 s and no goroutine woke 0.15 s late in that run.

The replicas acted as designed: without a quorum nothing is written. The test missed its own precondition, three voters. newCluster now waits until every node votes and no other replica does. The bounds after the failure that a test makes are the same.

--- a/internal/process/control/replica/cluster_test.go
+++ b/internal/process/control/replica/cluster_test.go
@@ -89,9 +89,34 @@
 			n.stop()
 		}
 	})
+	c.awaitVoters()
 	return c
 }
 
+// startLimit bounds the time in which the nodes of a new cluster become voters.
+const startLimit = 20 * time.Second
+
+// awaitVoters waits until every node votes and no other replica does. A node that
+// starts after the others have elected a leader joins as a new replica. Until it
+// votes in place of the initial one, the loss of another node loses the quorum.
+func (c *cluster) awaitVoters() {
+	c.t.Helper()
+	eventually(c.t, startLimit, "every node votes", func() bool {
+		return !slices.ContainsFunc(c.nodes, func(n *node) bool { return !votesAmong(n.Status(), len(c.nodes)) })
+	})
+}
+
+// votesAmong reports whether a replica with a leader is one of exactly n voters.
+func votesAmong(s Status, n int) bool {
+	voters := 0
+	for _, p := range s.Peers {
+		if p.Voter {
+			voters++
+		}
+	}
+	return s.LeaderID != "" && s.isVoter() && voters == n
+}
+
 // start starts the replica with an empty state machine and the present content of
 // its data directory.
 func (n *node) start() {
