group: requests past their objective are asked for, late dispatcher or not

A request that has missed its objective was always refused as if its dispatcher were late, also with replies at once; so were second attempts after a failed first one. Besides, the reply time was kept by pool, so the next dispatcher was not asked after one was passed over; the time in the queue counted as lateness; and one long wait refused requests for seconds.

The check concerns requests before their objective only. Reply times are kept by entry, without the time in the queue, and one counts for a second at most. TestRequestsForALateDispatcherAreRefusedAtOnce has the new cases.

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -52,7 +52,7 @@
 	local             map[slotlink.Pool]*dispatch.Dispatcher
 	remoteLoads       map[slotlink.Pool]timedLoad // of pools that other entries dispatch
 	refusals          map[slotlink.Pool]refusal   // the last ones of pools that other entries dispatch
-	replyTimes        map[slotlink.Pool]replyTime // of the dispatchers in other entries
+	replyTimes        map[string]replyTime        // of the dispatchers in other entries
 	unreachableUntil  map[string]time.Time        // by instance, until when it is skipped
 	loggedDispatchers map[slotlink.Pool]string    // the dispatcher of each pool that was last logged
 }
@@ -70,7 +70,7 @@
 	if g.local == nil {
 		g.local, g.remoteLoads = map[slotlink.Pool]*dispatch.Dispatcher{}, map[slotlink.Pool]timedLoad{}
 		g.unreachableUntil, g.loggedDispatchers = map[string]time.Time{}, map[slotlink.Pool]string{}
-		g.refusals, g.replyTimes = map[slotlink.Pool]refusal{}, map[slotlink.Pool]replyTime{}
+		g.refusals, g.replyTimes = map[slotlink.Pool]refusal{}, map[string]replyTime{}
 	}
 	g.snap, g.partitions = s, map[regionTargets]*partition{}
 	for pool, d := range g.local {
@@ -324,7 +324,7 @@
 		if err := p.guarded.refusedLately(p.pool, w); err != nil {
 			return nil, err
 		}
-		if err := p.guarded.refuseLate(p.pool, w); err != nil {
+		if err := p.guarded.refuseLate(dispatcher.Instance, w); err != nil {
 			return nil, err
 		}
 		asked := p.guarded.Now()
@@ -336,9 +336,9 @@
 		}
 		switch {
 		case err == nil:
-			p.guarded.recordReply(p.pool, ticket, dispatcher, asked)
+			p.guarded.recordReply(ticket, dispatcher, asked)
 		case dispatch.IsOverloaded(err):
-			p.guarded.recordReplyTime(p.pool, p.guarded.Now().Sub(asked))
+			p.guarded.recordReplyTime(dispatcher.Instance, p.guarded.Now().Sub(asked)-slotlink.QueueTime(w, asked))
 		}
 		if err == nil && !p.guarded.takesRequests(p.pool, ticket.Target.ID) {
 			p.returnGrant(ticket, dispatcher)
@@ -356,9 +356,9 @@
 }
 
 // recordReply records how late the reply of another entry that granted a slot was.
-func (g *Guarded) recordReply(pool slotlink.Pool, t *dispatch.Ticket, dispatcher *fescuepb.Member, asked time.Time) {
+func (g *Guarded) recordReply(t *dispatch.Ticket, dispatcher *fescuepb.Member, asked time.Time) {
 	t.Dispatcher, t.ReplyTime = dispatcher.Instance, max(g.Now().Sub(asked)-t.QueuedFor, 0)
-	g.recordReplyTime(pool, t.ReplyTime)
+	g.recordReplyTime(dispatcher.Instance, t.ReplyTime)
 	if g.Metrics != nil {
 		g.Metrics.Timer("slot_reply").Record(t.ReplyTime)
 	}
--- a/internal/process/entry/group/reply_times_test.go
+++ b/internal/process/entry/group/reply_times_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 )
@@ -14,8 +13,8 @@
 // asked again soon, and other pools and requests with more time are not concerned.
 func TestRequestsForALateDispatcherAreRefusedAtOnce(t *testing.T) {
 	now := time.Now()
-	g := &Guarded{Now: func() time.Time { return now }, replyTimes: map[slotlink.Pool]replyTime{}}
-	late, other := slotlink.Pool{Service: "rota", Region: "north"}, slotlink.Pool{Service: "rota", Region: "north", Part: 1}
+	g := &Guarded{Now: func() time.Time { return now }, replyTimes: map[string]replyTime{}}
+	const late, other = "e1", "e2"
 	work := func(objective time.Duration) dispatch.Work { return dispatch.Work{Objective: now.Add(objective)} }
 	if err := g.refuseLate(late, work(time.Millisecond)); err != nil {
 		t.Errorf("without a reply: %v", err)
@@ -32,15 +31,17 @@
 	}
 	for name, err := range map[string]error{
 		"more time":    g.refuseLate(late, work(time.Second)),
-		"other pool":   g.refuseLate(other, work(600*time.Millisecond)),
+		"other entry":  g.refuseLate(other, work(600*time.Millisecond)),
 		"any slot":     g.refuseLate(late, dispatch.Work{Objective: now.Add(600 * time.Millisecond), AnySlot: true}),
 		"no objective": g.refuseLate(late, dispatch.Work{}),
+		"late already": g.refuseLate(late, work(-time.Millisecond)),
 	} {
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	now = now.Add(replyTimeHalfLife)
+	g.recordReplyTime(late, time.Hour)
+	now = now.Add(2 * replyTimeHalfLife)
 	if err := g.refuseLate(late, work(600*time.Millisecond)); err != nil {
 		t.Errorf("the dispatcher is not asked again: %v", err)
 	}
