group: rank the entries of a pool once a version; remember what was drained

Found by a review of the parts. * Each look at a pool's load ranked all members, and a request looks at every part: 0.34 ms with one part and 12.6 ms with 32, at 1,000 members.

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -48,7 +49,9 @@
 
 	mu                sync.Mutex
 	snap              *snapshot.Snapshot
-	partitions        map[regionTargets]*partition // of snap, as far as they were needed
+	partitions        map[regionTargets]*partition         // of snap, as far as they were needed
+	ranked            map[slotlink.Pool][]*fescuepb.Member // entries in order of preference; the same
+	activeSince       map[string]activity                  // by ID of the targets of this region
 	local             map[slotlink.Pool]*dispatch.Dispatcher
 	remoteLoads       map[slotlink.Pool]timedLoad // of pools that other entries dispatch
 	refusals          map[slotlink.Pool]refusal   // the last ones of pools that other entries dispatch
@@ -72,7 +75,8 @@
 		g.unreachableUntil, g.loggedDispatchers = map[string]time.Time{}, map[slotlink.Pool]string{}
 		g.refusals, g.replyTimes = map[slotlink.Pool]refusal{}, map[string]replyTime{}
 	}
-	g.snap, g.partitions = s, map[regionTargets]*partition{}
+	g.snap, g.partitions, g.ranked = s, map[regionTargets]*partition{}, map[slotlink.Pool][]*fescuepb.Member{}
+	g.observeActivityLocked()
 	for pool, d := range g.local {
 		svc := s.Services[pool.Service]
 		if svc == nil || !svc.GuardedSlots || !g.partitionLocked(svc, pool.Region).has(pool.Part) {
@@ -213,16 +217,39 @@
 // preferredLocked returns the most preferred entry of a pool's region for which
 // fits returns true, or nil.
 func (g *Guarded) preferredLocked(pool slotlink.Pool, fits func(*Guarded, *fescuepb.Member) bool) *fescuepb.Member {
-	var best *fescuepb.Member
-	for _, m := range g.snap.Members() {
-		if m.Role != fescuepb.Role_ROLE_ENTRY || m.Region != pool.Region || !fits(g, m) {
-			continue
+	for _, m := range g.rankedLocked(pool) {
+		if fits(g, m) {
+			return m
 		}
-		if best == nil || prefers(rankKey(pool), m, best) {
-			best = m
+	}
+	return nil
+}
+
+// rankedLocked returns the entries of a pool's region in order of preference.
+func (g *Guarded) rankedLocked(pool slotlink.Pool) []*fescuepb.Member {
+	if out, ok := g.ranked[pool]; ok {
+		return out
+	}
+	type ranked struct {
+		member *fescuepb.Member
+		rank   uint64
+	}
+	var all []ranked
+	key := rankKey(pool)
+	for _, m := range g.snap.Members() {
+		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == pool.Region {
+			all = append(all, ranked{m, rank(key, m)})
 		}
 	}
-	return best
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.member.Instance, b.member.Instance))
+	})
+	out := make([]*fescuepb.Member, len(all))
+	for i, r := range all {
+		out[i] = r.member
+	}
+	g.ranked[pool] = out
+	return out
 }
 
 // rankKey returns the key by which the entries are ranked for a pool. That of the first
@@ -457,6 +484,7 @@
 // targetInfo converts a target of the snapshot for a dispatcher. No load is known
 // for it, which is -1. Numbers are bounded here and not when they are committed, since
 // a log of an older build may hold any.
+			info.ColdRemaining = max(info.ColdRemaining, g.coldAfterPauseLocked(&info))
 func targetInfo(s *snapshot.Snapshot, svc *snapshot.Service, t *fescuepb.Target) dispatch.TargetInfo {
 	info := dispatch.TargetInfo{
 		ID: t.Id, Addr: t.Address, DataCentre: t.DataCentre, Slots: int(min(t.Slots, document.MaxSlotsPerTarget)), ReportedLoad: -1, Incarnation: t.BornUnixMs,
