--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -120,8 +120,10 @@
 }
 
 // LocalSlots returns the slots of this entry's dispatcher of a pool for other entries, or
-// nil if there is no such service with guarded_slots.
+// nil if there is no such service with guarded_slots. An entry with a newer version may ask
+// for a part that there is not yet; one of the present parts then serves it.
 func (g *Guarded) LocalSlots(pool slotlink.Pool) dispatch.Slots {
+	pool.Part %= g.parts(pool)
 	if d := g.Dispatcher(pool); d != nil {
 		return d
 	}
@@ -421,25 +423,35 @@
 	return true
 }
 
-// loadTTL is how long a load received from another entry is valid.
-const loadTTL = 500 * time.Millisecond
+// Validity of what was received from another entry. An entry with few requests hears of
+// each part of a pool only now and then, and failed targets stay so for longer.
+const (
+	loadTTL   = 500 * time.Millisecond
+	failedTTL = 2 * time.Second // of the share of failed slots
+)
 
 // Load returns the load of the pool. If another entry dispatches the pool, it is
 // the last load received from there; if that is older than loadTTL, only the
 // running time is returned.
 func (p poolSlots) Load() dispatch.Load {
+	l, known := p.knownLoad(loadTTL)
+	if !known {
+		return dispatch.Load{Run: l.Run}
+	}
+	return l
+}
+
+// knownLoad returns the last known load of the pool, and whether it is at most ttl old.
+func (p poolSlots) knownLoad(ttl time.Duration) (l dispatch.Load, known bool) {
 	if p.guarded.remoteDispatcher(p.pool) == nil {
 		if d := p.guarded.Dispatcher(p.pool); d != nil {
-			return d.Load()
+			return d.Load(), true
 		}
 	}
 	p.guarded.mu.Lock()
 	defer p.guarded.mu.Unlock()
-	l := p.guarded.remoteLoads[p.pool]
-	if p.guarded.Now().Sub(l.receivedAt) > loadTTL {
-		return dispatch.Load{Run: l.Run}
-	}
-	return l.Load
+	last := p.guarded.remoteLoads[p.pool]
+	return last.Load, p.guarded.Now().Sub(last.receivedAt) <= ttl
 }
 
 // Stop closes the links to the other entries.
@@ -472,6 +484,7 @@
 	for _, dc := range g.snap.DataCentres(region) {
 		for _, t := range g.snap.Targets(svc.Name, dc) {
 			info := targetInfo(g.snap, svc, t)
+			info.ColdRemaining = max(info.ColdRemaining, g.coldAfterPauseLocked(&info))
 			if g.Announced.Of(info.Process()).Leaving {
 				info.State = dispatch.Leaving
 			}
@@ -484,7 +497,6 @@
 // targetInfo converts a target of the snapshot for a dispatcher. No load is known
 // for it, which is -1. Numbers are bounded here and not when they are committed, since
 // a log of an older build may hold any.
-			info.ColdRemaining = max(info.ColdRemaining, g.coldAfterPauseLocked(&info))
 func targetInfo(s *snapshot.Snapshot, svc *snapshot.Service, t *fescuepb.Target) dispatch.TargetInfo {
 	info := dispatch.TargetInfo{
 		ID: t.Id, Addr: t.Address, DataCentre: t.DataCentre, Slots: int(min(t.Slots, document.MaxSlotsPerTarget)), ReportedLoad: -1, Incarnation: t.BornUnixMs,
--- a/internal/process/entry/group/partition.go
+++ b/internal/process/entry/group/partition.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -44,6 +45,16 @@
 	return p
 }
 
+// parts returns the number of parts of a pool's targets, 1 if there are none.
+func (g *Guarded) parts(pool slotlink.Pool) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.snap == nil || g.snap.Services[pool.Service] == nil {
+		return 1
+	}
+	return len(g.partitionLocked(g.snap.Services[pool.Service], pool.Region).slots)
+}
+
 func newPartition(targets []dispatch.TargetInfo) *partition {
 	total := 0
 	for _, t := range targets {
