--- a/internal/process/entry/group/guarded_test.go
+++ b/internal/process/entry/group/guarded_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net"
 	"testing"
 	"time"
 
@@ -179,17 +178,11 @@
 // slotClient returns a client whose links all lead to the dispatchers of g.
 func slotClient(t *testing.T, g *Guarded) *slotlink.Client {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := grpc.NewServer()
-	fescuepb.RegisterSlotsServer(server, &slotlink.Server{Now: time.Now, Slots: g.LocalSlots})
-	go func() { _ = server.Serve(lis) }()
+	addr := serveSlots(t, g, nil)
 	c := &slotlink.Client{Log: logging.Discard(), Dial: func(string) (*grpc.ClientConn, error) {
-		return grpc.NewClient(lis.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		return grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	}}
-	t.Cleanup(func() { c.Close(); server.Stop() })
+	t.Cleanup(c.Close)
 	return c
 }
 
--- a/internal/process/entry/group/narrow_link_test.go
+++ b/internal/process/entry/group/narrow_link_test.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// serveSlots serves the slots of g behind a link and returns the address.
+// serveSlots serves the slots of g behind a link, unless it is nil, and returns the address.
 func serveSlots(t *testing.T, g *Guarded, link *narrowLink) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -146,7 +146,11 @@
 	}
 	server := grpc.NewServer()
 	fescuepb.RegisterSlotsServer(server, &slotlink.Server{Now: time.Now, Slots: g.LocalSlots})
-	go func() { _ = server.Serve(narrowListener{lis, link}) }()
+	served := lis
+	if link != nil {
+		served = narrowListener{lis, link}
+	}
+	go func() { _ = server.Serve(served) }()
 	t.Cleanup(server.Stop)
 	return lis.Addr().String()
 }
