--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -66,9 +66,9 @@
 	// onTheWay is the moving average of the share of the pool's requests that are not at
 	// the target: those granted whose request has not arrived there, and those answered
 	// whose end has not arrived here.
-	onTheWay     float64
-	shedAt       time.Duration // last time that the target shed a request of the pool
-	shedSomeTime bool
+	onTheWay float64
+	shedAt   time.Duration // last time that the target shed a request of the pool
+	hasShed  bool
 
 	logSlowdown    float64 // logarithm of its running times relative to the typical ones
 	logSlowdownAt  time.Duration
@@ -418,9 +418,9 @@
 func (b *backend) observeOnTheWay(at time.Duration, o Outcome) {
 	switch {
 	case o.Result == Shed:
-		b.onTheWay, b.shedAt, b.shedSomeTime = 0, at, true
+		b.onTheWay, b.shedAt, b.hasShed = 0, at, true
 		return
-	case o.Report.Slots == 0, b.shedSomeTime && at-b.shedAt < shedMemory:
+	case o.Report.Slots == 0, b.hasShed && at-b.shedAt < shedMemory:
 		return
 	}
 	own := float64(len(b.running))
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -13,7 +13,8 @@
 // It is not safe for concurrent use.
 //
 // Invariants: a target never has more requests in flight than its slots, except
-// after the number of its slots was lowered; a cold target gets requests at most
+// after the number of its slots was lowered and for requests that its reports show
+// to be on their way, at most as many as its slots; a cold target gets requests at most
 // at its rate; a request with a latency objective waits only while it is
 // expected to meet it.
 type Pool struct {
