--- a/internal/connection/platform/platform_test.go
+++ b/internal/connection/platform/platform_test.go
@@ -83,3 +83,18 @@
 		t.Errorf("%d instances, %v, after the malformed ones", len(got), err)
 	}
 }
+
+// Guards against one odd entry, written by another program, that costs the sound entries
+// of the list.
+func TestOddEntryCostsNoOthers(t *testing.T) {
+	for name, odd := range map[string]string{
+		"nested deep":     strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+		"of another type": `{"id": 17}`,
+	} {
+		body := strings.Replace(encodeList(t, 3), "[", "["+odd+",", 1)
+		c := serveList(t, &body)
+		if got, err := c.Fetch(context.Background()); err != nil || len(got) != 3 {
+			t.Errorf("%s: %d instances, %v; want the 3 sound ones", name, len(got), err)
+		}
+	}
+}
