spill, entry: an entry begins with the shares that the room of the regions asks for

Cause: at the start of traffic the limit on moves between regions counts all earlier requests as run at home, although there is no earlier window.

Change: an entry without earlier requests begins with the shares that equal load of the regions asks for: slots of the active targets by region against entries by region. From there on the limit applies as before.

--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -70,6 +70,14 @@
 // joiningAllowance is the number of entries that are assumed to be joining.
 const joiningAllowance = 2
 
+// regionShares returns the limit on moves between regions. This entry begins with the
+// shares that the room of the regions asks for, like the others of its region.
+func (p *process) regionShares() *spill.RegionShiftLimiter {
+	l := spill.NewRegionShiftLimiter(p.settings.Region, p.settings.RegionShift, spill.DefaultRegionShiftWindow)
+	l.StartWith(func() map[string]float64 { return spill.RoomShares(p.store.Load(), p.settings.Region) })
+	return l
+}
+
 // requestServers returns the servers for requests of callers and for requests that
 // other entries forward.
 func (p *process) requestServers() (callers, peers *caller.Server) {
@@ -78,7 +86,7 @@
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
-		Shares:   spill.NewRegionShiftLimiter(p.settings.Region, p.settings.RegionShift, spill.DefaultRegionShiftWindow),
+		Shares:   p.regionShares(),
 		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: p.peerTransport(),
 		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
 		Now:      time.Now, Log: p.log, Metrics: p.scope,
--- a/internal/request/spill/region_shift.go
+++ b/internal/request/spill/region_shift.go
@@ -54,6 +54,7 @@
 	ownRegion string
 	maxShare  float64 // 0: no limit
 	window    time.Duration
+	initial   func() map[string]float64 // shares of the regions before the first requests; nil: the own region has all
 
 	mu         sync.Mutex
 	updatedAt  time.Time
@@ -71,10 +72,27 @@
 	return l
 }
 
-// reset forgets the earlier requests. All count as run in the own region.
+// StartWith sets where the shares of the regions come from with which an entry begins
+// that has had no requests for a while, see RoomShares. Without it, or if shares returns
+// none, all of its requests run in the own region. It must be called before the first
+// request.
+func (l *RegionShiftLimiter) StartWith(shares func() map[string]float64) { l.initial = shares }
+
+// reset forgets the earlier requests and begins with the initial shares. There is no
+// earlier window to compare with, and the other entries of the region began with the
+// same shares.
 func (l *RegionShiftLimiter) reset() {
-	l.recentRuns = map[string]float64{l.ownRegion: minWeightedRequests}
-	l.allowances = map[string]float64{l.ownRegion: maxAllowance}
+	shares := map[string]float64{l.ownRegion: 1}
+	if l.initial != nil {
+		if given := l.initial(); len(given) > 0 {
+			shares = given
+		}
+	}
+	l.recentRuns, l.allowances = map[string]float64{}, map[string]float64{l.ownRegion: 0}
+	for region, share := range shares {
+		l.recentRuns[region] = minWeightedRequests * share
+		l.allowances[region] = maxAllowance * share
+	}
 }
 
 // know adds a region that has not been asked for yet.
