raft: any number of control replicas learns and serves; 31 of them vote

Cause: the configuration took 15 peers, learners included.

Change: a bound on voters (31) and one on peers (255). With 18 replicas all vote: a quorum of ten bears the loss of a region with six and matches what the core machines themselves are: more than half. Beyond 31 a replica stays a learner, applies the log and serves, and takes the place of a removed voter. A full configuration drops the learner that has been silent for longest. With all voters' places taken, a learner counts as the successor of a silent voter of its data centre.

--- a/internal/process/control/controlmain/replaced_test.go
+++ b/internal/process/control/controlmain/replaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/base/logging"
 	"github.com/fescuejunction/fescuejunction/internal/base/settings"
 	"github.com/fescuejunction/fescuejunction/internal/lab/ports"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/raft"
 	"github.com/fescuejunction/fescuejunction/internal/process/control/replica"
 	"google.golang.org/grpc/metadata"
 )
@@ -46,6 +48,49 @@
 	}
 }
 
+// Guards against the removal of a replica that is suspended for some seconds, because another
+// one of its data centre joined after it when the cluster was formed.
+func TestSiblingIsNoReplacement(t *testing.T) {
+	members := func(perDC ...int) []*fescuepb.Member {
+		var out []*fescuepb.Member
+		for dc, n := range perDC {
+			for range n {
+				out = append(out, &fescuepb.Member{Role: fescuepb.Role_ROLE_CONTROL, DataCentre: string(rune('a' + dc))})
+			}
+		}
+		return append(out, &fescuepb.Member{Role: fescuepb.Role_ROLE_ENTRY, DataCentre: "a"})
+	}
+	for name, tc := range map[string]struct {
+		members []*fescuepb.Member
+		want    time.Duration
+	}{
+		"two in each data centre": {members(2, 2, 2), siblingSilenceTimeout},
+		"one replaced":            {members(3, 2, 2), replacedSilenceTimeout},
+		"one in each, replaced":   {members(2, 1, 1), replacedSilenceTimeout},
+		"others replaced":         {members(2, 3, 3), siblingSilenceTimeout},
+		"one data centre":         {members(4), replacedSilenceTimeout},
+	} {
+		if got := silenceTimeout(tc.members, "a"); got != tc.want {
+			t.Errorf("%s: removed after %v of silence, want %v", name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a lost voter that stays because its replacement cannot become a voter
+// while there are as many as there may be.
+func TestReplacedMembersWithAllVoters(t *testing.T) {
+	old := &fescuepb.Member{Instance: "old", Role: fescuepb.Role_ROLE_CONTROL, DataCentre: "a", GrpcAddr: "old", JoinedVersion: 1}
+	successor := &fescuepb.Member{Instance: "new", Role: fescuepb.Role_ROLE_CONTROL, DataCentre: "a", GrpcAddr: "new", JoinedVersion: 2}
+	peers := []replica.PeerStatus{{ID: "old#0", Addr: "old", Voter: true}, {ID: "new#0", Addr: "new", Active: true}}
+	for n := 1; n < raft.MaxVoters; n++ {
+		addr := fmt.Sprint("voter", n)
+		peers = append(peers, replica.PeerStatus{ID: addr + "#0", Addr: addr, Voter: true, Active: true})
+	}
+	if got := replacedMembers([]*fescuepb.Member{old, successor}, peers); len(got) != 1 || got[0] != old {
+		t.Errorf("replaced: %v, want the silent voter", got)
+	}
+}
+
 // Guards against control replicas that are replaced one after the other without
 // leaving the quorum, until the lost voters outnumber the others.
 func TestReplacedReplicaLeavesQuorum(t *testing.T) {
--- a/internal/process/control/raft/membership.go
+++ b/internal/process/control/raft/membership.go
@@ -8,8 +8,16 @@
 	pb "github.com/fescuejunction/fescuejunction/api/fescuepb"
 )
 
-// maxPeers limits the number of peers in a configuration, learners included.
-const maxPeers = 15
+const (
+	// MaxVoters limits the number of voters. Replicas beyond it remain learners: they
+	// apply the log and serve like the voters, and one of them becomes a voter when a
+	// voter is removed. A commit waits for a majority of the voters, so that more of
+	// them than this would make changes slower and bear no loss that is to be borne.
+	MaxVoters = 31
+	// maxPeers limits the number of peers in a configuration, learners included, and with
+	// it the messages of the leader for each heartbeat round.
+	maxPeers = 255
+)
 
 // maxPromotionLag is the number of entries by which a learner may trail the
 // commit index when it is promoted. Under constant writes a learner always trails
@@ -70,9 +78,10 @@
 
 // AddLearner proposes a configuration with peer as an additional learner. The
 // same change removes a learner with the same address and another identity,
-// which is safe because the voters stay the same. It returns nil if the peer is
-// already a member, and ErrNotLeader, ErrConfigChangePending or ErrTooManyPeers if
-// the change cannot be proposed.
+// which is safe because the voters stay the same. In a full configuration it removes
+// an inactive learner for the new one. It returns nil if the peer is already a member,
+// and ErrNotLeader, ErrConfigChangePending or ErrTooManyPeers if the change cannot be
+// proposed.
 func (r *Raft) AddLearner(peer *pb.Peer) error {
 	if r.role != Leader {
 		return ErrNotLeader
@@ -86,12 +95,30 @@
 	}
 	next := without(peers, func(p *pb.Peer) bool { return !p.Voter && p.Addr == peer.Addr })
 	if len(next) >= maxPeers {
-		return ErrTooManyPeers
+		unused := r.inactiveLearner(next)
+		if unused == "" {
+			return ErrTooManyPeers
+		}
+		next = without(next, func(p *pb.Peer) bool { return p.Id == unused })
 	}
 	r.proposeConfig(append(next, &pb.Peer{Id: peer.Id, Addr: peer.Addr}))
 	return nil
 }
 
+// inactiveLearner returns the inactive learner that has been silent for longest, or "" if all
+// learners are active.
+func (r *Raft) inactiveLearner(peers []*pb.Peer) string {
+	found, silentSince := "", r.ticks
+	for _, p := range peers {
+		progress := r.peers[p.Id]
+		if p.Voter || progress == nil || r.active(progress) || progress.lastReplyTick >= silentSince {
+			continue
+		}
+		found, silentSince = p.Id, progress.lastReplyTick
+	}
+	return found
+}
+
 // RemoveVoter proposes a configuration without a voter that has failed for good.
 // It returns ErrVoterRequired if the voter is active or is this leader, or if the
 // remaining voters could not tolerate another failure: if one of them then lost
@@ -126,7 +153,7 @@
 // a lost voter. For a learner that has caught up it first removes the voter with
 // the same address, if there is one, and then, in a second change, promotes the
 // learner. In this order a failure of the new replica between the two changes
-// does no harm.
+// does no harm. While there are MaxVoters voters, no learner is promoted.
 func (r *Raft) replaceVoters() {
 	if !r.canChangeConfig() {
 		return
@@ -137,6 +164,9 @@
 			continue
 		}
 		old := slices.IndexFunc(peers, func(p *pb.Peer) bool { return p.Voter && p.Addr == learner.Addr })
+		if old < 0 && len(r.voters()) >= MaxVoters {
+			continue
+		}
 		if old < 0 {
 			r.proposeConfig(withPromoted(peers, learner.Id))
 			return
