slots, group: a question without a reply says nothing of the load of its pool

Cause: the client returned an empty load for a question that was late or given up, and the entry recorded it as the dispatcher's: for half a second the pool looked as if it had no wait, and for two seconds as if no slot had failed.

Change: the load of an answer is nil if there was no reply, and nothing is recorded then. TestUnansweredQuestionTellsNothingOfTheLoad failed before: wait 0 and 0 failed instead of 300 ms and 60 percent.

--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -48,10 +48,11 @@
 }
 
 // Acquire requests a slot of a pool from the entry at addr. It returns the ticket
-// for the slot and the load of the pool as the reply states it. The error is a
+// for the slot and the load of the pool as the reply states it, or a nil load if the
+// dispatcher has not replied. The error is a
 // *dispatch.Refusal or ErrNoReply, or has kind Cancelled. A dispatcher that answers other
 // requests but not this one is overloaded, which is a refusal.
-func (c *Client) Acquire(ctx context.Context, addr string, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, dispatch.Load, error) {
+func (c *Client) Acquire(ctx context.Context, addr string, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, *dispatch.Load, error) {
 	return c.link(addr).acquire(ctx, p, w, now)
 }
 
@@ -109,31 +110,31 @@
 	due      map[uint64]time.Time                // when the reply to each pending request is due
 }
 
-func (l *link) acquire(ctx context.Context, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, dispatch.Load, error) {
+func (l *link) acquire(ctx context.Context, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, *dispatch.Load, error) {
 	id, reply, ok := l.sendAsk(encodeAsk(p, w, now), QueueTime(w, now), now)
 	if !ok {
-		return nil, dispatch.Load{}, ErrNoReply
+		return nil, nil, ErrNoReply
 	}
 	timer := time.NewTimer(replyTimeout(w, now))
 	defer timer.Stop()
 	select {
 	case r, open := <-reply:
 		if !open {
-			return nil, dispatch.Load{}, ErrNoReply
+			return nil, nil, ErrNoReply
 		}
 		return l.decodeReply(r)
 	case <-timer.C:
 		l.cancelAsk(id)
 		if l.silent(time.Now()) {
-			return nil, dispatch.Load{}, ErrNoReply
+			return nil, nil, ErrNoReply
 		}
-		return nil, dispatch.Load{}, dispatch.RefuseOverloaded(overloadedRetryAfter)
+		return nil, nil, dispatch.RefuseOverloaded(overloadedRetryAfter)
 	case <-ctx.Done():
 		l.cancelAsk(id)
 		if l.silent(time.Now()) {
-			return nil, dispatch.Load{}, ErrNoReply
+			return nil, nil, ErrNoReply
 		}
-		return nil, dispatch.Load{}, dispatch.Cancelled(ctx)
+		return nil, nil, dispatch.Cancelled(ctx)
 	}
 }
 
@@ -312,13 +313,13 @@
 }
 
 // decodeReply returns the ticket of a reply that grants a slot, or the refusal.
-func (l *link) decodeReply(r *fescuepb.SlotReply) (*dispatch.Ticket, dispatch.Load, error) {
+func (l *link) decodeReply(r *fescuepb.SlotReply) (*dispatch.Ticket, *dispatch.Load, error) {
 	load := decodeLoad(r.Load)
 	if r.Target == "" {
-		return nil, load, dispatch.NewRefusal(errkind.Kind(r.ErrorKind), r.Reason, microseconds(r.RetryAfterUs))
+		return nil, &load, dispatch.NewRefusal(errkind.Kind(r.ErrorKind), r.Reason, microseconds(r.RetryAfterUs))
 	}
 	info := dispatch.TargetInfo{ID: r.Target, Addr: r.Address, Incarnation: r.Incarnation}
-	return dispatch.NewTicket(info, microseconds(r.QueuedUs), r.Reason, func(o dispatch.Outcome) { l.release(r.Id, o) }), load, nil
+	return dispatch.NewTicket(info, microseconds(r.QueuedUs), r.Reason, func(o dispatch.Outcome) { l.release(r.Id, o) }), &load, nil
 }
 
 // release returns a slot to the dispatcher with the outcome of the request.
--- a/internal/connection/slots/slots_test.go
+++ b/internal/connection/slots/slots_test.go
@@ -145,7 +145,7 @@
 		{ID: "t1", Addr: "127.0.0.1:1", Slots: 2, Incarnation: 7}, {ID: "t2", Addr: "127.0.0.1:2", Slots: 2, Incarnation: 8},
 	})
 	process := map[string]dispatch.Process{"t1": {ID: "t1", Addr: "127.0.0.1:1", Incarnation: 7}, "t2": {ID: "t2", Addr: "127.0.0.1:2", Incarnation: 8}}
-	ask := func(pauses ...dispatch.Pause) (*dispatch.Ticket, dispatch.Load, error) {
+	ask := func(pauses ...dispatch.Pause) (*dispatch.Ticket, *dispatch.Load, error) {
 		now := time.Now()
 		w := dispatch.Work{Route: "r", NoQueue: true, Deadline: now.Add(time.Second), Pauses: pauses}
 		return s.client.Acquire(t.Context(), s.addr, pool, w, now)
--- a/internal/process/entry/group/pool_slots.go
+++ b/internal/process/entry/group/pool_slots.go
@@ -52,8 +52,10 @@
 			p.returnGrant(ticket, dispatcher)
 			break
 		}
-		p.guarded.recordLoad(p.pool, load)
-		p.guarded.recordRefusal(p.pool, w, load, err)
+		if load != nil {
+			p.guarded.recordLoad(p.pool, *load)
+			p.guarded.recordRefusal(p.pool, w, *load, err)
+		}
 		return ticket, err
 	}
 	d := p.guarded.Dispatcher(p.pool)
--- a/internal/process/entry/group/refusals_test.go
+++ b/internal/process/entry/group/refusals_test.go
@@ -1,12 +1,15 @@
 package group
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 )
 
 // Guards against a dispatcher whose pool is full and that is asked again for each
@@ -51,3 +54,29 @@
 		}
 	}
 }
+
+// Guards against a pool that looks free of load and of failed slots because a question
+// to its dispatcher was given up before the reply.
+func TestUnansweredQuestionTellsNothingOfTheLoad(t *testing.T) {
+	pool := slotlink.Pool{Service: "rota", Region: "north"}
+	for _, g := range guardedEntries(t) {
+		if g.remoteDispatcher(pool) == nil {
+			continue // this entry dispatches the pool itself
+		}
+		g.Client.Dial = func(string) (*grpc.ClientConn, error) {
+			return grpc.NewClient("127.0.0.1:1", grpc.WithTransportCredentials(insecure.NewCredentials()))
+		}
+		t.Cleanup(g.Client.Close)
+		reported := dispatch.Load{ExpectedWait: 300 * time.Millisecond, FailedPercent: 60}
+		g.recordLoad(pool, reported)
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := poolSlots{g, pool}.Acquire(gone, workFor("", time.Second))
+		if errkind.Of(err) != errkind.Cancelled {
+			t.Fatalf("%s: %v, want the question to be given up", g.Instance, err)
+		}
+		if got, known := (poolSlots{g, pool}).knownLoad(loadTTL); !known || got.ExpectedWait != reported.ExpectedWait || got.FailedPercent != reported.FailedPercent {
+			t.Errorf("%s: load %+v (known: %v) after a question without reply, want %+v", g.Instance, got, known, reported)
+		}
+	}
+}
