slots: a silent link ends all of its questions

Cause: each question decided by its own time whether the dispatcher is absent. A request that may wait in the queue until its objective stayed with a dispatcher that another question had found absent 2.5 s before.

--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -125,25 +125,38 @@
 		return l.decodeReply(r)
 	case <-timer.C:
 		l.cancelAsk(id)
-		if l.silent(time.Now()) {
+		if l.endIfSilent(time.Now()) {
 			return nil, nil, ErrNoReply
 		}
 		return nil, nil, dispatch.RefuseOverloaded(overloadedRetryAfter)
 	case <-ctx.Done():
 		l.cancelAsk(id)
-		if l.silent(time.Now()) {
+		if l.endIfSilent(time.Now()) {
 			return nil, nil, ErrNoReply
 		}
 		return nil, nil, dispatch.Cancelled(ctx)
 	}
 }
 
-// silent reports whether a question has had no reply for silentAfter since it should have
-// had it, and no other one either.
-func (l *link) silent(now time.Time) bool {
+// endIfSilent reports whether the link is silent: a question has had no reply for silentAfter
+// since it should have had it, and no other one either. All other pending questions end
+// then as well, without a reply. They may still be queued at the dispatcher, but it does
+// not show that it is there.
+func (l *link) endIfSilent(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.replyDue.IsZero() && now.Sub(l.replyDue) >= silentAfter
+	if l.replyDue.IsZero() || now.Sub(l.replyDue) < silentAfter {
+		return false
+	}
+	for id, reply := range l.pending {
+		delete(l.pending, id)
+		delete(l.due, id)
+		close(reply)
+		if l.sendQueue != nil {
+			l.sendQueue.Offer(&fescuepb.SlotRequest{Body: &fescuepb.SlotRequest_Cancel{Cancel: id}})
+		}
+	}
+	return true
 }
 
 // replyTimeout returns how long to wait for the reply to a slot request, at least
