base, platform list: one reader of lists whose entries may be odd

Cause: the reader of pages that takes an odd entry alone was part of the platform's adapter; the product's own JSON list was decoded as a whole, so one entry of another type or nested deep refused all.

Change: the reader is internal/base/jsonstream, used by both. A list without its key is refused, since it says nothing of the instances.

--- a/platform/page.go
+++ b/internal/base/jsonstream/jsonstream.go
@@ -1,4 +1,6 @@
-package platform
+// Package jsonstream reads a JSON text value by value, so that one value that
+// encoding/json refuses does not cost the others.
+package jsonstream
 
 import (
 	"bufio"
@@ -11,36 +13,38 @@
 )
 
 const (
-	// maxEntryBytes bounds the text of an entry, a name or a token. Entries of targets
-	// take some hundred bytes.
-	maxEntryBytes = 16 << 10
-	// maxEntryDepth bounds the nesting of an entry. Entries of targets are flat.
-	maxEntryDepth = 64
+	// MaxValueBytes bounds the text of a value that is kept. Entries of lists of
+	// instances take some hundred bytes.
+	MaxValueBytes = 16 << 10
+	// MaxValueDepth bounds the nesting of a value that is kept. Entries of such lists are
+	// flat.
+	MaxValueDepth = 64
 )
 
-// pageReader splits the JSON text of a page into its entries, so that one that
-// encoding/json refuses does not cost the others. It counts brackets and does not
-// recurse, so a value may be nested to any depth, and it keeps at most maxEntryBytes
+// Reader splits a JSON text into its values. It counts brackets and does not
+// recurse, so a value may be nested to any depth, and it keeps at most MaxValueBytes
 // of a value. Its errors have kind BadRequest if the text cannot be split or ends
 // early, and Timeout if it cannot be read.
-type pageReader struct {
+type Reader struct {
 	in  io.ByteScanner
 	buf []byte // text of the last value
 }
 
-func newPageReader(r io.Reader) *pageReader { return &pageReader{in: bufio.NewReader(r)} }
+// New returns a reader of the text of r.
+func New(r io.Reader) *Reader { return &Reader{in: bufio.NewReader(r)} }
 
-// rawValue is the text of a value. It is valid until the next value or key is read.
-type rawValue struct {
-	text  []byte // the first maxEntryBytes
-	whole bool   // text is the whole value, and not nested deeper than maxEntryDepth
+// RawValue is the text of a value. It is valid until the next value or key is read.
+type RawValue struct {
+	Text  []byte // the first MaxValueBytes
+	Whole bool   // Text is the whole value, and not nested deeper than MaxValueDepth
 }
 
-func (r rawValue) null() bool { return string(bytes.TrimSpace(r.text)) == "null" }
+// Null reports whether the value is null.
+func (r RawValue) Null() bool { return string(bytes.TrimSpace(r.Text)) == "null" }
 
-// object reads an object and calls member after each key, to read its value. A key
+// Object reads an object and calls member after each key, to read its value. A key
 // that cannot be decoded is passed as "".
-func (p *pageReader) object(member func(key string) error) error {
+func (p *Reader) Object(member func(key string) error) error {
 	return p.items('{', '}', func() error {
 		key, err := p.key()
 		if err != nil {
@@ -50,15 +54,15 @@
 	})
 }
 
-// array reads an array and calls element for each element, to read it.
-func (p *pageReader) array(element func() error) error { return p.items('[', ']', element) }
+// Array reads an array and calls element for each element, to read it.
+func (p *Reader) Array(element func() error) error { return p.items('[', ']', element) }
 
 // items reads what stands between two brackets, separated by commas.
-func (p *pageReader) items(open, end byte, item func() error) error {
+func (p *Reader) items(open, end byte, item func() error) error {
 	if err := p.expect(open); err != nil {
 		return err
 	}
-	c, err := p.peek()
+	c, err := p.Peek()
 	if err != nil {
 		return err
 	}
@@ -69,7 +73,7 @@
 		if err := item(); err != nil {
 			return err
 		}
-		if c, err = p.peek(); err != nil {
+		if c, err = p.Peek(); err != nil {
 			return err
 		}
 		if c == end {
@@ -82,8 +86,8 @@
 }
 
 // key reads the key of a member and the colon behind it.
-func (p *pageReader) key() (string, error) {
-	if c, err := p.peek(); err != nil || c != '"' {
+func (p *Reader) key() (string, error) {
+	if c, err := p.Peek(); err != nil || c != '"' {
 		return "", p.orUnexpected(err, c)
 	}
 	raw, err := p.scan(func(c byte) bool { return c == ':' || endsValue(c) })
@@ -94,12 +98,12 @@
 }
 
 // decodeKey returns the name that a key stands for, or "" if it cannot be decoded.
-func decodeKey(raw rawValue) string {
-	if text := raw.text; raw.whole && isPlainString(text) { // the usual case; decoding it costs more
+func decodeKey(raw RawValue) string {
+	if text := raw.Text; raw.Whole && isPlainString(text) { // the usual case; decoding it costs more
 		return string(text[1 : len(text)-1])
 	}
 	var key string
-	if !raw.whole || json.Unmarshal(raw.text, &key) != nil {
+	if !raw.Whole || json.Unmarshal(raw.Text, &key) != nil {
 		return ""
 	}
 	return key
@@ -110,17 +114,17 @@
 	return len(text) >= 2 && text[0] == '"' && bytes.IndexByte(text[1:], '"') == len(text)-2 && bytes.IndexByte(text, '\\') < 0 && utf8.Valid(text)
 }
 
-// value reads a value up to the comma or bracket behind it.
-func (p *pageReader) value() (rawValue, error) {
+// Value reads a value up to the comma or bracket behind it.
+func (p *Reader) Value() (RawValue, error) {
 	return p.scan(endsValue)
 }
 
 func endsValue(c byte) bool { return c == ',' || c == ']' || c == '}' }
 
-// null reads a null. Some encoders write it for a list that is empty.
-func (p *pageReader) null() error {
-	raw, err := p.value()
-	if err == nil && !raw.null() {
+// Null reads a null. Some encoders write it for a list that is empty.
+func (p *Reader) Null() error {
+	raw, err := p.Value()
+	if err == nil && !raw.Null() {
 		return p.orUnexpected(nil, 'n')
 	}
 	return err
@@ -128,9 +132,9 @@
 
 // scan reads up to the first byte that ends a value outside of strings and brackets,
 // and does not read that byte.
-func (p *pageReader) scan(ends func(c byte) bool) (rawValue, error) {
-	out := rawValue{whole: true, text: p.buf[:0]}
-	defer func() { p.buf = out.text }()
+func (p *Reader) scan(ends func(c byte) bool) (RawValue, error) {
+	out := RawValue{Whole: true, Text: p.buf[:0]}
+	defer func() { p.buf = out.Text }()
 	depth, inString, escaped := 0, false, false
 	for {
 		c, err := p.in.ReadByte()
@@ -150,15 +154,15 @@
 		case c == ']' || c == '}':
 			depth--
 		}
-		out.whole = out.whole && depth <= maxEntryDepth && len(out.text) < maxEntryBytes
-		if len(out.text) < maxEntryBytes {
-			out.text = append(out.text, c)
+		out.Whole = out.Whole && depth <= MaxValueDepth && len(out.Text) < MaxValueBytes
+		if len(out.Text) < MaxValueBytes {
+			out.Text = append(out.Text, c)
 		}
 	}
 }
 
-// peek returns the next byte that is no white space and does not read it.
-func (p *pageReader) peek() (byte, error) {
+// Peek returns the next byte that is no white space and does not read it.
+func (p *Reader) Peek() (byte, error) {
 	for {
 		c, err := p.in.ReadByte()
 		if err != nil {
@@ -171,8 +175,8 @@
 }
 
 // expect reads a byte that must be the next one that is no white space.
-func (p *pageReader) expect(want byte) error {
-	c, err := p.peek()
+func (p *Reader) expect(want byte) error {
+	c, err := p.Peek()
 	if err != nil || c != want {
 		return p.orUnexpected(err, c)
 	}
@@ -180,8 +184,8 @@
 	return err
 }
 
-// end returns an error unless only white space is left.
-func (p *pageReader) end() error {
+// End returns an error unless only white space is left.
+func (p *Reader) End() error {
 	c, err := p.in.ReadByte()
 	for err == nil && (c == ' ' || c == '\t' || c == '\n' || c == '\r') {
 		c, err = p.in.ReadByte()
@@ -192,16 +196,16 @@
 	return p.orUnexpected(err, c)
 }
 
-func (p *pageReader) orUnexpected(err error, c byte) error {
+func (p *Reader) orUnexpected(err error, c byte) error {
 	if err != nil {
 		return err
 	}
-	return errkind.New(errkind.BadRequest, "unexpected %q in a page of the list of targets", c)
+	return errkind.New(errkind.BadRequest, "unexpected %q in a JSON text", c)
 }
 
 func readError(err error) error {
 	if err == io.EOF {
-		return errkind.New(errkind.BadRequest, "a page of the list of targets ends early or is longer than %d bytes", maxPageBytes)
+		return errkind.New(errkind.BadRequest, "the JSON text ends early or is too long")
 	}
-	return errkind.Wrap(errkind.Timeout, err, "read the list of targets")
+	return errkind.Wrap(errkind.Timeout, err, "read a JSON text")
 }
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -7,10 +7,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/jsonstream"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
@@ -18,10 +20,8 @@
 // maxListBytes bounds the size of the list; 10,000 instances take about 2 MB.
 const maxListBytes = 32 << 20
 
-// listResponse is the JSON body of the platform's response.
-type listResponse struct {
-	Instances []membership.ListedInstance `json:"instances"`
-}
+// keyInstances is the key of the instances in the JSON body of the platform's response.
+const keyInstances = "instances"
 
 // Client reads the list from URL. It is not safe for concurrent use.
 type Client struct {
@@ -54,11 +54,52 @@
 		return nil, errkind.Wrap(errkind.BadRequest, err, "read the platform's list")
 	}
 	if c.lastBody == nil || !bytes.Equal(body, c.lastBody) {
-		var l listResponse
-		if err := json.Unmarshal(body, &l); err != nil {
+		instances, err := decodeList(body)
+		if err != nil {
 			return nil, errkind.Wrap(errkind.BadRequest, err, "decode the platform's list")
 		}
-		c.lastBody, c.lastInstances = body, l.Instances
+		c.lastBody, c.lastInstances = body, instances
 	}
 	return slices.Clone(c.lastInstances), nil
 }
+
+// decodeList returns the instances of a list. An entry that cannot be decoded names no
+// instance and is left out. A list without the key of the instances is an error: it says
+// nothing about them.
+func decodeList(body []byte) ([]membership.ListedInstance, error) {
+	var out []membership.ListedInstance
+	listed := false
+	p := jsonstream.New(bytes.NewReader(body))
+	err := p.Object(func(key string) error {
+		if key != keyInstances {
+			_, err := p.Value()
+			return err
+		}
+		listed = true
+		if c, err := p.Peek(); err != nil || c == 'n' {
+			return errors.Join(err, p.Null())
+		}
+		return p.Array(func() error {
+			raw, err := p.Value()
+			if instance, ok := decodeInstance(raw); err == nil && ok {
+				out = append(out, instance)
+			}
+			return err
+		})
+	})
+	if err == nil {
+		err = p.End()
+	}
+	if err == nil && !listed {
+		err = errkind.New(errkind.BadRequest, "the list has no %q", keyInstances)
+	}
+	return out, err
+}
+
+// decodeInstance decodes an entry of the list, or returns false.
+func decodeInstance(raw jsonstream.RawValue) (instance membership.ListedInstance, ok bool) {
+	if !raw.Whole || raw.Null() {
+		return instance, false
+	}
+	return instance, json.Unmarshal(raw.Text, &instance) == nil
+}
--- a/internal/connection/platform/platform_test.go
+++ b/internal/connection/platform/platform_test.go
@@ -26,11 +26,11 @@
 // encodeList returns a list of n instances as JSON.
 func encodeList(t *testing.T, n int) string {
 	t.Helper()
-	var l listResponse
+	var instances []membership.ListedInstance
 	for i := range n {
-		l.Instances = append(l.Instances, membership.ListedInstance{ID: fmt.Sprintf("i%d", i)})
+		instances = append(instances, membership.ListedInstance{ID: fmt.Sprintf("i%d", i)})
 	}
-	text, err := json.Marshal(l)
+	text, err := json.Marshal(map[string]any{keyInstances: instances})
 	if err != nil {
 		t.Fatal(err)
 	}
