spill, proxy: the requests about an object run in one region

Cause: which requests of a region short of targets move was left to chance and time: an object was run at home by one entry and in either other region by the next, and each region's first run of it finds it uncached.

Change: each service has a placement by weighted rendezvous hashing over the regions. Its shares begin with the room of the regions for this service, go back to the own region while less than .6 of its slots is in use and away from it from .85 on, by at most .03 of the requests a second. A request whose objective the round trip takes up (over a third) is placed at home. The placed region is asked first and needs no allowance of the limit on moves; what it refuses still does.

--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -133,7 +134,7 @@
 	q := spill.RegionQuery{
 		Service: c.service.Name, Region: c.snap.Region(h.DataCentre),
 		Objective: c.objective.Sub(now), Deadline: c.timeLeft(now), Remote: c.remote, Allowed: c.route.AllowedIn, Tried: tried,
-		HasObject: c.affinity != "",
+		HasObject: c.affinity != "", Object: cmp.Or(c.affinity, c.id), RouteObjective: c.route.LatencyObjective,
 	}
 	if !c.remote {
 		q.ShiftAllowed = func(region string) bool { return h.Shares.Allows(now, region) }
--- a/internal/request/spill/chooser.go
+++ b/internal/request/spill/chooser.go
@@ -50,6 +50,7 @@
 	mu           sync.Mutex
 	destinations map[destinationKey]*destination
 	roundTrips   map[string]time.Duration // measured, by data centre or region
+	placements   map[string]*placement    // by service with guarded slots
 }
 
 // NewChooser returns a chooser that keeps traffic between regions within links;
@@ -60,6 +61,7 @@
 		random:       random,
 		destinations: map[destinationKey]*destination{},
 		roundTrips:   map[string]time.Duration{},
+		placements:   map[string]*placement{},
 	}
 }
 
--- /dev/null
+++ b/internal/request/spill/placement_test.go
@@ -0,0 +1,120 @@
+package spill
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
+)
+
+// placedShares returns the share of 2,000 objects that a chooser asks each region for
+// first.
+func placedShares(t *testing.T, c *Chooser, now time.Time, s *snapshot.Snapshot, load dispatch.Load, objective time.Duration) map[string]float64 {
+	t.Helper()
+	const objects = 2000
+	out := map[string]float64{}
+	for i := range objects {
+		out[firstRegion(t, c, now, s, fmt.Sprint("object", i), load, objective)] += 1.0 / objects
+	}
+	return out
+}
+
+// firstRegion returns the region that is asked first for a request about an object.
+func firstRegion(t *testing.T, c *Chooser, now time.Time, s *snapshot.Snapshot, object string, load dispatch.Load, objective time.Duration) string {
+	t.Helper()
+	step, ok := c.NextAttempt(now, s, RegionQuery{
+		Service: "rota", Region: "north", Objective: objective, Deadline: 4 * objective, Object: object, HasObject: true, RouteObjective: objective, Load: load,
+		Allowed: func(string) bool { return true }, Tried: map[AttemptKey]bool{}, ShiftAllowed: func(region string) bool { return region == "north" },
+	})
+	if !ok {
+		t.Fatalf("no region for %s", object)
+	}
+	return step.Region
+}
+
+func newTestChooser() *Chooser { return NewChooser(nil, func() float64 { return 0.5 }) }
+
+var shortOfTargets = map[string]int{"n1": 2, "n2": 1, "s1": 12, "e1": 15}
+
+var evenEntries = map[string]int{"n1": 2, "n2": 2, "s1": 4, "e1": 4}
+
+var busy = dispatch.Load{InFlight: 27, ExpectedWait: 50 * time.Millisecond, Run: 200 * time.Millisecond}
+
+// Guards against an object that is cached in no region for long, because the entries of a region
+// that is short of targets move requests at random: each region that runs it finds it
+// uncached.
+func TestObjectRunsInOneRegion(t *testing.T) {
+	s := roomSnapshot(t, shortOfTargets, evenEntries, "")
+	a, b := newTestChooser(), newTestChooser()
+	for i := range 200 {
+		object, now := fmt.Sprint("object", i), epoch.Add(time.Duration(i)*10*time.Millisecond)
+		want := firstRegion(t, a, now, s, object, busy, time.Second)
+		for range 3 {
+			if got := firstRegion(t, b, now, s, object, busy, time.Second); got != want {
+				t.Fatalf("%s runs in %s for one entry and in %s for another", object, want, got)
+			}
+		}
+	}
+	for region, want := range map[string]float64{"north": 0.3, "south": 0.2, "east": 0.5} {
+		if got := placedShares(t, newTestChooser(), epoch, s, busy, time.Second)[region]; math.Abs(got-want) > 0.04 {
+			t.Errorf("%.3f of the objects run in %s, want %.2f", got, region, want)
+		}
+	}
+}
+
+// Guards against requests whose latency objective the way to another region takes up, and
+// which are placed there all the same.
+func TestTightObjectiveStaysAtHome(t *testing.T) {
+	s := roomSnapshot(t, shortOfTargets, evenEntries, "")
+	c := newTestChooser()
+	c.Observe(epoch, "south", "rota", Outcome{Result: Completed, RoundTrip: 70 * time.Millisecond})
+	c.Observe(epoch, "east", "rota", Outcome{Result: Completed, RoundTrip: 70 * time.Millisecond})
+	if got := placedShares(t, c, epoch, s, busy, 150*time.Millisecond)["north"]; got < 0.999 {
+		t.Errorf("%.3f of the requests with an objective of 150 ms are placed at home, want all", got)
+	}
+}
+
+// Guards against objects that stay elsewhere while the own region has free slots, and against
+// more of them that change their region within a window than the rate permits.
+func TestPlacementFollowsRoomAndLoad(t *testing.T) {
+	short, even := roomSnapshot(t, shortOfTargets, evenEntries, ""), roomSnapshot(t, map[string]int{"n1": 5, "n2": 5, "s1": 10, "e1": 10}, evenEntries, "")
+	eastShrinks := roomSnapshot(t, map[string]int{"n1": 2, "n2": 1, "s1": 12, "e1": 5}, evenEntries, "")
+	free := dispatch.Load{InFlight: 2, FreeSlots: 25}
+	half := dispatch.Load{InFlight: 19, FreeSlots: 8}
+	for name, tc := range map[string]struct {
+		before, after *snapshot.Snapshot
+		load          dispatch.Load
+		want          float64 // share placed at home in the end
+	}{
+		"busy":            {short, short, busy, 0.3},
+		"free":            {short, short, free, 1},
+		"half used":       {short, short, half, 0.3},
+		"room is added":   {short, even, busy, 1},
+		"another shrinks": {short, eastShrinks, busy, 0.45},
+		"load unknown":    {short, short, dispatch.Load{Run: time.Second}, 0.3},
+	} {
+		c := newTestChooser()
+		last := placedShares(t, c, epoch, tc.before, busy, time.Second)
+		for i := range 30 {
+			var now time.Time
+			for step := range 10 {
+				now = epoch.Add(time.Duration(i)*DefaultRegionShiftWindow + time.Duration(step+1)*DefaultRegionShiftWindow/10)
+				firstRegion(t, c, now, tc.after, "x", tc.load, time.Second)
+			}
+			shares, moved := placedShares(t, c, now, tc.after, tc.load, time.Second), 0.0
+			for region, share := range shares {
+				moved += max(0, share-last[region])
+			}
+			if moved > 0.08 { // placementRate and the number of objects
+				t.Errorf("%s: %.3f of the objects moved from one window to the next", name, moved)
+			}
+			last = shares
+		}
+		if math.Abs(last["north"]-tc.want) > 0.04 {
+			t.Errorf("%s: in the end %.3f of the objects are placed at home, want %.2f", name, last["north"], tc.want)
+		}
+	}
+}
--- a/internal/request/spill/region.go
+++ b/internal/request/spill/region.go
@@ -48,7 +48,11 @@
 	Deadline  time.Duration // time left until the deadline
 	Remote    bool          // the request came from another region, so it is not forwarded again
 	HasObject bool          // the request is about an object that targets may have cached
-	Load      dispatch.Load // load in the sender's region
+	// Object decides in which region the request is placed: the object that it is about,
+	// or its identifier. "" means that it is not placed.
+	Object         string
+	RouteObjective time.Duration // latency objective of the route; 0: none
+	Load           dispatch.Load // load in the sender's region
 	// Allowed reports whether the route of the request permits a region at all.
 	Allowed func(region string) bool
 	Tried   map[AttemptKey]bool // attempts made already
@@ -76,6 +80,7 @@
 	wait      time.Duration // expected wait for a slot
 	roundTrip time.Duration // network round trip; 0 for the own region
 	inTime    bool          // of the own region: the objective is expected to be met there
+	placed    bool          // of another region: the request is placed there, see placement
 }
 
 // cost returns the estimate by which options are ordered: the wait for a slot,
@@ -100,7 +105,8 @@
 	if q.Load.FailedPercent >= regionFailedPercent {
 		shiftAllowed = nil
 	}
-	options := orderWithinShiftLimit(c.regionOptions(now, snap, q), shiftAllowed)
+	options, placed := c.regionOptions(now, snap, q)
+	options = placedFirst(orderWithinShiftLimit(options, placed, shiftAllowed), placed, q.Objective)
 	for _, mode := range []Mode{InTime, AnySlot} {
 		for _, o := range options {
 			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + q.Load.Run, RoundTrip: o.roundTrip, Unlimited: shiftAllowed == nil}
@@ -114,8 +120,9 @@
 
 // orderWithinShiftLimit orders options by cost. If the own region is among
 // them, a region that has no allowance left is omitted, or comes last if it is
-// the own one. A nil shiftAllowed means no limit.
-func orderWithinShiftLimit(options []regionOption, shiftAllowed func(region string) bool) []regionOption {
+// the own one. The region in which the request is placed needs no allowance. A nil
+// shiftAllowed means no limit.
+func orderWithinShiftLimit(options []regionOption, placed string, shiftAllowed func(region string) bool) []regionOption {
 	slices.SortStableFunc(options, func(a, b regionOption) int { return cmp.Compare(a.cost(), b.cost()) })
 	if shiftAllowed == nil || !slices.ContainsFunc(options, func(o regionOption) bool { return o.ownRegion }) {
 		return options
@@ -123,7 +130,7 @@
 	out, deferred := options[:0:0], options[:0:0]
 	for _, o := range options {
 		switch {
-		case shiftAllowed(o.region):
+		case o.region == placed, shiftAllowed(o.region):
 			out = append(out, o)
 		case o.ownRegion:
 			deferred = append(deferred, o)
@@ -132,9 +139,9 @@
 	return append(out, deferred...)
 }
 
-// eligible reports whether a region may be asked in a mode. In the own region
-// InTime needs no estimate: its dispatcher knows better than any estimate whether
-// the objective can be met.
+// eligible reports whether a region may be asked in a mode. In the own region, and in
+// the one in which the request is placed, InTime needs no estimate of the running time:
+// the dispatcher knows better whether the objective can be met.
 func eligible(mode Mode, o regionOption, q RegionQuery) bool {
 	if mode == AnySlot {
 		return o.wait == 0 && o.roundTrip+q.Load.Run < q.Deadline
@@ -142,6 +149,9 @@
 	if o.ownRegion {
 		return q.Objective > 0
 	}
+	if o.placed {
+		return true
+	}
 	run := q.Load.Run
 	if q.HasObject {
 		run *= uncachedRunFactor
@@ -154,11 +164,11 @@
 const uncachedRunFactor = 2
 
 // regionOptions returns the allowed regions that have targets of the service
-// and may get requests now.
-func (c *Chooser) regionOptions(now time.Time, snap *snapshot.Snapshot, q RegionQuery) []regionOption {
+// and may get requests now, and the region in which the request is placed.
+func (c *Chooser) regionOptions(now time.Time, snap *snapshot.Snapshot, q RegionQuery) (out []regionOption, placed string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []regionOption
+	placed = c.placedRegion(now, snap, q)
 	for _, region := range snap.Regions() {
 		if !q.Allowed(region) || !hasActiveTarget(snap, q.Service, region) {
 			continue
@@ -174,7 +184,7 @@
 			out = append(out, o)
 		}
 	}
-	return out
+	return out, placed
 }
 
 // hasActiveTarget reports whether a data centre of the region has a target of
