controlmain: a long list of targets is read less often

Cause: the list is read every half second whatever its length.

Change: a page costs 40 ms of the interval, up to one second.

--- a/internal/process/control/controlmain/targets.go
+++ b/internal/process/control/controlmain/targets.go
@@ -12,9 +12,15 @@
 )
 
 const (
-	// targetsInterval is how often the list of targets is read. Together with the
-	// delay of the list itself, it limits how late a leaving target is known.
+	// targetsInterval is how often the list of targets is read if it is short. Together
+	// with the delay of the list itself, it limits how late a leaving target is known.
 	targetsInterval = 500 * time.Millisecond
+	// maxTargetsInterval is the same for a long list. A leaving target is known in all
+	// entries about half a second after the reading that shows it.
+	maxTargetsInterval = time.Second
+	// intervalPerPage makes readings of a long list rarer, because each page is a call that
+	// the platform charges for.
+	intervalPerPage = 40 * time.Millisecond
 	// staleTargetsWarningInterval is how often the log repeats that the list of targets
 	// cannot be read.
 	staleTargetsWarningInterval = 2 * time.Second
@@ -28,6 +34,8 @@
 	list     *listReader
 	metrics  tally.Scope
 	readAt   time.Time // start of the last complete reading, or of the first one as leader
+	begunAt  time.Time // start of the last reading as leader, complete or not
+	pages    int       // of the last reading
 	warnedAt time.Time // when the log last said that the list cannot be read; zero after a success
 }
 
@@ -36,7 +44,21 @@
 }
 
 func (r *targetReader) run(ctx context.Context) {
-	r.p.runWhileLeading(ctx, targetsInterval, func() { r.read(ctx) }, func() { r.readAt, r.warnedAt = time.Time{}, time.Time{} })
+	r.p.runWhileLeading(ctx, targetsInterval, func() { r.readIfDue(ctx) }, func() { r.readAt, r.begunAt, r.warnedAt = time.Time{}, time.Time{}, time.Time{} })
+}
+
+// readIfDue reads the list unless the last reading began a short time ago.
+func (r *targetReader) readIfDue(ctx context.Context) {
+	if now := steady.Now(); now.Sub(r.begunAt) > readInterval(r.pages)-targetsInterval/2 {
+		r.begunAt = now
+		r.read(ctx)
+	}
+}
+
+// readInterval returns the time from one reading of a list with this number of pages to the
+// next.
+func readInterval(pages int) time.Duration {
+	return min(max(time.Duration(pages)*intervalPerPage, targetsInterval), maxTargetsInterval)
 }
 
 // read reads the list and commits its changes, if there are any. If some data centres
@@ -51,6 +73,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	r.pages = list.pages
 	took := steady.Since(start)
 	r.metrics.Timer("targets_read").Record(took)
 	if err != nil {
--- a/internal/process/control/controlmain/targets_test.go
+++ b/internal/process/control/controlmain/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 )
@@ -53,3 +54,19 @@
 		t.Errorf("set %v, removed %v", change.Set, change.Removed)
 	}
 }
+
+// Guards against a long list that is read as often as a short one: with 27 pages that is 54
+// calls a second, for which the platform charges. A leaving target must still be known in
+// time: the interval, the reading and the news to all entries fit into two seconds.
+func TestLongListsAreReadLessOften(t *testing.T) {
+	for pages, want := range map[int]time.Duration{
+		0: targetsInterval, 1: targetsInterval, 4: targetsInterval, 20: 800 * time.Millisecond, 27: maxTargetsInterval, maxListPages: maxTargetsInterval,
+	} {
+		if got := readInterval(pages); got != want {
+			t.Errorf("%d pages: read every %v, want %v", pages, got, want)
+		}
+	}
+	if perSecond := 27 / readInterval(27).Seconds(); perSecond > 30 {
+		t.Errorf("%.0f calls a second for 27 pages", perSecond)
+	}
+}
