spill, proxy: running times by route decide which region can be in time

Cause: the estimate of a request elsewhere used the longest running time of any route of its service. A short urgent route beside a long one (hazard-check beside log-archive on sti-arkiv) was never expected in time in another region, nor for any free slot at home within its deadline.

Change: entries measure the running time of each route by region.

--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -108,8 +108,10 @@
 		c.sends++
 		c.triedTargets = append(c.triedTargets, t.Target.ID)
 		h.logDispatch(c, t, c.sends)
+		sent := h.Now()
 		rep, err := h.hedged(ctx, c, t, unit)
 		if err == nil {
+			h.observeRun(c, c.snap.Region(h.DataCentre), h.Now().Sub(sent))
 			return rep, nil
 		}
 		if errkind.Of(err).Response().DidRun != errkind.No {
--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -132,7 +132,7 @@
 func (h *Handler) spillQuery(c *call, tried map[spill.AttemptKey]bool) spill.RegionQuery {
 	now := h.Now()
 	q := spill.RegionQuery{
-		Service: c.service.Name, Region: c.snap.Region(h.DataCentre),
+		Service: c.service.Name, Route: c.route.Name, Region: c.snap.Region(h.DataCentre),
 		Objective: c.objective.Sub(now), Deadline: c.timeLeft(now), Remote: c.remote, Allowed: c.route.AllowedIn, Tried: tried,
 		HasObject: c.affinity != "", Object: cmp.Or(c.affinity, c.id), RouteObjective: c.route.LatencyObjective,
 	}
@@ -167,6 +167,9 @@
 		var rep *reply
 		rep, err = h.forward(ctx, c, m, false)
 		h.Places.Observe(h.Now(), region, c.service.Name, regionOutcome(rep, err, h.Now().Sub(start)))
+		if err == nil {
+			h.observeRun(c, region, readHandlingTime(rep.header))
+		}
 		if err == nil || !errors.Is(err, errPeerUnreachable) {
 			return rep, err
 		}
@@ -175,6 +178,13 @@
 	return nil, err
 }
 
+// observeRun records how long the request took in a region, if that is known.
+func (h *Handler) observeRun(c *call, region string, took time.Duration) {
+	if c.service.GuardedSlots && took > 0 {
+		h.Places.ObserveRun(region, c.route.Name, took)
+	}
+}
+
 // logMove logs why the request may run in another region.
 func (h *Handler) logMove(c *call, region string) {
 	fields := logrus.Fields{"request_id": c.id, "service": c.service.Name, "region": region, "mode": c.step.Mode.String()}
--- a/internal/request/spill/chooser.go
+++ b/internal/request/spill/chooser.go
@@ -51,8 +51,15 @@
 	destinations map[destinationKey]*destination
 	roundTrips   map[string]time.Duration // measured, by data centre or region
 	placements   map[string]*placement    // by service with guarded slots
+	runTimes     map[routeRegion]time.Duration
 }
 
+// routeRegion identifies a route in a region.
+type routeRegion struct{ region, route string }
+
+// maxRunTimes bounds the memory for running times. Beyond it they are measured anew.
+const maxRunTimes = 4096
+
 // NewChooser returns a chooser that keeps traffic between regions within links;
 // nil means no limit. random returns numbers in [0, 1).
 func NewChooser(links LinkBudgets, random func() float64) *Chooser {
@@ -62,6 +69,7 @@
 		destinations: map[destinationKey]*destination{},
 		roundTrips:   map[string]time.Duration{},
 		placements:   map[string]*placement{},
+		runTimes:     map[routeRegion]time.Duration{},
 	}
 }
 
--- a/internal/request/spill/placement_test.go
+++ b/internal/request/spill/placement_test.go
@@ -118,3 +118,28 @@
 		}
 	}
 }
+
+// Guards against short requests that may run nowhere but in the full own region, because another
+// route of their service takes long.
+func TestRunningTimesOfRoutesAreToldApart(t *testing.T) {
+	s := regionsSnapshot(t)
+	c := newTestChooser()
+	for range 20 {
+		c.ObserveRun("north", "archive", 2*time.Second)
+		c.ObserveRun("north", "check", 40*time.Millisecond)
+	}
+	for route, want := range map[string]string{"check": "south in time, north in time, south any slot, ", "archive": "north in time, "} {
+		q := RegionQuery{
+			Service: "rota", Route: route, Region: "north", Objective: 250 * time.Millisecond, Deadline: 1200 * time.Millisecond, HasObject: true,
+			Load: dispatch.Load{ExpectedWait: 400 * time.Millisecond, Run: 2 * time.Second}, Allowed: func(string) bool { return true }, Tried: map[AttemptKey]bool{},
+		}
+		got := ""
+		for step, ok := c.NextAttempt(epoch, s, q); ok; step, ok = c.NextAttempt(epoch, s, q) {
+			got += step.Region + " " + step.Mode.String() + ", "
+			q.Tried[step.AttemptKey] = true
+		}
+		if got != want {
+			t.Errorf("%s: asked %q, want %q", route, got, want)
+		}
+	}
+}
--- a/internal/request/spill/region.go
+++ b/internal/request/spill/region.go
@@ -41,6 +41,7 @@
 // RegionQuery describes a request for which a region is to be chosen.
 type RegionQuery struct {
 	Service string
+	Route   string // name of the route, for its running times
 	Region  string // region of the sender
 	// Objective is the time left to meet the latency objective. It is 0 or less
 	// if the objective has been missed already.
@@ -79,6 +80,7 @@
 	ownRegion bool
 	wait      time.Duration // expected wait for a slot
 	roundTrip time.Duration // network round trip; 0 for the own region
+	run       time.Duration // typical running time; 0: unknown
 	inTime    bool          // of the own region: the objective is expected to be met there
 	placed    bool          // of another region: the request is placed there, see placement
 }
@@ -109,7 +111,7 @@
 	options = placedFirst(orderWithinShiftLimit(options, placed, shiftAllowed), placed, q.Objective)
 	for _, mode := range []Mode{InTime, AnySlot} {
 		for _, o := range options {
-			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + q.Load.Run, RoundTrip: o.roundTrip, Unlimited: shiftAllowed == nil}
+			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + o.run, RoundTrip: o.roundTrip, Unlimited: shiftAllowed == nil}
 			if !q.Tried[attempt.AttemptKey] && eligible(mode, o, q) {
 				return attempt, true
 			}
@@ -144,7 +146,7 @@
 // the dispatcher knows better whether the objective can be met.
 func eligible(mode Mode, o regionOption, q RegionQuery) bool {
 	if mode == AnySlot {
-		return o.wait == 0 && o.roundTrip+q.Load.Run < q.Deadline
+		return o.wait == 0 && o.roundTrip+o.run < q.Deadline
 	}
 	if o.ownRegion {
 		return q.Objective > 0
@@ -152,7 +154,7 @@
 	if o.placed {
 		return true
 	}
-	run := q.Load.Run
+	run := o.run
 	if q.HasObject {
 		run *= uncachedRunFactor
 	}
@@ -175,8 +177,8 @@
 		}
 		if region == q.Region {
 			if !q.Load.Draining {
-				wait := q.Load.ExpectedWait
-				out = append(out, regionOption{region: region, ownRegion: true, wait: wait, inTime: wait+q.Load.Run < q.Objective})
+				wait, run := q.Load.ExpectedWait, c.runTime(q, region)
+				out = append(out, regionOption{region: region, ownRegion: true, wait: wait, run: run, inTime: wait+run < q.Objective})
 			}
 			continue
 		}
@@ -199,7 +201,7 @@
 // outcomes of earlier requests there, or false while the region is in back-off
 // or draining. Without recent observations no wait is assumed.
 func (c *Chooser) otherRegionOption(now time.Time, snap *snapshot.Snapshot, q RegionQuery, region string) (regionOption, bool) {
-	o := regionOption{region: region, roundTrip: c.regionRoundTrip(snap, q.Region, region)}
+	o := regionOption{region: region, roundTrip: c.regionRoundTrip(snap, q.Region, region), run: c.runTime(q, region)}
 	d := c.destinations[destinationKey{region, q.Service}]
 	if d == nil {
 		return o, true
@@ -211,6 +213,29 @@
 	return o, true
 }
 
+// ObserveRun records how long a request of a route took in a region, without the network.
+func (c *Chooser) ObserveRun(region, route string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := routeRegion{region, route}
+	if _, known := c.runTimes[key]; !known && len(c.runTimes) >= maxRunTimes {
+		clear(c.runTimes)
+	}
+	c.runTimes[key] = movingAverage(c.runTimes[key], took)
+}
+
+// runTime returns the typical running time of a request in a region: that of its route
+// there, or in the own region, or that of the service. The routes of a service differ too
+// much for one value: the longest would rule out regions for the shortest.
+func (c *Chooser) runTime(q RegionQuery, region string) time.Duration {
+	for _, r := range []string{region, q.Region} {
+		if run := c.runTimes[routeRegion{r, q.Route}]; run > 0 {
+			return run
+		}
+	}
+	return q.Load.Run
+}
+
 // regionRoundTrip returns the measured round trip to a region. Without a
 // measurement it returns twice the link delay of the steering document, or
 // defaultOtherRegionRoundTrip if the document has none.
