controlmain: a repeated page of another data centre removes no targets

Looked for after an operators' report: a second copy of an answer, late on a connection in use again. It can happen here: the pages of the data centres share connections, and a copy of one taken for another's read as that data centre without any target, so all of its targets would be removed.

Change: a page with targets of another data centre is no answer to the request. TestRepeatedPageRemovesNoTargets failed before (b0, b1, b2 removed).

--- a/internal/process/control/controlmain/targetlist.go
+++ b/internal/process/control/controlmain/targetlist.go
@@ -184,9 +184,25 @@
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	page, err := r.source.Page(ctx, dc, token)
+	if err == nil {
+		err = page.check(dc)
+	}
 	return page, time.Since(start), err
 }
 
+// check returns an error if the page is not one of the requested data centre. A second
+// copy of an earlier answer, late on a connection that is in use again, would otherwise
+// remove all targets of that data centre. A repeated page of the same one only leads to
+// the same next page again.
+func (p *TargetPage) check(dc string) error {
+	for _, t := range p.Targets {
+		if dc != "" && t.DataCentre != dc {
+			return errkind.New(errkind.AnswerMismatch, "a page of the list of targets for %q has a target in %q", dc, t.DataCentre)
+		}
+	}
+	return nil
+}
+
 // listedDataCentres returns the data centres of the settings and of the committed
 // targets, ordered by name.
 func listedDataCentres(configured map[string]string, committed []*fescuepb.Target) []string {
--- a/internal/process/control/controlmain/targetlist_test.go
+++ b/internal/process/control/controlmain/targetlist_test.go
@@ -154,3 +154,53 @@
 		}
 	}
 }
+
+// repeatingList answers a request once more with the page before.
+type repeatingList struct {
+	TargetSource
+	at     int // the request that gets the page before, counted from 1
+	calls  int
+	before *TargetPage
+}
+
+func (l *repeatingList) Page(ctx context.Context, dc, token string) (*TargetPage, error) {
+	if l.calls++; l.calls == l.at {
+		return l.before, nil
+	}
+	page, err := l.TargetSource.Page(ctx, dc, token)
+	l.before = page
+	return page, err
+}
+
+// Guards against a second copy of a page, late on a connection that is in use again, which is
+// taken for the page that was asked for: the targets of that page would be removed.
+func TestRepeatedPageRemovesNoTargets(t *testing.T) {
+	list := &fakeList{targets: map[string]int{"a": 3, "b": 3}}
+	for _, byDataCentre := range []bool{false, true} {
+		for at := 2; at <= 6; at++ {
+			r := newListReader(&repeatingList{TargetSource: list, at: at}, 0, logging.Discard())
+			var got *targetList
+			if byDataCentre {
+				got = &targetList{dataCentres: map[string]bool{}}
+				for _, dc := range []string{"a", "b"} { // one after the other, on one connection
+					part := r.readPart(t.Context(), dc)
+					got.targets = append(got.targets, part.targets...)
+					got.dataCentres[dc] = part.err == nil
+				}
+			} else {
+				got, _ = r.readWhole(t.Context(), nil)
+			}
+			listed := map[string]bool{}
+			for _, target := range got.targets {
+				listed[target.Id] = true
+			}
+			for _, dc := range []string{"a", "b"} {
+				for i := range 3 {
+					if id := fmt.Sprint(dc, i); got.covers(dc) && !listed[id] {
+						t.Errorf("by data centre: %v, request %d repeats a page: target %s would be removed", byDataCentre, at, id)
+					}
+				}
+			}
+		}
+	}
+}
