controlmain, platform: look-ups wait for a confirmed state after a start

Looked for after an operators' report: after a restart, a server that had left was in use again. It can happen here: a control replica that starts answers look-ups from its disk, which may name entries that have left since.

--- a/internal/process/control/controlmain/extension.go
+++ b/internal/process/control/controlmain/extension.go
@@ -9,6 +9,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 )
 
 // Extension adds interfaces of a platform to a control replica. Functions that are
@@ -17,8 +18,9 @@
 	// Operator returns the handler for Settings.OperatorAddr.
 	Operator func(st control.Steering, log *logrus.Entry) http.Handler
 	// Directory returns the handler for Settings.DirectoryAddr. snap returns the
-	// newest committed version, or nil before the first one.
-	Directory func(snap func() *snapshot.Snapshot, log *logrus.Entry) http.Handler
+	// newest committed version, or nil before the first one and, after a start, until
+	// it is confirmed.
+	Directory func(snap func() *snapshot.Snapshot, log *logrus.Entry, metrics tally.Scope) http.Handler
 	// Targets returns the source of the platform's list of targets.
 	Targets func(s *Settings, log *logrus.Entry) TargetSource
 }
--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -116,7 +116,7 @@
 		group.Go(func() error { return serveHTTP(ctx, p.settings.OperatorAddr, h) })
 	}
 	if ext.Directory != nil {
-		h := ext.Directory(p.leadership.Snapshot, p.log)
+		h := ext.Directory(newDirectoryView(p).snapshot, p.log, scope)
 		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h) })
 	}
 	if ext.Targets != nil {
