controlmain: a planned stop answers what has arrived at the operator's API and the directory

Looked for after an operators' report: during a planned stop under load, requests that had just been accepted were cut off. It can happen here, not at the entries but at the control replicas: net/http closes the listener with the connections that wait in it, and kept connections with a request on its way.

Change: the listeners of an extension use the server of the entries, which accepts the rest before it closes and takes what has arrived.

--- a/internal/process/control/controlmain/extension.go
+++ b/internal/process/control/controlmain/extension.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
-	"github.com/fescuejunction/fescuejunction/internal/base/httpserve"
+	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
@@ -25,21 +27,50 @@
 	Targets func(s *Settings, log *logrus.Entry) TargetSource
 }
 
-// Timeouts of the HTTP listeners of an extension.
+// Limits of the HTTP listeners of an extension.
 const (
-	extensionReadTimeout = 10 * time.Second
+	extensionHeaderBytes = 64 << 10
+	extensionReadTimeout = 10 * time.Second // for a head, and for a body
 	extensionIdleTimeout = 60 * time.Second
 	// extensionStopTimeout is how long requests in flight may take to finish at the
 	// end of the process.
 	extensionStopTimeout = 2 * time.Second
 )
 
-// serveHTTP serves an interface of an extension until ctx ends. It does nothing
-// without an address or a handler.
-func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+// serveHTTP serves an interface of an extension until ctx ends, and then answers the
+// requests that have arrived, also on connections that are established and not accepted
+// yet. It does nothing without an address or a handler.
+func serveHTTP(ctx context.Context, addr string, h http.Handler, log *logrus.Entry) error {
 	if addr == "" || h == nil {
 		return nil
 	}
-	srv := &http.Server{Handler: h, ReadTimeout: extensionReadTimeout, IdleTimeout: extensionIdleTimeout}
-	return httpserve.ListenAndServe(ctx, addr, srv, extensionStopTimeout)
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", addr)
+	}
+	limits := caller.Limits{HeaderBytes: extensionHeaderBytes, HeaderTimeout: extensionReadTimeout, IdleTimeout: extensionIdleTimeout}
+	srv := &caller.Server{Handler: withBodyTimeout(h), Limits: func() caller.Limits { return limits }, Log: log}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), extensionStopTimeout)
+		defer cancel()
+		if err := srv.Shutdown(ending); err != nil {
+			log.WithError(err).WithField("addr", addr).Warn("stop timed out with requests still in flight")
+		}
+	})
+	err = srv.Serve(lis)
+	if !stop() { // ctx has ended
+		<-stopped
+		return nil
+	}
+	return err
+}
+
+// withBodyTimeout limits the time that a caller may take to send the body of a request.
+func withBodyTimeout(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(extensionReadTimeout)) // without it, the caller only takes longer
+		h.ServeHTTP(w, r)
+	})
 }
--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -113,11 +113,11 @@
 func (p *process) startExtensions(ctx context.Context, group *errgroup.Group, ext Extension, scope tally.Scope) {
 	if ext.Operator != nil {
 		h := ext.Operator(p.server.Steering(), p.log)
-		group.Go(func() error { return serveHTTP(ctx, p.settings.OperatorAddr, h) })
+		group.Go(func() error { return serveHTTP(ctx, p.settings.OperatorAddr, h, p.log) })
 	}
 	if ext.Directory != nil {
 		h := ext.Directory(newDirectoryView(p).snapshot, p.log, scope)
-		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h) })
+		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h, p.log) })
 	}
 	if ext.Targets != nil {
 		r := newTargetReader(p, ext.Targets(p.settings, p.log), scope)
