feed: a series of versions reaches a follower in few messages

In a rolling restart with a release, some 20 versions a second go to up to 18 followers, each as a message and an acknowledgement, over a link of 2 Mbit/s that the relay's callers share; the newest version waits in the buffers behind those that it makes obsolete.

Change: after the initial pushes, at most one update in 100 ms goes to a follower; it covers everything since the last one. A single change is pushed at once, and the end of the source too.

TestSeriesOfVersionsIsPushedTogether: 101 messages for 101 changes before, at most 22 after.

--- a/internal/process/shared/feed/hub.go
+++ b/internal/process/shared/feed/hub.go
@@ -33,6 +33,11 @@
 	// initialPushInterval.
 	initialPushInterval  = 60 * time.Millisecond
 	initialCounterPushes = 4
+	// minPushGap is the least time between two pushes to a follower after the initial ones.
+	// A relay shares a narrow link with its callers. With a message for each version, some
+	// tens of versions a second to twenty followers fill it, and the newest one waits
+	// behind those that it makes obsolete.
+	minPushGap = 100 * time.Millisecond
 	// maxCachedFrames limits the encoded updates cached for one version and counter.
 	maxCachedFrames = 64
 )
@@ -166,12 +171,12 @@
 }
 
 // pushUpdates sends updates, starting from version sent, which the follower already
-// has. It sends on each Wake, and at initialPushInterval if the counter or the
-// version has advanced.
+// has. It sends on each Wake, but at most one update in minPushGap, and at
+// initialPushInterval if the counter or the version has advanced.
 func (h *Hub) pushUpdates(ctx context.Context, stream grpc.ServerStream, sent uint64) error {
 	fast := time.NewTicker(initialPushInterval)
 	defer fast.Stop()
-	initialLeft, counter, ticked := initialCounterPushes, uint64(0), false
+	initialLeft, counter, ticked, sentAt := initialCounterPushes, uint64(0), false, time.Time{}
 	for {
 		wake, stopped := h.wakeSignal()
 		if stopped {
@@ -188,10 +193,13 @@
 			if f.counter > counter {
 				initialLeft--
 			}
-			counter, sent = f.counter, max(sent, f.version)
+			counter, sent, sentAt = f.counter, max(sent, f.version), time.Now()
 		}
 		if initialLeft <= 0 {
 			fast.Stop()
+			if err := h.awaitGap(ctx, sentAt); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-wake:
@@ -203,3 +211,23 @@
 		}
 	}
 }
+
+// awaitGap waits until minPushGap has passed since a push. It returns early if the hub stops,
+// whose followers look for another source at once, or with an error if ctx ends.
+func (h *Hub) awaitGap(ctx context.Context, sentAt time.Time) error {
+	gap := time.NewTimer(minPushGap - time.Since(sentAt))
+	defer gap.Stop()
+	for {
+		wake, stopped := h.wakeSignal()
+		if stopped {
+			return nil
+		}
+		select {
+		case <-gap.C:
+			return nil
+		case <-wake:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
--- a/internal/process/shared/feed/hub_test.go
+++ b/internal/process/shared/feed/hub_test.go
@@ -1,11 +1,18 @@
 package feed
 
 import (
+	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 )
 
 // constantSource is a source whose version and counter never change.
@@ -37,3 +44,92 @@
 		}
 	}
 }
+
+// changingSource has a new version with each Wake of its hub.
+type changingSource struct{ version atomic.Uint64 }
+
+func (s *changingSource) Version() uint64 { return s.version.Load() }
+func (s *changingSource) Counter() uint64 { return s.version.Load() }
+func (s *changingSource) Since(base uint64) *fescuepb.Update {
+	return &fescuepb.Update{Base: base, Version: s.version.Load()}
+}
+
+// recordingStream counts the updates that a follower gets, with the time of the last.
+type recordingStream struct {
+	grpc.BidiStreamingServer[fescuepb.WatchRequest, fescuepb.Update]
+	mu      sync.Mutex
+	pushes  int
+	version uint64
+	at      time.Time
+}
+
+func (s *recordingStream) SendMsg(m any) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pushes, s.version, s.at = s.pushes+1, m.(*frame).version, time.Now()
+	return nil
+}
+
+// take returns what was recorded since the last call.
+func (s *recordingStream) take() (pushes int, version uint64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pushes, s.pushes = s.pushes, 0
+	return pushes, s.version, s.at
+}
+
+// Guards against a relay whose narrow link is full of versions that later ones have made obsolete:
+// a series of changes, 50 a second as in a rolling restart of a large site, must reach a follower in
+// few messages, the first and the last one soon, and the end of the source at once.
+func TestSeriesOfVersionsIsPushedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &changingSource{}
+		source.version.Store(1)
+		h := NewHub(Config{Source: source})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		stream := &recordingStream{}
+		done := make(chan error, 1)
+		go func() { done <- h.pushUpdates(ctx, stream, 1) }()
+		change := func() {
+			source.version.Add(1)
+			h.Wake()
+		}
+		for range 10 { // the initial pushes are not limited
+			change()
+			time.Sleep(time.Second)
+		}
+		stream.take()
+		start := time.Now()
+		change()
+		synctest.Wait()
+		if _, version, at := stream.take(); version != source.Version() || at != start {
+			t.Errorf("a single change was pushed %v later", at.Sub(start))
+		}
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			change()
+		}
+		end := time.Now()
+		time.Sleep(time.Second)
+		pushes, version, at := stream.take()
+		if version != source.Version() || at.Sub(end) > minPushGap {
+			t.Errorf("version %d of %d pushed %v after the last change", version, source.Version(), at.Sub(end))
+		}
+		if limit := int(end.Sub(start)/minPushGap) + 2; pushes > limit {
+			t.Errorf("%d messages for a series of 100 changes in %v, want at most %d", pushes, end.Sub(start), limit)
+		}
+		change()
+		change()
+		h.Stop()
+		synctest.Wait()
+		select {
+		case err := <-done:
+			if errkind.Of(err) != errkind.Of(errStopped) {
+				t.Errorf("the watch ended with %v", err)
+			}
+		default:
+			t.Error("the watch of a hub that stops has not ended")
+		}
+	})
+}
