--- a/internal/request/proxy/guarded.go
+++ b/internal/request/proxy/guarded.go
@@ -187,7 +187,7 @@
 
 // logMove logs why the request may run in another region.
 func (h *Handler) logMove(c *call, region string) {
-	fields := logrus.Fields{"request_id": c.id, "service": c.service.Name, "region": region, "mode": c.step.Mode.String()}
+	fields := logrus.Fields{"request_id": c.id, "service": c.service.Name, "region": region, "mode": c.step.Mode.String(), "placed": c.step.Placed}
 	if !c.remote {
 		a := h.Shares.Allowances(region)
 		fields["shift_unlimited"], fields["shift_region"], fields["shift_own_region"] = c.step.Unlimited, a.Region, a.OwnRegion
--- a/internal/request/spill/region.go
+++ b/internal/request/spill/region.go
@@ -33,6 +33,7 @@
 	OwnRegion bool          // the region is the sender's own
 	Expected  time.Duration // estimated time until the response
 	RoundTrip time.Duration // network round trip to the region; 0 for the own region
+	Placed    bool          // the region is the one in which the request is placed, so the limit on moves did not apply
 	// Unlimited is set if the share of requests that may move did not apply, because
 	// too few slots of the own region are left.
 	Unlimited bool
@@ -111,7 +112,7 @@
 	options = placedFirst(orderWithinShiftLimit(options, placed, shiftAllowed), placed, q.Objective)
 	for _, mode := range []Mode{InTime, AnySlot} {
 		for _, o := range options {
-			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + o.run, RoundTrip: o.roundTrip, Unlimited: shiftAllowed == nil}
+			attempt := Attempt{AttemptKey: AttemptKey{o.region, mode}, OwnRegion: o.ownRegion, Expected: o.wait + o.roundTrip + o.run, RoundTrip: o.roundTrip, Placed: o.region == placed, Unlimited: shiftAllowed == nil}
 			if !q.Tried[attempt.AttemptKey] && eligible(mode, o, q) {
 				return attempt, true
 			}
