controlmain: look-ups wait 0.75 s for a confirmed state, not 1.5 s

After all control replicas were killed at once, none can be confirmed before the next election, and their state is the best there is. Restarts of one replica are confirmed within three heartbeats.

--- a/internal/process/control/controlmain/directory.go
+++ b/internal/process/control/controlmain/directory.go
@@ -9,9 +9,10 @@
 )
 
 // unconfirmedTimeout is how long after its start a replica waits for a quorum to confirm
-// its state before it answers look-ups from it. It covers an election. A replica that is
-// cut off answers afterwards: its callers reach no other one.
-const unconfirmedTimeout = 1500 * time.Millisecond
+// its state before it answers look-ups from it. It covers three heartbeats of a leader. A
+// replica that is cut off, or started together with all others, answers afterwards: its
+// callers reach no better one.
+const unconfirmedTimeout = 750 * time.Millisecond
 
 // directoryView gives look-ups the newest committed version. What a replica has on its disk
 // when it starts may name entries that have left since.
