--- a/internal/request/spill/room.go
+++ b/internal/request/spill/room.go
@@ -8,12 +8,13 @@
 
 // RoomShares returns the shares of the requests of a region's callers that each region
 // would run if all regions were equally loaded, or nil if the snapshot does not say. It
-// counts the given services, or all if there are none. The
-// room of a region is the slots of its active targets, and its callers are taken to be
-// as many as its share of the entries, which are placed where callers are. A region with
-// more room than callers keeps all of its requests; one with less gives the excess to the
-// others in proportion to what they have left. All entries with the same snapshot get
-// the same shares.
+// counts the given services, or all if there are none.
+//
+// The room of a region is the slots of its active targets. Its callers are taken to be as
+// many as its share of the entries, which are placed where callers are. A region with more
+// room than callers keeps all of its requests; one with less gives the excess to the others
+// in proportion to what they have left. All entries with the same snapshot get the same
+// shares.
 func RoomShares(snap *snapshot.Snapshot, own string, services ...string) map[string]float64 {
 	if snap == nil {
 		return nil
