follow: the fake source of the tests keeps its address after it has stopped

Cause: the test stops its source, and another test's source gets the free port. The follower under test then follows that one, and confirms its version. The follower itself did as intended.

The listener of a fake source now stays bound until the end of the test and closes what it accepts after the stop. The checks and bounds of TestCutOffDataCentre are as before. TestStoppedSourceKeepsItsAddress fails without the change.

--- a/internal/process/entry/follow/cutoff_test.go
+++ b/internal/process/entry/follow/cutoff_test.go
@@ -64,3 +64,18 @@
 	eventually(t, time.Second, "confirmed by the other source", f.Confirmed)
 	eventually(t, 2*time.Second, "only one watch", func() bool { return !a.watchedBy("entry-1") })
 }
+
+// Guards against tests of stopped sources that find the source of another test at the
+// address: the system gives a free port to the next listener.
+func TestStoppedSourceKeepsItsAddress(t *testing.T) {
+	t.Parallel()
+	src := newFakeSource(t, 10, 100)
+	f := newFollower("entry-1", []string{src.addr}, nil)
+	start(t, f)
+	eventually(t, 3*time.Second, "ready", f.Ready)
+	src.stop()
+	if lis, err := net.Listen("tcp", src.addr); err == nil {
+		_ = lis.Close()
+		t.Fatal("another source can listen at the address of a stopped one")
+	}
+}
--- a/internal/process/entry/follow/helpers_test.go
+++ b/internal/process/entry/follow/helpers_test.go
@@ -137,13 +137,57 @@
 	g := grpc.NewServer()
 	fescuepb.RegisterFollowServer(g, s)
 	fescuepb.RegisterMembersServer(g, s)
-	go func() { _ = g.Serve(lis) }()
+	held := holdAddress(t, lis)
+	go func() { _ = g.Serve(held) }()
 	s.addr, s.stop = lis.Addr().String(), g.Stop
 	t.Cleanup(g.Stop)
 	go s.run(t.Context())
 	return s
 }
 
+// heldListener is a listener that keeps its address until the end of the test. After
+// Close it resets the connections that it gets. The system gives a free port to the next
+// listener, and a follower would then follow a source of another test.
+type heldListener struct {
+	net.Listener
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func holdAddress(t *testing.T, lis net.Listener) *heldListener {
+	h := &heldListener{Listener: lis, conns: make(chan net.Conn), closed: make(chan struct{})}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			select {
+			case h.conns <- conn:
+			case <-h.closed:
+				_ = conn.Close()
+			}
+		}
+	}()
+	return h
+}
+
+func (h *heldListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (h *heldListener) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
 func (s *fakeSource) Watch(stream grpc.BidiStreamingServer[fescuepb.WatchRequest, fescuepb.Update]) error {
 	s.countWatch(1, 1)
 	defer s.countWatch(0, -1)
