dispatch, group: the slots of a target count across the pools of an entry

Cause: a target that comes to another part gets a new dispatcher, which knows only the requests that it has granted itself. The requests of the former dispatcher count again only with the first answer of the target.

All dispatchers of an entry now count their requests in flight at a target together. The use of a target is forgotten when no pool lists it and none has requests there (TestSharedUseForgetsTargets).

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -42,6 +42,8 @@
 	Now        func() time.Time
 	Log        *logrus.Entry
 
+	inFlight dispatch.SharedUse // of all local dispatchers
+
 	mu                sync.Mutex
 	snap              *snapshot.Snapshot
 	partitions        map[regionTargets]*partition         // of snap, as far as they were needed
@@ -161,6 +163,7 @@
 	settings := dispatchSettings(svc, "", g.snap)
 	first := g.preferredLocked(pool, (*Guarded).presentLocked)
 	settings.Substitute = first != nil && first.Instance != g.Instance
+	settings.Shared = &g.inFlight
 	return settings
 }
 
--- a/internal/request/dispatch/api.go
+++ b/internal/request/dispatch/api.go
@@ -31,6 +31,9 @@
 	// rate limit holds for all entries together. It does not take timeouts for failures
 	// of a target, because the requests of others may keep the target busy.
 	Substitute bool
+	// Shared counts the requests in flight together with those of the other pools of the
+	// process. It must not change. Nil if no other pool has the same targets.
+	Shared *SharedUse
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/request/dispatch/backend.go
+++ b/internal/request/dispatch/backend.go
@@ -52,8 +52,9 @@
 	joinedAt time.Duration
 	untried  bool // joined after the first request of the pool and has had no request
 	running  []*Request
-	waiting  int // queued requests whose preferred target it is
-	ahead    int // result of Pool.countAhead
+	use      *targetUse // its requests of all pools of the process
+	waiting  int        // queued requests whose preferred target it is
+	ahead    int        // result of Pool.countAhead
 	idHash   uint64
 	objects  objectLRU
 	derived  targetEstimate
@@ -155,6 +156,7 @@
 	b.untried = false
 	r.pos = len(b.running)
 	b.running = append(b.running, r)
+	b.use.inFlight.Add(1)
 }
 
 // finish removes r from the requests in flight and takes over its outcome.
@@ -166,6 +168,7 @@
 	moved.pos = r.pos
 	b.running[last] = nil
 	b.running = b.running[:last]
+	b.use.inFlight.Add(-1)
 	r.pos = -1
 	b.forgetEstimate()
 	if o.Report.Slots > 0 {
@@ -403,6 +406,12 @@
 	return int(math.Round(float64(b.foreign) * (1 - age.Seconds()/foreignTTL.Seconds())))
 }
 
+// inOtherPools returns how many requests others have at the target: the pools of this
+// process, which is known, and other entries, which is estimated.
+func (b *backend) inOtherPools(at time.Duration) int {
+	return max(int(b.use.inFlight.Load())-len(b.running), b.foreignLoad(at))
+}
+
 const (
 	onTheWayWeight = 0.05
 	// maxOnTheWay bounds the requests that a target gets beyond its slots. If all
@@ -438,7 +447,7 @@
 // freeSlots returns the slots of the target that are not in use, negative if requests
 // wait at the target.
 func (b *backend) freeSlots(at time.Duration) int {
-	return b.slots() - b.inUse() - b.foreignLoad(at)
+	return b.slots() - b.inUse() - b.inOtherPools(at)
 }
 
 // expectedWait returns how long a request is expected to wait for a slot of this
@@ -452,7 +461,7 @@
 		}
 		return time.Duration((1 - b.cold.tokens) / b.cold.rate * float64(time.Second))
 	}
-	if b.foreignLoad(at) > 0 { // when they end is not known
+	if b.inOtherPools(at) > 0 { // when they end is not known
 		return max(typical*time.Duration(ahead-free+1)/time.Duration(b.slots()), time.Millisecond)
 	}
 	var buffer [32]time.Duration // avoids an allocation for targets with few slots
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -59,7 +59,7 @@
 	for _, info := range infos {
 		b := p.byID[info.ID]
 		if b == nil {
-			b = &backend{joinedAt: at, untried: p.seq > 0}
+			b = &backend{joinedAt: at, untried: p.seq > 0, use: p.settings.Shared.hold(targetKey{p.settings.Service, info.ID})}
 			p.byID[info.ID] = b
 			p.targets = append(p.targets, b)
 		}
@@ -80,6 +80,7 @@
 		gone := !b.listed && len(b.running) == 0
 		if gone {
 			delete(p.byID, b.info.ID)
+			p.settings.Shared.release(targetKey{p.settings.Service, b.info.ID})
 		}
 		return gone
 	})
@@ -97,6 +98,10 @@
 func (p *Pool) Stop() {
 	p.stopped = true
 	p.refuseAll(refuse(errStopping, time.Second))
+	for _, b := range p.targets {
+		b.listed = false
+	}
+	p.removeUnlisted()
 }
 
 // Submit starts, queues or refuses r. Afterwards r is running or queued, or the
