proxy: a route, service or shift is unknown only in a version that is confirmed

What callers could see: 404 for a route that had been added seconds before, from an entry whose news is late. Callers do not repeat a request after 404.

Cause in the code: an entry answers from the version in force, however old it is. That is right for what the version has: a data centre that is cut off keeps serving. It is wrong for what the version lacks. An entry that was suspended handles the requests in its sockets before the updates, and one with a silent source keeps its version until it finds another.

TestRouteIsUnknownOnlyInAConfirmedVersion got 404 before.

--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -84,7 +84,7 @@
 	targets := p.targetTransport()
 	cfg := proxy.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
-		Ready: p.ready, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
+		Ready: p.ready, Confirmed: p.follower.Confirmed, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   p.regionShares(),
 		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: p.peerTransport(),
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -110,10 +110,10 @@
 		return c, err
 	}
 	if err := h.findRoute(c, head.Service); err != nil {
-		return c, c.notReadyIfBehind(err)
+		return c, h.notReadyIfUnconfirmed(c, c.notReadyIfBehind(err))
 	}
 	if err := c.checkShift(head.Shift); err != nil {
-		return c, err
+		return c, h.notReadyIfUnconfirmed(c, err)
 	}
 	c.object = head.Affinity
 	if c.route.Affinity {
@@ -213,6 +213,19 @@
 	return errkind.New(errkind.NotReady, "version %d is in force here, the request was forwarded on version %d", c.snap.Version, c.forwardedVersion)
 }
 
+// notReadyIfUnconfirmed returns err, or an error of kind NotReady if err says that
+// something is not in the document and the version in force may be an old one. Callers do
+// not repeat a request after such an answer, and a later version may have it.
+func (h *Handler) notReadyIfUnconfirmed(c *call, err error) error {
+	switch errkind.Of(err) {
+	case errkind.UnknownRoute, errkind.UnknownService, errkind.UnknownShift:
+		if h.Confirmed != nil && !h.Confirmed() {
+			return errkind.New(errkind.NotReady, "%v, but version %d is not confirmed at present", err, c.snap.Version)
+		}
+	}
+	return err
+}
+
 // findRoute selects the route and the service of a request. The route is that of
 // host and path if the host has routes. Otherwise it is a route of the service
 // that the caller or the path names.
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -75,11 +75,14 @@
 
 // Config holds the dependencies of a Handler.
 type Config struct {
-	Instance      string
-	DataCentre    string
-	Store         *snapshot.Store
-	Dialect       dialect.Dialect
-	Ready         func() bool // reports whether a confirmed version of the document is in force
+	Instance   string
+	DataCentre string
+	Store      *snapshot.Store
+	Dialect    dialect.Dialect
+	Ready      func() bool // reports whether a confirmed version of the document is in force
+	// Confirmed reports whether control has confirmed the version in force recently. It may
+	// be false for long in a data centre that is cut off. Nil: each version is confirmed.
+	Confirmed     func() bool
 	Start         Start
 	Stopping      func() Stop // returns the progress of a planned stop; nil if there never is one
 	Groups        Groups
--- a/internal/request/proxy/proxy_test.go
+++ b/internal/request/proxy/proxy_test.go
@@ -216,7 +216,7 @@
 		ResponseID: func(resp *http.Response) string { return ForwardID(resp.Header) },
 	}
 	w.h = New(Config{
-		Instance: "e1", DataCentre: "a", Store: store, Dialect: dialect.Native{}, Ready: func() bool { return true },
+		Instance: "e1", DataCentre: "a", Store: store, Dialect: dialect.Native{}, Ready: func() bool { return true }, Confirmed: func() bool { return true },
 		Groups: w.groups, Guarded: testGuarded{w}, Caps: w.caps, Places: spill.NewChooser(nil, func() float64 { return 0.5 }), Ledger: w.ledger,
 		Shares:   spill.NewRegionShiftLimiter("north", 0, spill.DefaultRegionShiftWindow),
 		Services: &ServiceStates{}, Targets: targetConns, Peers: peerConns,
--- a/internal/request/proxy/starting_test.go
+++ b/internal/request/proxy/starting_test.go
@@ -11,6 +11,22 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 )
 
+// Guards against a final answer from an old version: an entry that was suspended, or whose
+// source is silent, does not know a route that was added meanwhile, and callers do not
+// repeat a request after 404.
+func TestRouteIsUnknownOnlyInAConfirmedVersion(t *testing.T) {
+	w := newTestEntry(t, false, target(t, func(http.ResponseWriter, *http.Request) {}))
+	var confirmed atomic.Bool
+	w.h.Confirmed = confirmed.Load
+	unknown := func() *http.Request { return w.request("GET", "/", "", dialect.HeaderService, "nowhere") }
+	w.expectError(unknown(), errkind.NotReady, errkind.No)
+	if resp, _, err := w.do(w.request("GET", "/", "")); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%v, %v: a cut-off entry serves the routes that it knows", resp, err)
+	}
+	confirmed.Store(true)
+	w.expectError(unknown(), errkind.UnknownService, errkind.No)
+}
+
 // Guards against callers that lose an attempt at an entry that is about to be ready, and against
 // requests that are held although the entry will not be ready in time.
 func TestRequestsWaitForTheEndOfTheStart(t *testing.T) {
