base, slots, controlmain: one rendezvous hash, one map of questions, one serving loop

From the last read of the code: weighted rendezvous hashing stood in placement and partition, plain one in four places; a link kept a map of due times beside its pending questions and ended them in two loops; serveHTTP repeated httpserve.ListenAndServe. Hashes, and so the choices of mixed builds, are the same. No change of behaviour.

--- a/internal/base/httpserve/serve.go
+++ b/internal/base/httpserve/serve.go
@@ -15,6 +15,16 @@
 // returns nil. It returns an error of kind InvalidSettings if it cannot listen, and
 // the error of srv.Serve if serving fails before ctx ends.
 func ListenAndServe(ctx context.Context, addr string, srv *http.Server, shutdownTimeout time.Duration) error {
+	return Run(ctx, addr, srv.Serve, shutdownTimeout, func(ending context.Context) {
+		if srv.Shutdown(ending) != nil {
+			_ = srv.Close() // Shutdown has closed the listener, so an error here is expected
+		}
+	})
+}
+
+// Run is ListenAndServe for any server: serve accepts connections until shutdown is called
+// with a context that ends after shutdownTimeout.
+func Run(ctx context.Context, addr string, serve func(net.Listener) error, shutdownTimeout time.Duration, shutdown func(ending context.Context)) error {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", addr)
@@ -22,13 +32,11 @@
 	shutdownDone := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(shutdownDone)
-		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
-		if srv.Shutdown(shutdownCtx) != nil {
-			_ = srv.Close() // Shutdown has closed the listener, so an error here is expected
-		}
+		shutdown(ending)
 	})
-	err = srv.Serve(lis)
+	err = serve(lis)
 	if !stop() { // ctx has ended
 		<-shutdownDone
 		return nil
--- a/internal/connection/slots/client.go
+++ b/internal/connection/slots/client.go
@@ -72,7 +72,7 @@
 	if c.links == nil {
 		c.links = map[string]*link{}
 	}
-	l := &link{c: c, addr: addr, pending: map[uint64]chan *fescuepb.SlotReply{}}
+	l := &link{c: c, addr: addr, pending: map[uint64]question{}}
 	c.links[addr] = l
 	return l
 }
@@ -106,8 +106,13 @@
 	// question was given up. It is zero if none is.
 	replyDue time.Time
 	lastID   uint64
-	pending  map[uint64]chan *fescuepb.SlotReply // by request ID; closed if the stream fails
-	due      map[uint64]time.Time                // when the reply to each pending request is due
+	pending  map[uint64]question // by request ID
+}
+
+// question is a slot request without a reply.
+type question struct {
+	reply chan *fescuepb.SlotReply // has capacity 1; closed if the link is silent or its stream fails
+	due   time.Time                // when the reply is due
 }
 
 func (l *link) acquire(ctx context.Context, p Pool, w dispatch.Work, now time.Time) (*dispatch.Ticket, *dispatch.Load, error) {
@@ -148,10 +153,7 @@
 	if l.replyDue.IsZero() || now.Sub(l.replyDue) < silentAfter {
 		return false
 	}
-	for id, reply := range l.pending {
-		delete(l.pending, id)
-		delete(l.due, id)
-		close(reply)
+	for _, id := range l.failPendingLocked() {
 		if l.sendQueue != nil {
 			l.sendQueue.Offer(&fescuepb.SlotRequest{Body: &fescuepb.SlotRequest_Cancel{Cancel: id}})
 		}
@@ -159,6 +161,17 @@
 	return true
 }
 
+// failPendingLocked ends all pending requests without a reply and returns their IDs. The
+// caller holds l.mu.
+func (l *link) failPendingLocked() (ids []uint64) {
+	for id, q := range l.pending {
+		ids = append(ids, id)
+		close(q.reply)
+	}
+	clear(l.pending)
+	return ids
+}
+
 // replyTimeout returns how long to wait for the reply to a slot request, at least
 // silentAfter. The dispatcher replies to a queued request at the latest at its objective
 // or deadline. A request with NoQueue or AnySlot is not queued, so the reply comes at
@@ -193,14 +206,10 @@
 	if !l.sendQueue.Offer(&fescuepb.SlotRequest{Body: &fescuepb.SlotRequest_Ask{Ask: a}}) {
 		return 0, nil, false
 	}
-	reply = make(chan *fescuepb.SlotReply, 1)
-	if l.due == nil {
-		l.due = map[uint64]time.Time{}
-	}
-	l.due[a.Id] = now.Add(queue)
-	l.noteDue(l.due[a.Id])
-	l.pending[a.Id] = reply
-	return a.Id, reply, true
+	q := question{reply: make(chan *fescuepb.SlotReply, 1), due: now.Add(queue)}
+	l.noteDue(q.due)
+	l.pending[a.Id] = q
+	return a.Id, q.reply, true
 }
 
 func later(a, b time.Time) time.Time {
@@ -279,17 +288,16 @@
 // pending, it releases the slot of the reply.
 func (l *link) deliver(r *fescuepb.SlotReply) {
 	l.mu.Lock()
-	reply := l.pending[r.Id]
+	asked, pending := l.pending[r.Id]
 	delete(l.pending, r.Id)
-	delete(l.due, r.Id)
 	l.replyDue = time.Time{}
 	now := time.Now()
-	for id := range l.pending {
-		l.noteDue(later(l.due[id], now))
+	for _, q := range l.pending {
+		l.noteDue(later(q.due, now))
 	}
 	l.mu.Unlock()
-	if reply != nil {
-		reply <- r
+	if pending {
+		asked.reply <- r
 		return
 	}
 	if r.Target != "" {
@@ -301,12 +309,11 @@
 // releases the slot of the reply.
 func (l *link) cancelAsk(id uint64) {
 	l.mu.Lock()
-	reply := l.pending[id]
+	asked := l.pending[id]
 	delete(l.pending, id)
-	delete(l.due, id)
 	l.mu.Unlock()
 	select {
-	case r, open := <-reply: // the reply arrived before the request was removed
+	case r, open := <-asked.reply: // the reply arrived before the request was removed
 		if open && r.Target != "" {
 			l.release(id, dispatch.Outcome{Result: dispatch.CancelledByCaller})
 		}
@@ -359,9 +366,5 @@
 	}
 	l.cancel()
 	l.sendQueue, l.replyDue = nil, time.Time{}
-	for id, reply := range l.pending {
-		delete(l.pending, id)
-		delete(l.due, id)
-		close(reply)
-	}
+	l.failPendingLocked()
 }
--- a/internal/connection/slots/silent_test.go
+++ b/internal/connection/slots/silent_test.go
@@ -17,7 +17,7 @@
 // startedLink returns a link whose stream takes questions and delivers nothing.
 func startedLink() *link {
 	return &link{
-		c: &Client{Log: logging.Discard()}, cancel: func() {}, pending: map[uint64]chan *fescuepb.SlotReply{},
+		c: &Client{Log: logging.Discard()}, cancel: func() {}, pending: map[uint64]question{},
 		sendQueue: ring.New[*fescuepb.SlotRequest](sendQueueSize),
 	}
 }
--- a/internal/connection/slots/slow_test.go
+++ b/internal/connection/slots/slow_test.go
@@ -35,7 +35,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l := &link{
-					c: &Client{Log: logging.Discard()}, cancel: func() {}, pending: map[uint64]chan *fescuepb.SlotReply{},
+					c: &Client{Log: logging.Discard()}, cancel: func() {}, pending: map[uint64]question{},
 					sendQueue: ring.New[*fescuepb.SlotRequest](sendQueueSize),
 				}
 				defer l.close()
--- a/internal/process/control/controlmain/extension.go
+++ b/internal/process/control/controlmain/extension.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/base/httpserve"
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
-	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
@@ -44,27 +43,13 @@
 	if addr == "" || h == nil {
 		return nil
 	}
-	lis, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errkind.Wrap(errkind.InvalidSettings, err, "listen on %s", addr)
-	}
 	limits := caller.Limits{HeaderBytes: extensionHeaderBytes, HeaderTimeout: extensionReadTimeout, IdleTimeout: extensionIdleTimeout}
 	srv := &caller.Server{Handler: withBodyTimeout(h), Limits: func() caller.Limits { return limits }, Log: log}
-	stopped := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(stopped)
-		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), extensionStopTimeout)
-		defer cancel()
+	return httpserve.Run(ctx, addr, srv.Serve, extensionStopTimeout, func(ending context.Context) {
 		if err := srv.Shutdown(ending); err != nil {
 			log.WithError(err).WithField("addr", addr).Warn("stop timed out with requests still in flight")
 		}
 	})
-	err = srv.Serve(lis)
-	if !stop() { // ctx has ended
-		<-stopped
-		return nil
-	}
-	return err
 }
 
 // withBodyTimeout limits the time that a caller may take to send the body of a request.
--- a/internal/process/entry/follow/sources.go
+++ b/internal/process/entry/follow/sources.go
@@ -3,8 +3,8 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/rendezvous"
 )
 
 // relaysPerDataCentre is how many entries of a data centre prefer to follow
@@ -93,7 +93,7 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool {
-		return rendezvousHash(self.DataCentre, out[i].Instance) > rendezvousHash(self.DataCentre, out[j].Instance)
+		return rendezvous.Hash(self.DataCentre, out[i].Instance) > rendezvous.Hash(self.DataCentre, out[j].Instance)
 	})
 	return out
 }
@@ -158,7 +158,7 @@
 		if added[i].distance != added[j].distance {
 			return added[i].distance < added[j].distance
 		}
-		return rendezvousHash(p.self.Instance, added[i].addr) > rendezvousHash(p.self.Instance, added[j].addr)
+		return rendezvous.Hash(p.self.Instance, added[i].addr) > rendezvous.Hash(p.self.Instance, added[j].addr)
 	})
 }
 
@@ -168,5 +168,3 @@
 	}
 	return unknownDistance
 }
-
-func rendezvousHash(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
--- a/internal/process/entry/group/partition.go
+++ b/internal/process/entry/group/partition.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fescuejunction/fescuejunction/internal/base/rendezvous"
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -96,17 +96,13 @@
 func preferredPart(id string, room []int) int {
 	best, highest := 0, uint64(0)
 	for part, n := range room {
-		if hash := partHash(id, part); n > 0 && hash >= highest {
+		if hash := rendezvous.Hash(id, strconv.Itoa(part)); n > 0 && hash >= highest {
 			best, highest = part, hash
 		}
 	}
 	return best
 }
 
-func partHash(key string, part int) uint64 {
-	return xxhash.Sum64String(key + "\x00" + strconv.Itoa(part))
-}
-
 // has reports whether there is such a part.
 func (p *partition) has(part int) bool { return part < len(p.slots) }
 
@@ -125,7 +121,7 @@
 	for part, slots := range p.slots {
 		if slots > 0 {
 			out = append(out, part)
-			scores[part] = partScore(object, part, slots)
+			scores[part] = rendezvous.Score(object, strconv.Itoa(part), float64(slots))
 		}
 	}
 	if len(out) == 0 {
@@ -134,9 +130,3 @@
 	slices.SortFunc(out, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
 	return out
 }
-
-// partScore returns the score of a part in weighted rendezvous hashing.
-func partScore(object string, part, slots int) float64 {
-	uniform := (float64(partHash(object, part)>>11) + 0.5) / (1 << 53) // in (0, 1)
-	return -float64(slots) / math.Log(uniform)
-}
--- a/internal/process/entry/group/slots.go
+++ b/internal/process/entry/group/slots.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/rendezvous"
 )
 
 // handleLendRequest answers a member that asks for a loan of this instance's
@@ -206,7 +206,7 @@
 		order = append(order, m.Instance)
 	}
 	sort.Slice(order, func(i, j int) bool {
-		a, b := xxhash.Sum64String(target+"\x00"+order[i]), xxhash.Sum64String(target+"\x00"+order[j])
+		a, b := rendezvous.Hash(target, order[i]), rendezvous.Hash(target, order[j])
 		if a != b {
 			return a > b
 		}
--- a/internal/process/shared/budget/pinned.go
+++ b/internal/process/shared/budget/pinned.go
@@ -13,8 +13,8 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/rendezvous"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
@@ -64,7 +64,7 @@
 	}
 	list := make([]scored, len(entries))
 	for i, e := range entries {
-		list[i] = scored{e, xxhash.Sum64String(key + "\x00" + e)}
+		list[i] = scored{e, rendezvous.Hash(key, e)}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].hash != list[j].hash {
--- a/internal/request/spill/placement.go
+++ b/internal/request/spill/placement.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/fescuejunction/fescuejunction/internal/base/rendezvous"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
@@ -102,8 +102,7 @@
 func (p *placement) region(object string) string {
 	best, highest := "", math.Inf(-1)
 	for region, share := range p.shares {
-		uniform := (float64(xxhash.Sum64String(object+"\x00"+region)>>11) + 0.5) / (1 << 53) // in (0, 1)
-		if score := -share / math.Log(uniform); score > highest {
+		if score := rendezvous.Score(object, region, share); score > highest {
 			best, highest = region, score
 		}
 	}
