fescuectl: status of hundreds of instances by region and data centre

With 200 machines status printed 200 lines, and the one that was behind was somewhere among them. The JSON output lists all as before, or those of the place.

--- a/internal/process/operator/fake_test.go
+++ b/internal/process/operator/fake_test.go
@@ -53,6 +53,7 @@
 	versionsBehind map[string]uint64 // by instance, the versions by which it lags
 	replicaSilent  bool              // replica c2 is not alive
 	suspects       []*fescuepb.Suspect
+	more           []*fescuepb.InstanceStatus // beside the replica and the six entries
 }
 
 func (f *fakeControl) team(ctx context.Context) (string, error) {
@@ -150,6 +151,7 @@
 			})
 		}
 	}
+	reply.Instances = append(reply.Instances, f.more...)
 	return reply, nil
 }
 
--- a/internal/process/operator/status.go
+++ b/internal/process/operator/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -14,10 +15,35 @@
 
 // statusCmd shows the instances with the version in force at each, the pending
 // caps and the control replicas.
-type statusCmd struct{}
+type statusCmd struct {
+	region, dataCentre string // show only the instances there; "" shows all
+	all                bool   // list each instance, however many there are
+}
 
 func (c *statusCmd) define() *flaggy.Subcommand {
-	return newSubcommand("status", "Shows instances, versions in force, pending caps, replicas and requests that crash targets.", "fescuectl --config ctl.yaml status --output json")
+	s := newSubcommand("status", "Shows instances, versions in force, pending caps, replicas and requests that crash targets.",
+		"fescuectl --config ctl.yaml status --output json\n"+
+			"  fescuectl --config ctl.yaml status --region malabar\n"+
+			"  fescuectl --config ctl.yaml status --data-centre kochi-1 --all")
+	s.String(&c.region, "", "region", "Show only the instances of a region.")
+	s.String(&c.dataCentre, "", "data-centre", "Show only the instances of a data centre.")
+	s.Bool(&c.all, "", "all", fmt.Sprintf("List each instance, also if there are more than %d.", maxListedInstances))
+	return s
+}
+
+// filter keeps the instances of the region and of the data centre that were asked for. It
+// returns an error if there are none, since a misspelt name would look like an empty place.
+func (c *statusCmd) filter(v *statusView) error {
+	if c.region == "" && c.dataCentre == "" {
+		return nil
+	}
+	v.Instances = slices.DeleteFunc(v.Instances, func(i instanceView) bool {
+		return c.region != "" && i.Region != c.region || c.dataCentre != "" && i.DataCentre != c.dataCentre
+	})
+	if len(v.Instances) == 0 {
+		return exitErrorf(ExitUsage, "no instance is known with region %q and data centre %q", c.region, c.dataCentre)
+	}
+	return nil
 }
 
 // instanceView is the JSON representation of an instance.
@@ -54,6 +80,8 @@
 	Pending        []pendingCap   `json:"pending_caps"`
 	Replicas       []replicaView  `json:"replicas"`
 	Suspects       []suspectView  `json:"suspects"`
+
+	listAll bool // the text output lists each instance
 }
 
 func roleName(r fescuepb.Role) string {
@@ -109,6 +137,10 @@
 	}
 	v := newStatusView(st)
 	v.markDrained(doc)
+	if err := c.filter(&v); err != nil {
+		return err
+	}
+	v.listAll = c.all || len(v.Instances) <= maxListedInstances
 	e.print(v, v.write)
 	return nil
 }
@@ -132,12 +164,15 @@
 
 func (v statusView) write(w io.Writer) {
 	fmt.Fprintf(w, "version %d, counter %d, leader %s in term %d\n\n", v.Version, v.Counter, v.Leader, v.Term)
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tIN FORCE\tLAST HEARD")
-	for _, i := range v.Instances {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", i.Instance, i.Role, i.DataCentre, i.state(), i.inForce(), i.lastHeard())
+	listed := v.Instances
+	if !v.listAll {
+		v.writeDataCentres(w)
+		listed = v.differing()
+		fmt.Fprintf(w, "\n%d of %d instances differ from the others (--all lists each one)\n", len(listed), len(v.Instances))
+	}
+	if len(listed) > 0 {
+		writeInstances(w, listed)
 	}
-	t.Flush()
 	fmt.Fprintln(w)
 	if !v.LeaderAnswered {
 		fmt.Fprintln(w, "the leader did not answer: pending caps and replica indexes are not known")
@@ -157,6 +192,15 @@
 	}
 }
 
+func writeInstances(w io.Writer, instances []instanceView) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tIN FORCE\tLAST HEARD")
+	for _, i := range instances {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", i.Instance, i.Role, i.DataCentre, i.state(), i.inForce(), i.lastHeard())
+	}
+	t.Flush()
+}
+
 func (i instanceView) state() string {
 	switch {
 	case !i.Alive:
