group: forwards to another region go to four of its entries

Cause: a request that moves to another region went to an entry chosen by its identifier among all entries there. On the large site 60 entries of a region forward to 122 others, so a pair has a request in some seconds, and most forwards open a connection first: a round trip of 70 ms between regions.

Each entry now uses four entries of each other region. Which ones follows from the order of the members, so that the entries of a region divide those of another one evenly; absent and unreachable ones are passed over. TestMovedRequestsFindOpenConnections: 61, 22 and 21 entries before, 4 now; each entry gets the forwards of three or four.

--- a/internal/process/entry/group/guarded.go
+++ b/internal/process/entry/group/guarded.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/base/rendezvous"
 	slotlink "github.com/fescuejunction/fescuejunction/internal/connection/slots"
 	"github.com/fescuejunction/fescuejunction/internal/request/announce"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
@@ -48,6 +48,7 @@
 	snap              *snapshot.Snapshot
 	partitions        map[regionTargets]*partition         // of snap, as far as they were needed
 	ranked            map[slotlink.Pool][]*fescuepb.Member // entries in order of preference; the same
+	neighbours        map[string][]*fescuepb.Member        // entries of other regions by region, see neighboursLocked; the same
 	activeSince       map[string]activity                  // by ID of the targets of this region
 	local             map[slotlink.Pool]*dispatch.Dispatcher
 	remoteLoads       map[slotlink.Pool]timedLoad // of pools that other entries dispatch
@@ -73,6 +74,7 @@
 		g.refusals, g.replyTimes = map[slotlink.Pool]refusal{}, map[string]replyTime{}
 	}
 	g.snap, g.partitions, g.ranked = s, map[regionTargets]*partition{}, map[slotlink.Pool][]*fescuepb.Member{}
+	g.neighbours = map[string][]*fescuepb.Member{}
 	g.observeActivityLocked()
 	for pool, d := range g.local {
 		svc := s.Services[pool.Service]
@@ -262,18 +264,8 @@
 	return key
 }
 
-// prefers reports whether entry a is preferred to entry b for a key, by
-// rendezvous hashing.
-func prefers(key string, a, b *fescuepb.Member) bool {
-	ra, rb := rank(key, a), rank(key, b)
-	if ra != rb {
-		return ra > rb
-	}
-	return a.Instance < b.Instance
-}
-
 func rank(key string, m *fescuepb.Member) uint64 {
-	return xxhash.Sum64String(key + "\x00" + m.Instance)
+	return rendezvous.Hash(key, m.Instance)
 }
 
 // usableLocked reports whether an entry may be asked: it is present and was not
@@ -288,40 +280,6 @@
 	return m.Instance == g.Instance || !m.Leaving && !m.Silent && m.Session > 0
 }
 
-// RegionEntries returns at most maxRegionEntries entries of another region to
-// which a request may be forwarded, in order of preference. The key spreads
-// requests over the entries.
-func (g *Guarded) RegionEntries(region, key string) []*fescuepb.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.snap == nil {
-		return nil
-	}
-	var out []*fescuepb.Member
-	for _, m := range g.snap.Members() {
-		if m.Role == fescuepb.Role_ROLE_ENTRY && m.Region == region && g.usableLocked(m) {
-			out = insertPreferred(out, key, m)
-		}
-	}
-	return out
-}
-
-// insertPreferred inserts an entry into a list of the most preferred ones for a key, which
-// it keeps at maxRegionEntries.
-func insertPreferred(list []*fescuepb.Member, key string, m *fescuepb.Member) []*fescuepb.Member {
-	i := len(list)
-	for i > 0 && prefers(key, m, list[i-1]) {
-		i--
-	}
-	if i == maxRegionEntries {
-		return list
-	}
-	return slices.Insert(list, i, m)[:min(len(list)+1, maxRegionEntries)]
-}
-
-// maxRegionEntries bounds the entries of a region that are tried for one request.
-const maxRegionEntries = 2
-
 // MarkUnreachable records that an entry could not be reached, so that it is
 // skipped for unreachableDuration.
 func (g *Guarded) MarkUnreachable(instance string) {
