spill: placed objects return to their region at a tenth of the pace

Cause: while less than .6 of the slots of the own region was in use, objects placed elsewhere came home by .03 of the requests a second. A region short of targets has that much room at each trough of its callers, or whenever most objects are cached, so its share at home went from .29 to 1 within 32 s in a model with the site's waves. Each object that comes home runs once uncached, and an entry that starts again begins with the room's share: a jump of its callers' requests.

They return by .003 a second now; what the room asks for (a region that shrinks, targets that are added) moves at .03 as before. TestWavesOfCallersMoveFewObjects: .088 of the requests find their object in another region before, .013 now. TestRestartedEntryPlacesObjectsLikeTheOthers: .709 before, under .15 now.

--- a/internal/request/spill/placement.go
+++ b/internal/request/spill/placement.go
@@ -19,6 +19,10 @@
 	// The own region gets back requests that are placed elsewhere while less than
 	// lowUtilisation of its slots is in use, and gives them up again from
 	// highUtilisation on. In between, objects stay where they are cached.
+	// returnRate bounds what it gets back per second beyond its room: an object that
+	// returns runs once uncached, which costs more than many round trips, and callers that
+	// come in waves must not move objects to and fro.
+	returnRate      = 0.003
 	lowUtilisation  = 0.6
 	highUtilisation = 0.85
 	// maxRoundTripShare is the part of a latency objective that the round trip to another
@@ -41,7 +45,7 @@
 }
 
 // update moves the shares towards those that the room and the load of the own region ask
-// for, at most at placementRate.
+// for, at most at placementRate, or at returnRate if only free slots speak for it.
 func (p *placement) update(now time.Time, snap *snapshot.Snapshot, own, service string, load dispatch.Load) {
 	if snap != p.snap {
 		p.snap, p.room = snap, RoomShares(snap, own, service)
@@ -64,7 +68,11 @@
 	if distance == 0 || passed <= 0 {
 		return
 	}
-	part := min(1, placementRate*passed.Seconds()/distance)
+	rate := placementRate
+	if wanted[own] > max(p.shares[own], p.room[own]) {
+		rate = returnRate
+	}
+	part := min(1, rate*passed.Seconds()/distance)
 	next := map[string]float64{}
 	for _, region := range snap.Regions() {
 		if share := p.shares[region] + part*(wanted[region]-p.shares[region]); share > 0 {
