dispatch: a new dispatcher reckons with objects that its targets already cache

What callers see: after a restart of the entries, requests of routes with objects run up to four times as long for some seconds, in two waves.

Cause, from a model of one pool whose dispatcher is replaced while the targets keep their caches: a new dispatcher takes each first run of an object for one without a cached object. Most of them are quick, so it finds that objects make no difference, stops to prefer the target that has an object, and spreads the objects over all targets. Seconds later the estimates are right and the objects have to be collected again.

For its first 30 s, a dispatcher leaves a quick run of an object that it does not know out of the running times without a cached object.

Tried in the model and dropped: costs of a lower rank that grow with what an object saves (better after the restart, worse under high load), longer estimates for overdue runs (no clear difference), and for routes whose uncached runs exceed their timeout a preference for fast targets (no difference).

--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -281,7 +281,9 @@
 	case r.work.Object == "":
 		return
 	case r.reuseDistance < 0:
-		r.runStats.uncached.add(o.Latency)
+		if !p.cachedBefore(r, o.Latency) {
+			r.runStats.uncached.add(o.Latency)
+		}
 		return
 	case r.reuseDistance < p.capacity.objects():
 		r.runStats.cached.add(o.Latency)
@@ -291,6 +293,23 @@
 	}
 }
 
+const (
+	// inheritedCachePeriod is how long after its start a pool reckons with objects that its
+	// targets cache since an earlier dispatcher.
+	inheritedCachePeriod = 30 * time.Second
+	// inheritedCacheFactor is the ratio to the typical running time with a cached object up
+	// to which a run for an unknown object counts as one with a cached object.
+	inheritedCacheFactor = 1.5
+)
+
+// cachedBefore reports whether the target of r had the object cached although the pool did
+// not know it: an earlier dispatcher has sent it there. Counted as a run without the
+// object, it would hide the difference that objects make.
+func (p *Pool) cachedBefore(r *Request, latency time.Duration) bool {
+	cached := &r.runStats.cached
+	return r.started < inheritedCachePeriod && cached.usable() && float64(latency) < inheritedCacheFactor*float64(cached.mean())
+}
+
 func (p *Pool) refuseQueued(r *Request, refusal *Refusal) {
 	p.dequeue(r)
 	r.state, r.refusal = refused, refusal
--- a/internal/request/dispatch/pool_overload_test.go
+++ b/internal/request/dispatch/pool_overload_test.go
@@ -52,7 +52,10 @@
 	way time.Duration
 	// overrun is the result of a request whose deadline passes at its target.
 	overrun Result
-	seed    uint64
+	// restartAt is when a new pool replaces the dispatcher. It knows the targets only, which
+	// keep their objects. 0: never.
+	restartAt time.Duration
+	seed      uint64
 
 	random *rand.Rand
 	pools  []*Pool // the first one is the dispatcher, the others are substitutes
@@ -116,6 +119,12 @@
 		sum += math.Pow(float64(i+1), -o.skew)
 		o.weights = append(o.weights, sum)
 	}
+	if o.restartAt > 0 {
+		o.after(o.restartAt, func() {
+			o.pools[0] = NewPool(o.time(), Settings{LongestDeadline: 10 * time.Second})
+			o.pools[0].SetTargets(o.time(), infos)
+		})
+	}
 	o.arrive()
 	o.tick()
 	for o.now < duration {
