feed, follow: large updates come in pages, and the counter passes them

Cause: everything that goes to many entries over narrow links went in one piece on the stream that also carries the counter. While 320 KB were on their way (1.3 s of a link of 2 Mbit/s, times its followers on a relay), the counter stood still; followers took their source for silent after 1.2 s and began anew at another one, with up to three transfers at a time.

A follower now gets one compressed page of at most 32 KB (about 6 KB on the link) at a time, the next one when it has acknowledged it, and the counter in between. It keeps what it has when it changes its source. A counter that is ahead of the content keeps the source, but confirms nothing: an unknown route is answered 503 until the content is whole. A source that sends no page for 3 s is left. No second candidate is opened while one delivers pages.

--- a/internal/process/entry/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -44,7 +44,7 @@
 	blocksChanged chan struct{} // signalled if a new snapshot, which may name another table, is in force; capacity 1
 
 	mu             sync.Mutex
-	view           *view.View
+	received       *view.Receiver
 	builder        snapshot.Builder
 	freshness      freshness
 	ready          bool // a version is in force
@@ -58,7 +58,7 @@
 
 // New returns a follower that follows no source until Run is called.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, now: steady.Now, view: view.New(), ackNeeded: make(chan struct{}, 1), blocksChanged: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, now: steady.Now, received: view.NewReceiver(), ackNeeded: make(chan struct{}, 1), blocksChanged: make(chan struct{}, 1)}
 	f.chunks.data = map[blocks.Hash][]byte{}
 	f.plan = planSources(cfg.Self, nil, cfg.Sources, cfg.Peers)
 	f.sessions = &feed.Sessions{
@@ -69,6 +69,7 @@
 		Source:         relaySource{f},
 		Uninterrupted:  f.uninterrupted,
 		Stalled:        f.stalled,
+		Pending:        f.pending,
 		OnAcknowledged: f.acknowledge,
 		Sessions:       f.sessions,
 	})
@@ -123,6 +124,14 @@
 	return f.freshness.stalled(f.now())
 }
 
+// pending returns the counter of the source while its content is still on the way, or
+// 0.
+func (f *Follower) pending() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshness.pendingCounter(f.now())
+}
+
 // uninterrupted reports whether a version has been confirmed since the start. Only
 // then may restarted peers take a version from this process.
 func (f *Follower) uninterrupted() bool {
@@ -157,14 +166,28 @@
 func (f *Follower) mergeUpdate(progress *watchProgress, u *fescuepb.Update, now time.Time) (outcome view.Outcome, wake bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	outcome = f.view.Apply(u)
-	if outcome == view.Gap {
-		return outcome, false // the counter must not confirm content that is missing
+	outcome = f.received.Apply(u)
+	switch {
+	case outcome == view.Gap: // the counter must not confirm content that is missing
+		return outcome, false
+	case outcome == view.Paged:
+		progress.pagedAt = now
+		progress.pages++
+		f.cfg.Metrics.Counter("follow_pages").Inc(1)
+		f.freshness.observePending(progress, max(u.Counter, u.Pending), now)
+		return outcome, false
+	case u.Version > f.received.View.Version: // without content, or with a page that is not the next one
+		f.freshness.observePending(progress, max(u.Counter, u.Pending), now)
+		return outcome, false
 	}
 	advance := f.freshness.observe(progress, u.Counter, now)
+	if u.Pending > u.Counter {
+		progress.pagedAt = now // the source itself waits for content
+		f.freshness.observePending(progress, u.Pending, now)
+	}
 	if progress.confirmsVersion() && !f.confirmed {
 		f.confirmed = true
-		f.cfg.Log.WithFields(logrus.Fields{"version": f.view.Version, "source": u.Source}).Info("version confirmed")
+		f.cfg.Log.WithFields(logrus.Fields{"version": f.received.View.Version, "source": u.Source}).Info("version confirmed")
 	}
 	if f.confirmed || f.ready {
 		f.installLocked()
@@ -175,20 +198,20 @@
 // installLocked puts the view in force if it is newer than the version in force.
 // The caller holds the lock and has checked that the version may be acted on.
 func (f *Follower) installLocked() {
-	if f.view.Version <= f.inForce {
+	if f.received.View.Version <= f.inForce {
 		return
 	}
 	snap, err := f.builder.Build(snapshot.Content{
-		Version: f.view.Version, Sections: f.view.LiveSections(), Members: f.view.MemberList(),
-		Targets: f.view.TargetList(), Suspects: f.view.SuspectList(), Blocks: f.view.Blocks,
+		Version: f.received.View.Version, Sections: f.received.View.LiveSections(), Members: f.received.View.MemberList(),
+		Routes: f.received.View.RouteList(), Targets: f.received.View.TargetList(), Suspects: f.received.View.SuspectList(), Blocks: f.received.View.Blocks,
 	})
 	if err != nil {
-		f.cfg.Log.WithError(err).WithField("version", f.view.Version).Error("version cannot be put in force: building the snapshot failed")
+		f.cfg.Log.WithError(err).WithField("version", f.received.View.Version).Error("version cannot be put in force: building the snapshot failed")
 		return
 	}
 	f.cfg.Store.Swap(snap)
 	signal(f.blocksChanged)
-	f.inForce, f.ready = f.view.Version, true
+	f.inForce, f.ready = f.received.View.Version, true
 	f.cfg.Metrics.Gauge("follow_version").Update(float64(f.inForce))
 	f.cfg.Log.WithField("version", f.inForce).Info("version in force")
 	f.acknowledge()
@@ -198,7 +221,7 @@
 func (f *Follower) members() []*fescuepb.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.MemberList()
+	return f.received.View.MemberList()
 }
 
 // SetSources replaces the configured gRPC addresses of the control replicas.
@@ -206,7 +229,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cfg.Sources = control
-	f.plan = planSources(f.cfg.Self, f.view.MemberList(), f.cfg.Sources, f.cfg.Peers)
+	f.plan = planSources(f.cfg.Self, f.received.View.MemberList(), f.cfg.Sources, f.cfg.Peers)
 }
 
 // nextSession returns the number of the next watch that becomes the current one.
@@ -222,9 +245,9 @@
 func (f *Follower) sources() []source {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.view.Version != f.plannedVersion {
-		f.plannedVersion = f.view.Version
-		f.plan = planSources(f.cfg.Self, f.view.MemberList(), f.cfg.Sources, f.cfg.Peers)
+	if f.received.View.Version != f.plannedVersion {
+		f.plannedVersion = f.received.View.Version
+		f.plan = planSources(f.cfg.Self, f.received.View.MemberList(), f.cfg.Sources, f.cfg.Peers)
 	}
 	return f.plan
 }
@@ -237,11 +260,12 @@
 	defer f.mu.Unlock()
 	return &fescuepb.WatchRequest{
 		Instance: f.cfg.Self.Instance,
-		Version:  f.view.Version,
+		Version:  f.received.View.Version,
 		InForce:  f.inForce,
 		Behind:   behind,
 
 		Incarnation: f.cfg.Self.Incarnation,
 		Session:     session,
+		Position:    f.received.Position().Message(),
 	}
 }
--- a/internal/process/entry/follow/freshness.go
+++ b/internal/process/entry/follow/freshness.go
@@ -17,6 +17,10 @@
 	// before a started process acts on a version. A single advance may have been
 	// in transit to the source when the source was cut off.
 	requiredAdvances = 2
+	// pageStallTimeout is how long a watch may go without another page of an
+	// incomplete update before its source counts as stalled. The counter alone
+	// does not keep a source that delivers no content.
+	pageStallTimeout = 3 * time.Second
 )
 
 // freshness tracks the counters that a follower receives on all its watches and
@@ -30,6 +34,8 @@
 	highest     uint64    // highest counter received on any watch
 	lastAdvance uint64    // highest counter that was an advance
 	advancedAt  time.Time // when lastAdvance was received
+	pending     uint64    // highest counter that rose on a watch whose content was behind
+	pendingAt   time.Time // when pending was received
 }
 
 // watchProgress is the progress of the counter on one watch.
@@ -41,6 +47,8 @@
 	// source never produces an advance but does catch up.
 	caughtUp     bool
 	lastProgress time.Time // when the watch was opened, or the counter last rose to the highest one known
+	pagedAt      time.Time // when the watch was opened, or last added a page
+	pages        int       // pages added
 }
 
 // observe records a counter received on a watch and reports whether it is an
@@ -63,14 +71,39 @@
 	return advance
 }
 
+// observePending records a counter received on a watch whose content is behind it. It
+// shows that the source is connected to a quorum, so the watch is kept, but confirms
+// no content.
+func (f *freshness) observePending(progress *watchProgress, counter uint64, now time.Time) {
+	if counter == 0 {
+		return
+	}
+	rose := progress.lastCounter > 0 && counter > progress.lastCounter && counter > f.highest
+	progress.lastCounter = max(progress.lastCounter, counter)
+	if rose && now.Sub(progress.pagedAt) < pageStallTimeout {
+		progress.lastProgress = now
+		f.pending, f.pendingAt = max(f.pending, counter), now
+	}
+}
+
+// pendingCounter returns the counter that a source has reached while the content is
+// behind, or 0 if the content is not behind.
+func (f *freshness) pendingCounter(now time.Time) uint64 {
+	if f.pending <= f.lastAdvance || now.Sub(f.pendingAt) >= counterTimeout {
+		return 0
+	}
+	return f.pending
+}
+
 // isFresh reports whether the counter advanced within freshnessWindow.
 func (f *freshness) isFresh(now time.Time) bool {
 	return f.lastAdvance > 0 && now.Sub(f.advancedAt) < freshnessWindow
 }
 
-// stalled reports whether the counter has not advanced within counterTimeout.
+// stalled reports whether the counter has not advanced within counterTimeout,
+// whether or not the content is behind it.
 func (f *freshness) stalled(now time.Time) bool {
-	return f.lastAdvance == 0 || now.Sub(f.advancedAt) >= counterTimeout
+	return f.pendingCounter(now) == 0 && (f.lastAdvance == 0 || now.Sub(f.advancedAt) >= counterTimeout)
 }
 
 // confirmsVersion reports whether the counter has advanced often enough on this
--- a/internal/process/entry/follow/helpers_test.go
+++ b/internal/process/entry/follow/helpers_test.go
@@ -270,6 +270,18 @@
 	return s.view.Since(base)
 }
 
+func (s *fakeSource) Page(p view.Position, maxBytes int) *fescuepb.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Page(p, maxBytes)
+}
+
+func (s *fakeSource) Beat(p view.Position) *fescuepb.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Beat(p)
+}
+
 // versionInForce returns the version in force at a follower, or 0 if there is none.
 func versionInForce(f *Follower) uint64 {
 	if s := f.cfg.Store.Load(); s != nil {
--- a/internal/process/entry/follow/join.go
+++ b/internal/process/entry/follow/join.go
@@ -50,7 +50,7 @@
 func (f *Follower) isMember() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leaving || f.view.Members[f.cfg.Self.Instance].GetIncarnation() == f.cfg.Self.Incarnation
+	return f.leaving || f.received.View.Members[f.cfg.Self.Instance].GetIncarnation() == f.cfg.Self.Incarnation
 }
 
 // join registers this instance as a member.
--- a/internal/process/entry/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -121,7 +121,13 @@
 	if len(l.candidates) == 0 {
 		return l.nextOpenAt, true
 	}
-	if hedge := l.lastOpened.Add(hedgeDelay); hedge.After(l.nextOpenAt) {
+	hedge := l.lastOpened.Add(hedgeDelay)
+	for _, w := range l.candidates { // a second source would send the same pages
+		if paged := w.progress.pagedAt.Add(hedgeDelay); paged.After(hedge) {
+			hedge = paged
+		}
+	}
+	if hedge.After(l.nextOpenAt) {
 		return hedge, true
 	}
 	return l.nextOpenAt, true
@@ -243,6 +249,9 @@
 	if pushed {
 		l.nextBeatAt = now.Add(beatInterval)
 	}
+	if outcome == view.Paged {
+		w.acknowledge() // the source sends the next page then
+	}
 	if outcome == view.Gap {
 		l.abandon(w, "gap: update starts after the version held", now)
 		return
--- a/internal/process/entry/follow/relay.go
+++ b/internal/process/entry/follow/relay.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"google.golang.org/grpc"
 )
 
@@ -16,7 +17,7 @@
 func (r relaySource) Version() uint64 {
 	r.follower.mu.Lock()
 	defer r.follower.mu.Unlock()
-	return r.follower.view.Version
+	return r.follower.received.View.Version
 }
 
 func (r relaySource) Counter() uint64 {
@@ -28,7 +29,19 @@
 func (r relaySource) Since(base uint64) *fescuepb.Update {
 	r.follower.mu.Lock()
 	defer r.follower.mu.Unlock()
-	return r.follower.view.Since(base)
+	return r.follower.received.View.Since(base)
+}
+
+func (r relaySource) Page(p view.Position, maxBytes int) *fescuepb.Update {
+	r.follower.mu.Lock()
+	defer r.follower.mu.Unlock()
+	return r.follower.received.View.Page(p, maxBytes)
+}
+
+func (r relaySource) Beat(p view.Position) *fescuepb.Update {
+	r.follower.mu.Lock()
+	defer r.follower.mu.Unlock()
+	return r.follower.received.View.Beat(p)
 }
 
 // relayServer serves Follow to other entries.
--- a/internal/process/entry/follow/search_test.go
+++ b/internal/process/entry/follow/search_test.go
@@ -88,7 +88,7 @@
 		s.mu.Unlock()
 	}
 	for _, f := range entries {
-		f.view.Apply(control[0].Since(0)) // the relays are known, so that the others follow them from the start
+		f.received.View.Apply(control[0].Since(0)) // the relays are known, so that the others follow them from the start
 	}
 	for _, f := range entries {
 		start(t, f)
--- a/internal/process/entry/follow/unit_test.go
+++ b/internal/process/entry/follow/unit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
+	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 )
@@ -193,3 +194,53 @@
 		t.Errorf("confirmed %v, next step in %v: the source has not been heard for 5 s", f.Confirmed(), l.untilWake())
 	}
 }
+
+// Guards against an entry that takes the content it holds for confirmed, and answers
+// 404 for a route that is still on its way, because the counter advances ahead of the
+// content; and against one that leaves its source while pages arrive, or stays with a
+// source that sends none.
+func TestCounterAheadOfContentConfirmsNothing(t *testing.T) {
+	large := view.New()
+	for i := range 3 {
+		large.SetMember(&fescuepb.Member{Instance: fmt.Sprint("e", i), Role: fescuepb.Role_ROLE_ENTRY, ChangedVersion: uint64(i + 1)})
+	}
+	f := newFollower("entry", nil, nil)
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	w := &watchProgress{lastProgress: now, pagedAt: now}
+	counter := uint64(0)
+	send := func(u *fescuepb.Update) {
+		counter++
+		u.Counter = counter
+		now = now.Add(500 * time.Millisecond)
+		f.applyUpdate(w, u, now)
+	}
+	for range 2 {
+		send(large.Page(f.received.Position(), 1))
+		for range 3 {
+			send(large.Beat(f.received.Position()))
+		}
+		if f.Confirmed() || f.Ready() || w.caughtUp {
+			t.Fatal("confirmed by a counter that is ahead of the content")
+		}
+		if f.stalled() || now.Sub(w.lastProgress) > 0 {
+			t.Fatalf("the source counts as stalled %v after its latest page", now.Sub(w.pagedAt))
+		}
+		if relaySource := (relaySource{f}); f.pending() != counter || relaySource.Counter() != 0 {
+			t.Fatalf("pending counter %d, relayed counter %d, want %d and 0", f.pending(), relaySource.Counter(), counter)
+		}
+	}
+	for range 10 {
+		send(large.Beat(f.received.Position()))
+	}
+	if !f.stalled() || now.Sub(w.lastProgress) < counterTimeout {
+		t.Error("a source that sends no further page is kept")
+	}
+	w = &watchProgress{lastProgress: now, pagedAt: now}
+	for range 3 {
+		send(large.Page(f.received.Position(), 1))
+	}
+	if !f.Ready() || versionInForce(f) != 3 || !f.Confirmed() {
+		t.Errorf("version %d in force after the last page, confirmed %v", versionInForce(f), f.Confirmed())
+	}
+}
--- a/internal/process/entry/follow/watch.go
+++ b/internal/process/entry/follow/watch.go
@@ -16,8 +16,6 @@
 	// ackDelay is how long an acknowledgement waits for those of other instances
 	// that this one relays, so that one message carries them all.
 	ackDelay = 20 * time.Millisecond
-	// maxUpdateBytes bounds the size of a received update; a full one is largest.
-	maxUpdateBytes = 64 << 20
 )
 
 // watch is one stream of updates from a source.
@@ -43,6 +41,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{source: s, cancel: cancel, acks: make(chan struct{}, 1)}
 	w.progress.lastProgress = f.now()
+	w.progress.pagedAt = w.progress.lastProgress
 	go func() {
 		err := f.receive(ctx, w, events)
 		_ = events.Put(ctx, event{watch: w, err: err}) // fails only if the watch has been closed
@@ -60,7 +59,7 @@
 	defer done()
 	go f.sendAcks(ctx, w, stream)
 	for {
-		u, err := stream.Recv()
+		u, err := receiveUpdate(stream)
 		if err != nil {
 			return err
 		}
@@ -70,6 +69,15 @@
 	}
 }
 
+// receiveUpdate returns the next update of a stream, decompressed.
+func receiveUpdate(stream grpc.BidiStreamingClient[fescuepb.WatchRequest, fescuepb.Update]) (*fescuepb.Update, error) {
+	u, err := stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	return feed.Decompress(u)
+}
+
 // openStream dials a source, opens a stream and sends the first request. The
 // caller calls done to close the connection. Each watch has its own connection,
 // since gRPC delays the reconnection of a shared one after a failure.
@@ -79,7 +87,7 @@
 		return nil, nil, err
 	}
 	done = func() { _ = conn.Close() }
-	stream, err = fescuepb.NewFollowClient(conn).Watch(ctx, grpc.MaxCallRecvMsgSize(maxUpdateBytes))
+	stream, err = fescuepb.NewFollowClient(conn).Watch(ctx, grpc.MaxCallRecvMsgSize(feed.MaxUpdateBytes))
 	if err == nil {
 		err = stream.Send(first)
 	}
@@ -117,6 +125,7 @@
 	fields := logrus.Fields{
 		"source": w.addr, "kind": string(w.kind), "reason": reason,
 		"counter": w.progress.lastCounter, "stood_ms": now.Sub(w.progress.lastProgress).Milliseconds(),
+		"pages": w.progress.pages, "page_age_ms": now.Sub(w.progress.pagedAt).Milliseconds(),
 	}
 	if !w.heardAt.IsZero() {
 		fields["heard_ms"] = now.Sub(w.heardAt).Milliseconds()
--- a/internal/process/shared/feed/hub.go
+++ b/internal/process/shared/feed/hub.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/view"
 	"google.golang.org/grpc"
 )
 
@@ -18,8 +20,12 @@
 type Source interface {
 	Version() uint64 // newest version
 	Counter() uint64 // quorum-confirmed counter
-	// Since returns the update from version base to the newest version.
+	// Since returns the update from version base to the newest version, with whole
+	// sections if the source has them.
 	Since(base uint64) *fescuepb.Update
+	// Page and Beat are those of view.View.
+	Page(p view.Position, maxBytes int) *fescuepb.Update
+	Beat(p view.Position) *fescuepb.Update
 }
 
 const (
@@ -38,6 +44,14 @@
 	// tens of versions a second to twenty followers fill it, and the newest one waits
 	// behind those that it makes obsolete.
 	minPushGap = 100 * time.Millisecond
+	// maxPageBytes bounds the content of a page before compression, which makes it
+	// three to six times smaller. A follower gets one page at a time, so that the
+	// counter does not wait behind the others on a narrow link: 10 KB pass a link of
+	// 2 Mbit/s in 40 ms.
+	maxPageBytes = 32 << 10
+	// pageTimeout is how long a page may be without acknowledgement before it is sent
+	// again, from the position that the follower acknowledged last.
+	pageTimeout = 2 * time.Second
 	// maxCachedFrames limits the encoded updates cached for one version and counter.
 	maxCachedFrames = 64
 )
@@ -52,6 +66,9 @@
 	// Stalled reports whether the counter of the source has stood still for
 	// StallTimeout. Nil means that it is not known.
 	Stalled func() bool
+	// Pending returns the counter that the source's own source has reached while the
+	// content of the source is still behind, or 0. Nil means that it never is.
+	Pending func() uint64
 	// OnAcknowledged is called after a request changed an acknowledged version. It
 	// may be nil.
 	OnAcknowledged func()
@@ -60,24 +77,36 @@
 }
 
 // Hub serves the watches of followers. A slow follower skips intermediate versions,
-// because each update covers everything since the version that was sent last. Hub
-// is safe for concurrent use.
+// because each update covers everything since the version that was sent last. An
+// update that is large is sent in pages. The counter is pushed meanwhile, in updates
+// without content. Hub is safe for concurrent use.
 type Hub struct {
 	cfg  Config
 	Acks *Acks
 
 	mu      sync.Mutex
 	wake    chan struct{}
-	version uint64
-	counter uint64
-	stalled bool
-	frames  map[uint64]*frame // encoded updates to version and counter with stalled, by base version
+	state   sourceState
+	frames  map[frameKey]*frame // encoded updates of state
 	stopped bool
 }
 
+// sourceState is what all updates of a moment have in common.
+type sourceState struct {
+	version, counter, pending uint64
+	stalled                   bool
+}
+
+// frameKey identifies an update among those of a sourceState.
+type frameKey struct {
+	from  view.Position
+	beat  bool // without content
+	whole bool // in one piece with whole sections
+}
+
 // NewHub returns a hub. Callers call Wake whenever there is something to push.
 func NewHub(cfg Config) *Hub {
-	return &Hub{cfg: cfg, Acks: NewAcks(), wake: make(chan struct{}), frames: map[uint64]*frame{}}
+	return &Hub{cfg: cfg, Acks: NewAcks(), wake: make(chan struct{}), frames: map[frameKey]*frame{}}
 }
 
 // Wake makes every watch push the current version and counter.
@@ -104,33 +133,52 @@
 	return h.wake, h.stopped
 }
 
-// frame returns the encoded update from base to the current version.
-func (h *Hub) frame(base uint64) (*frame, error) {
-	counter := h.cfg.Source.Counter() // read before the version, so that it cannot be ahead of it
-	version := h.cfg.Source.Version()
-	stalled := h.cfg.Stalled != nil && h.cfg.Stalled()
+// frame returns an encoded update to the current version.
+func (h *Hub) frame(key frameKey) (*frame, error) {
+	now := sourceState{counter: h.cfg.Source.Counter()} // read before the version, so that it cannot be ahead of it
+	now.version = h.cfg.Source.Version()
+	now.stalled = h.cfg.Stalled != nil && h.cfg.Stalled()
+	if h.cfg.Pending != nil {
+		now.pending = h.cfg.Pending()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if version != h.version || counter != h.counter || stalled != h.stalled || len(h.frames) >= maxCachedFrames {
-		h.version, h.counter, h.stalled = version, counter, stalled
-		h.frames = map[uint64]*frame{}
+	if now != h.state || len(h.frames) >= maxCachedFrames {
+		h.state, h.frames = now, map[frameKey]*frame{}
 	}
-	base = min(base, version)
-	if f := h.frames[base]; f != nil {
+	if f := h.frames[key]; f != nil {
 		return f, nil
 	}
-	u := h.cfg.Source.Since(base)
-	u.Counter, u.Stalled = counter, stalled
+	u, err := h.update(key)
+	if err != nil {
+		return nil, err
+	}
+	u.Counter, u.Stalled, u.Pending = now.counter, now.stalled, now.pending
 	u.Source = h.cfg.Instance
 	u.Uninterrupted = h.cfg.Uninterrupted != nil && h.cfg.Uninterrupted()
-	f, err := newFrame(u)
+	f, err := newFrame(u, !key.whole)
 	if err != nil {
 		return nil, err
 	}
-	h.frames[base] = f
+	h.frames[key] = f
 	return f, nil
 }
 
+// update returns the content of a frame.
+func (h *Hub) update(key frameKey) (*fescuepb.Update, error) {
+	switch {
+	case key.beat:
+		return h.cfg.Source.Beat(key.from), nil
+	case !key.whole:
+		return h.cfg.Source.Page(key.from, maxPageBytes), nil
+	}
+	u := h.cfg.Source.Since(key.from.Version)
+	if slices.ContainsFunc(u.Sections, func(s *fescuepb.Section) bool { return s.RoutesApart }) {
+		return nil, errRoutesApart
+	}
+	return u, nil
+}
+
 // Watch serves one follower until its stream ends or the hub stops.
 func (h *Hub) Watch(stream grpc.BidiStreamingServer[fescuepb.WatchRequest, fescuepb.Update]) error {
 	first, err := stream.Recv()
@@ -147,6 +195,7 @@
 	if s := h.cfg.Sessions; s != nil {
 		defer s.watchClosed(first)
 	}
+	p := newPusher(h, stream, first)
 	go func() {
 		for {
 			req, err := stream.Recv()
@@ -154,10 +203,13 @@
 				cancel(err)
 				return
 			}
-			h.recordAck(req)
+			if !req.Degraded {
+				h.recordAck(req)
+			}
+			p.acknowledged(req)
 		}
 	}()
-	return h.pushUpdates(ctx, stream, first.Version)
+	return p.run(ctx)
 }
 
 // recordAck records the acknowledgements that a request contains.
@@ -169,65 +221,3 @@
 		h.cfg.OnAcknowledged()
 	}
 }
-
-// pushUpdates sends updates, starting from version sent, which the follower already
-// has. It sends on each Wake, but at most one update in minPushGap, and at
-// initialPushInterval if the counter or the version has advanced.
-func (h *Hub) pushUpdates(ctx context.Context, stream grpc.ServerStream, sent uint64) error {
-	fast := time.NewTicker(initialPushInterval)
-	defer fast.Stop()
-	initialLeft, counter, ticked, sentAt := initialCounterPushes, uint64(0), false, time.Time{}
-	for {
-		wake, stopped := h.wakeSignal()
-		if stopped {
-			return errStopped
-		}
-		f, err := h.frame(sent)
-		if err != nil {
-			return err
-		}
-		if !ticked || f.counter > counter || f.version > sent {
-			if err := stream.SendMsg(f); err != nil {
-				return err
-			}
-			if f.counter > counter {
-				initialLeft--
-			}
-			counter, sent, sentAt = f.counter, max(sent, f.version), time.Now()
-		}
-		if initialLeft <= 0 {
-			fast.Stop()
-			if err := h.awaitGap(ctx, sentAt); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-wake:
-			ticked = false
-		case <-fast.C:
-			ticked = true
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-}
-
-// awaitGap waits until minPushGap has passed since a push. It returns early if the hub stops,
-// whose followers look for another source at once, or with an error if ctx ends.
-func (h *Hub) awaitGap(ctx context.Context, sentAt time.Time) error {
-	gap := time.NewTimer(minPushGap - time.Since(sentAt))
-	defer gap.Stop()
-	for {
-		wake, stopped := h.wakeSignal()
-		if stopped {
-			return nil
-		}
-		select {
-		case <-gap.C:
-			return nil
-		case <-wake:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-}
