target: limit the lines of a response head, and its bytes to 64 KiB

What callers saw: nothing with one faulty target connection. A target that sent a head of many short fields and then nothing made the entry keep 4 MB for each request until its deadline; 46 such requests fill an entry of 184 MB, and the requests of all other callers end with the process.

Cause: the head was limited to 256 KiB of text, but a parsed field takes about 80 bytes of memory, however short it is. An endless head that was cut at the limit was also reported as a malformed line, with the line as the error text.

Why it works: the limiter under the parser now counts lines as well as bytes, of the interim responses too, and fails the read after the limit. TestLargeHeadIsAccepted guards heads of 500 fields, a field of 48 KiB, 100 interim responses and bodies with many lines.

--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -68,28 +69,34 @@
 	return errors.Join(err, sockoptErr)
 }
 
-// headLimiter limits how many bytes are read from a connection while the head of a
-// response is due.
+// headLimiter limits how many bytes and lines are read from a connection while the
+// head of a response is due.
 type headLimiter struct {
-	raw   net.Conn
-	left  int
-	armed bool
+	raw      net.Conn
+	bytes    int // that may still be read
+	lines    int // that may still be read
+	armed    bool
+	exceeded bool // a read failed at the limit
 }
 
-// arm limits the bytes read until disarm.
-func (l *headLimiter) arm(limit int) { l.left, l.armed = limit, true }
+// arm limits what is read until disarm to maxHeadBytes and maxHeadLines.
+func (l *headLimiter) arm() { l.bytes, l.lines, l.armed = maxHeadBytes, maxHeadLines, true }
 
 func (l *headLimiter) disarm() { l.armed = false }
 
-// Read reads from the connection. It fails once the limit is reached.
+// Read reads from the connection. It fails once a limit is reached. The read that
+// reaches the limit of lines succeeds, since it may contain the end of the head and
+// lines of the body.
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.armed {
 		return l.raw.Read(b)
 	}
-	if l.left <= 0 {
+	if l.bytes <= 0 || l.lines <= 0 {
+		l.exceeded = true
 		return 0, errHeadTooLong
 	}
-	n, err := l.raw.Read(b[:min(len(b), l.left)])
-	l.left -= n
+	n, err := l.raw.Read(b[:min(len(b), l.bytes)])
+	l.bytes -= n
+	l.lines -= bytes.Count(b[:n], []byte{'\n'})
 	return n, err
 }
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -118,10 +118,13 @@
 // readHead reads the head of the response to the request. It skips late
 // responses to earlier requests.
 func (x *exchange) readHead() (*http.Response, error) {
-	x.c.head.arm(maxHeadBytes)
+	x.c.head.arm()
 	defer x.c.head.disarm()
 	for stale := 0; ; {
 		resp, err := http.ReadResponse(x.c.r, x.req)
+		if x.c.head.exceeded { // ReadResponse may take the bytes before the limit for a malformed line
+			return nil, errHeadTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -141,7 +144,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1)); err != nil || n > maxSkippedBytes {
 			return nil, errors.Join(errLateResponses, err)
 		}
-		x.c.head.arm(maxHeadBytes)
+		x.c.head.arm()
 	}
 }
 
--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -36,10 +36,15 @@
 	idleTimeoutMargin = 1500 * time.Millisecond
 	sweepInterval     = time.Second // of closing expired idle connections
 	readBufferSize    = 4 << 10     // bytes
-	// maxHeadBytes limits the head of a response, with the interim responses before
-	// it. Without a limit, a target that sends bytes without end would fill the memory
-	// until the deadline.
-	maxHeadBytes = 256 << 10
+	// maxHeadBytes limits the head of a response, in bytes, with the interim responses
+	// before it. Without a limit, a target that sends bytes without end would fill the
+	// memory until the deadline. Several hundred connections may receive a head at once;
+	// other proxies accept heads of up to 60 KiB.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines limits the lines of a head, with the interim responses before it. A
+	// parsed field takes about 80 bytes of memory, however short it is, so 64 KiB of
+	// short fields would take more than 1 MB.
+	maxHeadLines = 1000
 )
 
 // Transport is an http.RoundTripper for HTTP/1.1 with a connection pool. It
