target: shorten the errors that quote a response head

The entry wrote the same text into its log for each attempt.

Cause: net/http quotes a malformed line in full in its error, which becomes the message of the error answer and a field of the log line.

Evidence, before the change (TestErrorOfMalformedHeadIsShort):

status line: error of 258074 bytes: malformed HTTP response "\x01\x01\x01... field: error of 258088 bytes: malformed MIME header: missing colon: "\x01... length: error of 64533 bytes: bad Content-Length "xxxxxxxxxxxxxxxxxxxxxxx...

--- a/internal/connection/target/endless_head_test.go
+++ b/internal/connection/target/endless_head_test.go
@@ -203,3 +203,33 @@
 		}
 	}
 }
+
+// Guards against an error that repeats the bytes of a target, which the entry writes to
+// its log and into the answer to the caller: a line of 64 KiB took up to 260 KB in each.
+func TestErrorOfMalformedHeadIsShort(t *testing.T) {
+	long := strings.Repeat("\x01", maxHeadBytes-1<<10)
+	for name, text := range map[string]string{
+		"status line":    long + "\r\n\r\n",
+		"status":         "HTTP/1.1 " + long + "\r\n\r\n",
+		"version":        "HTTP/" + long + " 200 OK\r\n\r\n",
+		"field":          "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"value":          "HTTP/1.1 200 OK\r\nField: " + long + "\r\n\r\n",
+		"length":         "HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("x", len(long)) + "\r\n\r\n",
+		"encoding":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", len(long)) + "\r\n\r\n",
+		"different ones": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: " + strings.Repeat("2", len(long)) + "\r\n\r\n",
+	} {
+		addr, _ := startScriptedTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, text)
+			}
+		})
+		_, _, err := sendRequest(t, newTransport(t), addr, "a", "")
+		if err == nil {
+			t.Errorf("%s: no error", name)
+			continue
+		}
+		if n := len(err.Error()); n > 2*maxHeadErrorBytes {
+			t.Errorf("%s: error of %d bytes: %.60s", name, n, err)
+		}
+	}
+}
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -126,7 +126,7 @@
 			return nil, errHeadTooLong
 		}
 		if err != nil {
-			return nil, err
+			return nil, shortError(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
