platform list: limit what a list of many short entries takes in memory

What callers saw: nothing of this is known from a real platform. A platform list that does not end, or that has many empty entries, made the entry keep 32 MiB of text and decode up to 11 million instances, 15 s long and without regard to the timeout of the read. The process of an entry of 184 MB ends under it, with the requests of all its callers.

Cause: only the text was bounded. An empty entry takes 3 bytes of text and 120 bytes as an instance. A list that was cut at the limit was decoded before it was refused.

Evidence, before the change:

TestMemoryOfEndlessList: empty_entries: 3587 MiB of memory, limit 64 MiB (15.44s) short_entries: 385 MiB of memory, limit 64 MiB no_list: 78 MiB, one_long_entry: 84 MiB, white_space: 74 MiB, long_keys: 83 MiB TestLargeListIsRead: 51000 instances of 51000, error <nil>, want one of kind bad_request

Why it works: jsonstream counts the elements and members that its caller reads, and refuses a text with more than 50,000, five times the design scale; the reader of the pages of targets uses it too. The text of the list is bounded to 10 MiB instead of 32, and a longer one is refused before it is decoded. Measured after the change: at most 30 MiB. With MaxItems set to 50,000,000, TestMemoryOfListOfEmptyEntries fails (3495238 instances, 1316 MiB) and so does TestLargeListIsRead.

--- a/internal/base/jsonstream/jsonstream.go
+++ b/internal/base/jsonstream/jsonstream.go
@@ -19,15 +19,20 @@
 	// MaxValueDepth bounds the nesting of a value that is kept. Entries of such lists are
 	// flat.
 	MaxValueDepth = 64
+	// MaxItems bounds the elements and members of a text that the caller reads one by
+	// one, and so the memory for what it keeps of them. It is five times the 10,000
+	// instances of the design scale.
+	MaxItems = 50_000
 )
 
 // Reader splits a JSON text into its values. It counts brackets and does not
 // recurse, so a value may be nested to any depth, and it keeps at most MaxValueBytes
-// of a value. Its errors have kind BadRequest if the text cannot be split or ends
-// early, and Timeout if it cannot be read.
+// of a value. Its errors have kind BadRequest if the text cannot be split, ends early
+// or has more than MaxItems, and Timeout if it cannot be read.
 type Reader struct {
-	in  io.ByteScanner
-	buf []byte // text of the last value
+	in    io.ByteScanner
+	buf   []byte // text of the last value
+	items int    // read so far
 }
 
 // New returns a reader of the text of r.
@@ -45,7 +50,7 @@
 // Object reads an object and calls member after each key, to read its value. A key
 // that cannot be decoded is passed as "".
 func (p *Reader) Object(member func(key string) error) error {
-	return p.items('{', '}', func() error {
+	return p.readItems('{', '}', func() error {
 		key, err := p.key()
 		if err != nil {
 			return err
@@ -55,10 +60,10 @@
 }
 
 // Array reads an array and calls element for each element, to read it.
-func (p *Reader) Array(element func() error) error { return p.items('[', ']', element) }
+func (p *Reader) Array(element func() error) error { return p.readItems('[', ']', element) }
 
-// items reads what stands between two brackets, separated by commas.
-func (p *Reader) items(open, end byte, item func() error) error {
+// readItems reads what stands between two brackets, separated by commas.
+func (p *Reader) readItems(open, end byte, item func() error) error {
 	if err := p.expect(open); err != nil {
 		return err
 	}
@@ -70,6 +75,9 @@
 		return p.expect(end)
 	}
 	for {
+		if p.items++; p.items > MaxItems {
+			return errkind.New(errkind.BadRequest, "the JSON text has more than %d items", MaxItems)
+		}
 		if err := item(); err != nil {
 			return err
 		}
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -17,8 +17,9 @@
 	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
 
-// maxListBytes bounds the size of the list; 10,000 instances take about 2 MB.
-const maxListBytes = 32 << 20
+// maxListBytes bounds the size of the list, which is kept in memory twice while it is
+// read; the 10,000 instances of the design scale take about 2 MB.
+const maxListBytes = 10 << 20
 
 // keyInstances is the key of the instances in the JSON body of the platform's response.
 const keyInstances = "instances"
@@ -49,10 +50,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errkind.New(errkind.NotFound, "read the platform's list: status %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "read the platform's list")
 	}
+	if len(body) > maxListBytes {
+		return nil, errkind.New(errkind.BadRequest, "the platform's list is longer than %d bytes", maxListBytes)
+	}
 	if c.lastBody == nil || !bytes.Equal(body, c.lastBody) {
 		instances, err := decodeList(body)
 		if err != nil {
