platform list: limit the head of the platform's answer to 64 KiB

What callers saw: nothing of this is known from a real platform. An answer whose head never ends made the entry, and the control process beside it, keep up to 10 MB of short header fields, which take 170 MB of memory: the process of an entry of 184 MB ends, with the requests of all its callers.

Cause: the clients of the list used the default transport of net/http, which allows heads of 10 MB.

Evidence, before the change:

TestMemoryOfEndlessListHead: 177 MiB of memory, limit 16 MiB

Why it works: the clients of the list have a transport with a limit of 64 KiB. Measured after the change: 1 MiB. Without MaxResponseHeaderBytes the test fails again (164 MiB). In the test of the endless list, the stand-in no longer copies its text for each write, which counted as memory of the reader.

--- a/internal/connection/platform/endless_list_test.go
+++ b/internal/connection/platform/endless_list_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { lis.Close() })
-	block := strings.Repeat(repeated, 1+(64<<10)/len(repeated))
+	block := []byte(strings.Repeat(repeated, 1+(64<<10)/len(repeated))) // net.Conn would copy a string
 	go func() {
 		c, err := lis.Accept()
 		if err != nil {
@@ -32,7 +32,7 @@
 		_, _ = c.Read(make([]byte, 4<<10))
 		_, err = io.WriteString(c, begin)
 		for err == nil {
-			_, err = io.WriteString(c, block)
+			_, err = c.Write(block)
 		}
 	}()
 	return "http://" + lis.Addr().String()
@@ -80,7 +80,7 @@
 		"white space":    {ok, " "},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := &Client{URL: serveRaw(t, text.begin, text.repeated), HTTP: http.DefaultClient}
+			c := &Client{URL: serveRaw(t, text.begin, text.repeated), HTTP: NewHTTPClient()}
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			peak := peakHeap(func() {
@@ -112,6 +112,26 @@
 	}
 }
 
+// Guards against a head of the answer that is read up to the 10 MB that net/http allows,
+// which take 160 MB of memory as parsed fields.
+func TestMemoryOfEndlessListHead(t *testing.T) {
+	var fields strings.Builder
+	for i := range 2 << 20 {
+		fmt.Fprintf(&fields, "%x:\n", i)
+	}
+	c := &Client{URL: serveRaw(t, "HTTP/1.1 200 OK\r\n", fields.String()), HTTP: NewHTTPClient()}
+	peak := peakHeap(func() {
+		if _, err := c.Fetch(t.Context()); err == nil {
+			t.Error("no error")
+		}
+	})
+	t.Logf("peak of %d MiB", peak>>20)
+	const limit = 16 << 20 // bytes
+	if peak > limit {
+		t.Errorf("%d MiB of memory, limit %d MiB", peak>>20, limit>>20)
+	}
+}
+
 // Guards against refusing a list at five times the design scale of 10,000 instances, and
 // against taking a list that was cut at the limit for a whole one.
 func TestLargeListIsRead(t *testing.T) {
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -21,6 +21,17 @@
 // read; the 10,000 instances of the design scale take about 2 MB.
 const maxListBytes = 10 << 20
 
+// MaxHeadBytes bounds the head of an answer of the platform, in bytes. The 10 MB that
+// net/http allows would take 170 MB of memory as many short fields; 64 KiB take 1 MB.
+const MaxHeadBytes = 64 << 10
+
+// NewHTTPClient returns a client that reads heads of at most MaxHeadBytes.
+func NewHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = MaxHeadBytes
+	return &http.Client{Transport: t}
+}
+
 // keyInstances is the key of the instances in the JSON body of the platform's response.
 const keyInstances = "instances"
 
--- a/internal/process/control/controlmain/removal.go
+++ b/internal/process/control/controlmain/removal.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -34,7 +33,7 @@
 }
 
 func newEntryRemover(p *process) *entryRemover {
-	return &entryRemover{p: p, client: &platform.Client{URL: p.settings.PlatformURL, HTTP: &http.Client{}}}
+	return &entryRemover{p: p, client: &platform.Client{URL: p.settings.PlatformURL, HTTP: platform.NewHTTPClient()}}
 }
 
 // run reads the list and removes entries until ctx ends.
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -138,7 +138,7 @@
 	p.shared = budget.NewConcurrentHolder(budget.NewHolder(s.Instance, incarnation))
 	p.targets = &target.Watcher{
 		DataCentre: s.DataCentre, Log: p.log,
-		Platform: &platform.Client{URL: s.PlatformURL, HTTP: &http.Client{}},
+		Platform: &platform.Client{URL: s.PlatformURL, HTTP: platform.NewHTTPClient()},
 		HTTP:     &http.Client{Transport: &target.Transport{Dial: target.Dial}},
 		Pausing:  p.announced.PausesAt,
 		Changed:  func() { p.groups.Wake() },
