control: limit the targets of all pages of the platform's list together

What callers saw: nothing of this is known from a real platform. A list whose pages never end made the control process, which runs beside an entry, keep the targets of 1000 pages of each data centre before it refused the list.

Cause: the number of pages was bounded and the size of each page, but not what all pages together hold.

Evidence, before the change (TestListOfTooManyTargetsIsRefused, 1000 a page):

by data centre: false: 1000000 entries were read, limit 50000 by data centre: true: 3000000 entries were read, limit 50000

Why it works: one counter for all pages of a reading, also of data centres that are read in parallel, refuses the list beyond 50,000 targets, five times the design scale. As with any other error the last reading remains in force.

--- a/internal/process/control/controlmain/targetlist.go
+++ b/internal/process/control/controlmain/targetlist.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
@@ -20,6 +21,10 @@
 	pageTimeout = time.Second
 	// maxListPages bounds a list whose last page is never reached.
 	maxListPages = 1000
+	// maxListedTargets bounds the targets of all pages together, and so the memory of a
+	// list whose pages never end: some hundred bytes each. It is five times the 10,000
+	// instances of the design scale.
+	maxListedTargets = 50_000
 	// sequentialTime is how long the pages of the list may take one after the other. A
 	// list that takes longer is read by data centre, all data centres in parallel.
 	sequentialTime = 250 * time.Millisecond
@@ -71,7 +76,8 @@
 	source       TargetSource
 	log          *logrus.Entry
 	limiter      *rate.Limiter
-	byDataCentre bool // read the data centres in parallel
+	byDataCentre bool         // read the data centres in parallel
+	kept         atomic.Int64 // targets and unread data centres of the present reading
 }
 
 // newListReader returns a reader that makes at most callsPerSecond calls, or any
@@ -87,6 +93,7 @@
 // read reads the list, either as a whole or by data centre. With an error, the result
 // has the data centres that could be read.
 func (r *listReader) read(ctx context.Context, dataCentres []string) (*targetList, error) {
+	r.kept.Store(0)
 	read := r.readWhole
 	if r.byDataCentre {
 		read = r.readParts
@@ -162,6 +169,10 @@
 			part.err = err
 			return part
 		}
+		if r.kept.Add(int64(len(page.Targets)+len(page.Unread))) > maxListedTargets {
+			part.err = errkind.New(errkind.BadRequest, "the list of targets has more than %d targets", maxListedTargets)
+			return part
+		}
 		part.pages++
 		part.targets = append(part.targets, page.Targets...)
 		part.unread = append(part.unread, page.Unread...)
--- a/internal/process/control/controlmain/targetlist_test.go
+++ b/internal/process/control/controlmain/targetlist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,3 +205,40 @@
 		}
 	}
 }
+
+// endlessPages is a list whose pages never end. Each has the given number of targets and
+// of data centres without targets.
+type endlessPages struct {
+	targets, unread int
+	kept            atomic.Int64 // of all pages
+}
+
+func (l *endlessPages) Page(_ context.Context, dc, _ string) (*TargetPage, error) {
+	page := &TargetPage{Next: "next", Unread: make([]string, l.unread)}
+	for range l.targets {
+		page.Targets = append(page.Targets, &fescuepb.Target{Id: "a", DataCentre: dc})
+	}
+	l.kept.Add(int64(l.targets + l.unread))
+	return page, nil
+}
+
+// Guards against a list whose pages never end and that is kept in memory for 1000 pages
+// of each data centre.
+func TestListOfTooManyTargetsIsRefused(t *testing.T) {
+	for _, byDataCentre := range []bool{false, true} {
+		for _, list := range []*endlessPages{{targets: 1000}, {unread: 1000}} {
+			r := newListReader(list, 0, logging.Discard())
+			r.byDataCentre = byDataCentre
+			for range 2 { // the second reading starts anew
+				list.kept.Store(0)
+				_, err := r.read(t.Context(), listedNames)
+				if errkind.Of(err) != errkind.BadRequest {
+					t.Errorf("by data centre: %v: error %v, want one of kind %s", byDataCentre, err, errkind.BadRequest)
+				}
+				if got := list.kept.Load(); got < maxListedTargets || got > maxListedTargets+10_000 {
+					t.Errorf("by data centre: %v: %d entries were read, limit %d", byDataCentre, got, maxListedTargets)
+				}
+			}
+		}
+	}
+}
