proxy: tests of heads and bodies without end

Regression tests; nothing was wrong here. TestEndlessHeadIsAnswered: the caller of a target that sends a head without end gets 502 target_failed soon, or 504 deadline_exceeded at the deadline if the head stalls, always with did_run unknown, the connection is closed and the next request is answered.

--- /dev/null
+++ b/internal/request/proxy/endless_memory_test.go
@@ -0,0 +1,177 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
+)
+
+// endlessTarget starts a target that answers requests to paths that contain "good" and
+// sends head and then block without end to any other request, or once if stall is set.
+// open counts the connections on which it does so.
+func endlessTarget(t *testing.T, head string, block []byte, stall bool) (addr string, open *atomic.Int32) {
+	open = &atomic.Int32{}
+	return serveConns(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if strings.Contains(req.URL.Path, "good") {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				continue
+			}
+			open.Add(1)
+			defer open.Add(-1)
+			_, err = io.WriteString(c, head)
+			for err == nil {
+				if _, err = c.Write(block); stall {
+					_, _ = io.Copy(io.Discard, r)
+					return
+				}
+			}
+			return
+		}
+	}), open
+}
+
+// heapInUse returns the bytes of the objects on the heap after a collection.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC() // the second one frees what finalizers and pools kept
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// waitFor waits up to 5 s until n has the value want.
+func waitFor(t *testing.T, what string, n *atomic.Int32, want int32) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); n.Load() != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d %s, want %d", n.Load(), what, want)
+		}
+	}
+}
+
+// expectGood sends a request that the target of endlessTarget answers.
+func (w *testEntry) expectGood() {
+	w.Helper()
+	req := w.request("GET", "/safe/good", "")
+	req.Host = "rota.example"
+	if resp, body, err := w.do(req); err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		w.Errorf("another request got %v %q, error %v", resp, body, err)
+	}
+}
+
+// Guards against a target that sends bytes without end where a head is due: the caller
+// must learn soon that the request may have run, and other requests must be answered.
+func TestEndlessHeadIsAnswered(t *testing.T) {
+	for name, tc := range map[string]struct {
+		head, repeated string
+		stall          bool
+		kind           errkind.Kind
+	}{
+		"no response":        {"", "bytes that are no response ", false, errkind.TargetFailed},
+		"malformed line":     {"", "bytes that are no response\r\n", false, errkind.TargetFailed},
+		"field":              {"HTTP/1.1 200 OK\r\nField: ", "value", false, errkind.TargetFailed},
+		"fields":             {"HTTP/1.1 200 OK\r\n", "a:\r\n", false, errkind.TargetFailed},
+		"interim":            {"", "HTTP/1.1 103 Early Hints\r\n\r\n", false, errkind.TargetFailed},
+		"refusal in a field": {"HTTP/1.1 503 Service Unavailable\r\n", dialect.HeaderNotRun + ": true\r\n", false, errkind.TargetFailed},
+		"stalled":            {"HTTP/1.1 200 OK\r\nField: ", "x", true, errkind.DeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, open := endlessTarget(t, tc.head, bytes.Repeat([]byte(tc.repeated), 1000), tc.stall)
+			w := newTestEntry(t, false, addr)
+			w.useDocument(endlessDocument)
+			w.expectGood()
+			req := w.request("GET", "/safe/1", "")
+			req.Host = "rota.example"
+			start := time.Now()
+			w.expectError(req, tc.kind, errkind.Unknown)
+			const limit = 900 * time.Millisecond // the timeout and half a second
+			if took := time.Since(start); took > limit {
+				t.Errorf("answered after %v", took)
+			}
+			waitFor(t, "connections to the target", open, 0)
+			w.expectGood()
+			w.waitReleased()
+		})
+	}
+}
+
+// Guards against an answer that is kept in memory while its caller does not read it.
+func TestMemoryOfEndlessBodies(t *testing.T) {
+	const (
+		targets  = 16
+		requests = 2 * targets // all slots
+		// limit is the memory of a request, in bytes: its first 64 KiB, the 32 KiB with which
+		// the rest is copied, and the buffers of both connections.
+		limit = 256 << 10
+	)
+	data := bytes.Repeat([]byte("x"), 32<<10)
+	chunk := slices.Concat(fmt.Appendf(nil, "%x\r\n", len(data)), data, []byte("\r\n"))
+	for name, tc := range map[string]struct {
+		head  string
+		block []byte
+	}{
+		"length":         {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", data},
+		"chunked":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+		"small chunks":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", bytes.Repeat([]byte("100\r\n"+strings.Repeat("x", 256)+"\r\n"), 100)},
+		"without length": {"HTTP/1.1 200 OK\r\n\r\n", data},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, open := endlessTarget(t, tc.head, tc.block, false)
+			w := newTestEntry(t, false, slices.Repeat([]string{addr}, targets)...)
+			w.useDocument(strings.NewReplacer("400ms", "3s", "health_path: /health", "health_path: /health, unframed_answers: true").Replace(endlessDocument))
+			before := heapInUse()
+			var callers []net.Conn
+			for range requests {
+				c, err := net.Dial("tcp", w.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				_ = c.(*net.TCPConn).SetReadBuffer(64 << 10) // the default grows to 32 MB, which take long to fill
+				callers = append(callers, c)
+				_, err = io.WriteString(c, "GET /safe/1 HTTP/1.1\r\nHost: rota.example\r\nFescue-Shift: s1\r\n\r\n")
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			waitFor(t, "endless answers", open, requests)
+			time.Sleep(time.Second) // fills the buffers of the connections
+			got := (heapInUse() - before) / requests
+			t.Logf("%d KiB of memory for each request", got>>10)
+			if n := open.Load(); n != requests {
+				t.Errorf("%d answers are being sent, want %d", n, requests)
+			}
+			if got > limit {
+				t.Errorf("%d KiB of memory for each request, limit %d KiB", got>>10, limit>>10)
+			}
+			waitFor(t, "connections to the target", open, 0)
+			w.waitReleased()
+			w.expectGood()
+			for _, c := range callers {
+				_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+				if _, err := io.Copy(io.Discard, c); err != nil && strings.Contains(err.Error(), "timeout") {
+					t.Error("the connection to the caller is still open")
+				}
+			}
+		})
+	}
+}
