proxy: limit the memory of all answers that are kept whole

What callers saw: nothing of this is known. Targets that sent almost a megabyte of the answer to each of many at-most-once requests, and then nothing, made the entry keep 1.3 MB for each until its deadline: 140 such requests fill an entry of 184 MB, and the requests of all other callers end with the process.

Cause: the answer to an at-most-once request is read whole, for the ledger. It was bounded to 1 MiB, but not all of them together.

Evidence, before the change (TestMemoryOfAnswersKeptWhole, limit of 4 MiB):

84915 KiB of memory with 64 answers being read, limit 24576 KiB 0 answers broken, 64 not complete before the deadline, of 64

Why it works: such an answer reserves memory as it arrives, from 32 MiB for the whole entry. One that gets none ends as answer_broken with did_run unknown, never as a refusal that says the request did not run, and its key is abandoned in the ledger.

--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -87,7 +87,8 @@
 		Ready: p.ready, Confirmed: p.follower.Confirmed, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   p.regionShares(),
-		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Targets: targets, Peers: p.peerTransport(),
+		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Targets: targets, Peers: p.peerTransport(),
+		Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Answers: proxy.NewBodyMemory(proxy.DefaultAnswerMemory),
 		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
 		Now:      time.Now, Log: p.log, Metrics: p.scope,
 	}
--- a/internal/request/proxy/body_memory.go
+++ b/internal/request/proxy/body_memory.go
@@ -11,8 +11,13 @@
 // 128 MB of memory that an entry may use.
 const DefaultBodyMemory = 64 << 20
 
-// BodyMemory bounds the total size of the request bodies that an entry holds in
-// memory. Bodies are read before admission, so neither the queues nor the caps
+// DefaultAnswerMemory is the default limit in bytes for the answers that are being
+// read whole. It is 32 of the largest ones, and a quarter of the 128 MB of memory that
+// an entry may use.
+const DefaultAnswerMemory = 32 << 20
+
+// BodyMemory bounds the total size of the bodies that an entry holds in memory.
+// Bodies of requests are read before admission, so neither the queues nor the caps
 // of shifts bound them. It is safe for concurrent use.
 type BodyMemory struct {
 	limit int64
@@ -29,11 +34,11 @@
 		return nil
 	}
 	m.used.Add(-n)
-	return errkind.New(errkind.QueueFull, "request bodies in memory have reached the limit of %d bytes", m.limit)
+	return errkind.New(errkind.QueueFull, "bodies in memory have reached the limit of %d bytes", m.limit)
 }
 
-// bodyReader reads a request body and reserves memory for the bytes as they
-// arrive. If it reserved the announced length, callers that announce long bodies
+// bodyReader reads a body and reserves memory for the bytes as they
+// arrive. If it reserved the announced length, senders that announce long bodies
 // and send nothing could exhaust the memory.
 type bodyReader struct {
 	io.Reader
--- a/internal/request/proxy/endless_memory_test.go
+++ b/internal/request/proxy/endless_memory_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -175,3 +176,53 @@
 		})
 	}
 }
+
+// Guards against targets that send a megabyte of an answer to each of many at-most-once
+// requests, which the entry keeps whole, and then nothing until the deadline.
+func TestMemoryOfAnswersKeptWhole(t *testing.T) {
+	const (
+		targets  = 32
+		requests = 2 * targets // all slots
+		memory   = 4 << 20     // bytes for all answers
+		// limit is in bytes: the memory for answers, which the growth of a buffer doubles,
+		// and 256 KiB for each request as with other bodies.
+		limit = 2*memory + requests*256<<10
+	)
+	addr, open := endlessTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n", bytes.Repeat([]byte("x"), maxStoredBody-1), true)
+	w := newTestEntry(t, false, slices.Repeat([]string{addr}, targets)...)
+	w.h.Answers = NewBodyMemory(memory)
+	before := heapInUse()
+	var broken, late atomic.Int32
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			resp, body, err := w.do(w.request("POST", "/claim", "", dialect.HeaderKey, fmt.Sprint(i)))
+			switch {
+			case err != nil || !strings.Contains(body, `"did_run":"unknown"`):
+				t.Errorf("got %v %q, error %v", resp, body, err)
+			case resp.StatusCode == errkind.AnswerBroken.Response().Status && strings.Contains(body, string(errkind.AnswerBroken)):
+				broken.Add(1)
+			case resp.StatusCode == errkind.DeadlineExceeded.Response().Status:
+				late.Add(1)
+			default:
+				t.Errorf("got status %d %q", resp.StatusCode, body)
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	if got := heapInUse() - before; got > limit {
+		t.Errorf("%d KiB of memory with %d answers being read, limit %d KiB", got>>10, open.Load(), limit>>10)
+	}
+	wg.Wait()
+	if broken.Load() == 0 || late.Load() == 0 || broken.Load()+late.Load() != requests {
+		t.Errorf("%d answers broken, %d not complete before the deadline, of %d", broken.Load(), late.Load(), requests)
+	}
+	if end := w.ledger.ended.Load(); end != "abandoned" {
+		t.Errorf("the ledger has the outcome %v", end)
+	}
+	w.waitReleased()
+	waitFor(t, "connections to the target", open, 0)
+	if used := w.h.Answers.used.Load(); used != 0 {
+		t.Errorf("%d bytes remain reserved", used)
+	}
+}
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -96,6 +96,7 @@
 	Suspects      *Suspects          // nil if no request is quarantined
 	Announced     *announce.Registry // shared by the handlers of an entry; nil means that announcements of targets are not recorded
 	Bodies        *BodyMemory        // shared by the handlers of an entry; nil means DefaultBodyMemory for this one
+	Answers       *BodyMemory        // for answers that are kept whole; shared by the handlers of an entry; nil means DefaultAnswerMemory for this one
 	Targets       http.RoundTripper
 	Peers         http.RoundTripper
 	Now           func() time.Time
@@ -124,6 +125,9 @@
 	if cfg.Bodies == nil {
 		cfg.Bodies = NewBodyMemory(DefaultBodyMemory)
 	}
+	if cfg.Answers == nil {
+		cfg.Answers = NewBodyMemory(DefaultAnswerMemory)
+	}
 	scope := cfg.Metrics.SubScope("requests")
 	h := &Handler{Config: cfg, peer: peer}
 	h.metrics.requests = scope.Counter("received")
--- a/internal/request/proxy/once.go
+++ b/internal/request/proxy/once.go
@@ -101,11 +101,13 @@
 func (h *Handler) recordAnswer(ctx context.Context, c *call, rep *reply) (*reply, error) {
 	body := bytes.Clone(rep.buffered)
 	if rep.rest != nil {
-		rest, err := io.ReadAll(io.LimitReader(rep.rest, maxStoredBody+1))
+		in := &bodyReader{Reader: io.LimitReader(rep.rest, maxStoredBody+1), memory: h.Answers}
+		defer in.release()
+		rest, err := io.ReadAll(in)
 		if err != nil {
 			rep.finish(err)
 			h.Ledger.Abandon(c.service.Name, c.key)
-			return nil, readError(ctx, err)
+			return nil, storeError(ctx, err)
 		}
 		body = append(body, rest...)
 	}
@@ -119,6 +121,15 @@
 	return storedReply(s, c.id), nil
 }
 
+// storeError classifies an error of reading an answer that is to be stored. Lack of
+// memory does not prove, as it does for a request's body, that the request did not run.
+func storeError(ctx context.Context, err error) error {
+	if errkind.Of(err) == errkind.QueueFull {
+		return errkind.New(errkind.AnswerBroken, "the answer cannot be kept: %v", err)
+	}
+	return readError(ctx, err)
+}
+
 // replayReply returns a stored answer as the answer to the request id. A header
 // marks it as replayed and names the request that ran.
 func replayReply(s *StoredAnswer, id string) *reply {
