--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -17,8 +17,20 @@
 	"github.com/fescuejunction/fescuejunction/internal/version/membership"
 )
 
-// maxListBytes bounds the size of the list; 10,000 instances take about 2 MB.
-const maxListBytes = 32 << 20
+// maxListBytes bounds the size of the list, which is kept in memory twice while it is
+// read; the 10,000 instances of the design scale take about 2 MB.
+const maxListBytes = 10 << 20
+
+// MaxHeadBytes bounds the head of an answer of the platform, in bytes. The 10 MB that
+// net/http allows would take 170 MB of memory as many short fields; 64 KiB take 1 MB.
+const MaxHeadBytes = 64 << 10
+
+// NewHTTPClient returns a client that reads heads of at most MaxHeadBytes.
+func NewHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = MaxHeadBytes
+	return &http.Client{Transport: t}
+}
 
 // keyInstances is the key of the instances in the JSON body of the platform's response.
 const keyInstances = "instances"
@@ -49,10 +61,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errkind.New(errkind.NotFound, "read the platform's list: status %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "read the platform's list")
 	}
+	if len(body) > maxListBytes {
+		return nil, errkind.New(errkind.BadRequest, "the platform's list is longer than %d bytes", maxListBytes)
+	}
 	if c.lastBody == nil || !bytes.Equal(body, c.lastBody) {
 		instances, err := decodeList(body)
 		if err != nil {
