--- a/internal/process/entry/follow/review_test.go
+++ b/internal/process/entry/follow/review_test.go
@@ -53,6 +53,22 @@
 			}()
 			s.expectWithoutOutage(s.change(manyRoutes, usualWeight))
 		}},
+		{"1400 routes at 60 entries", func(t *testing.T) {
+			s := newRunningSiteOf(t, 60, fewRoutes)
+			s.expectWithoutOutage(s.change(manyRoutes, usualWeight))
+		}},
+		{"removal of 1400 routes at 60 entries", func(t *testing.T) {
+			s := newRunningSiteOf(t, 60, manyRoutes)
+			s.expectWithoutOutage(s.change(fewRoutes, usualWeight))
+		}},
+		{"one shift of many at 60 entries", func(t *testing.T) {
+			s := newSite(t, fewRoutes)
+			s.setShifts(t, 0, 1)
+			s.startEntries(60)
+			s.run(30 * time.Second)
+			s.narrow()
+			s.expectWithoutOutage(s.setShifts(t, 1, 2))
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) { synctest.Test(t, c.run) })
 	}
