feed: an update without content is not a page that the follower must acknowledge

What callers saw: after a change of source, the next version came up to 2 s late. A follower that is ahead of its new source gets an update without content, whose next position made it look like a page, and the source waited pageTimeout for its acknowledgement. TestFollowerAheadOfSourceGetsNextVersionSoon (1.75 s late) and TestNextVersionAfterFailover (2.04 s, and on no delay) failed before.

--- a/internal/process/shared/feed/codec.go
+++ b/internal/process/shared/feed/codec.go
@@ -26,6 +26,7 @@
 	version uint64
 	counter uint64
 	isPage  bool // more pages follow
+	isBeat  bool // without content, for a follower that must wait for it
 	data    []byte
 }
 
@@ -37,7 +38,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &frame{version: u.Version, counter: u.Counter, isPage: u.Next != nil, data: data}, nil
+	f := &frame{version: u.Version, counter: u.Counter, data: data}
+	f.isBeat = u.Next != nil && proto.Equal(u.From, u.Next)
+	f.isPage = u.Next != nil && !f.isBeat
+	return f, nil
 }
 
 // compress returns an encoded update that holds another one in compressed form.
--- a/internal/process/shared/feed/pusher.go
+++ b/internal/process/shared/feed/pusher.go
@@ -112,7 +112,7 @@
 	}
 	p.counter, p.version, p.sentAt = f.counter, max(p.version, f.version), time.Now()
 	switch {
-	case p.awaitsAck:
+	case p.awaitsAck || f.isBeat:
 	case f.isPage:
 		p.awaitsAck, p.pageSentAt = true, p.sentAt
 	case f.version > p.sent.Version || !p.sent.IsWhole():
