--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -109,8 +109,9 @@
 }
 
 type parsedSection struct {
-	revision uint64
-	section  *document.Section
+	revision    uint64
+	routesApart bool // the content lacks the host routes
+	section     *document.Section
 }
 
 // Build compiles a snapshot. It returns an error of kind InvalidDocument if a
@@ -139,7 +140,7 @@
 		if err != nil {
 			return nil, err
 		}
-		parsed[pb.Team] = parsedSection{pb.Revision, sec}
+		parsed[pb.Team] = parsedSection{pb.Revision, pb.RoutesApart, sec}
 		s.addSection(sec)
 	}
 	b.parsed = parsed
@@ -188,10 +189,10 @@
 }
 
 // parse returns the parsed section. It reuses the one of the last snapshot if
-// the revision is the same. Accepted sections have revisions from 1, so revision
+// the revision and the form are the same. Accepted sections have revisions from 1, so revision
 // 0 does not identify the content and such a section is always parsed.
 func (b *Builder) parse(pb *fescuepb.Section) (*document.Section, error) {
-	if p, ok := b.parsed[pb.Team]; ok && p.revision == pb.Revision && pb.Revision > 0 {
+	if p, ok := b.parsed[pb.Team]; ok && p.revision == pb.Revision && p.routesApart == pb.RoutesApart && pb.Revision > 0 {
 		return p.section, nil
 	}
 	src, problems := document.Parse(pb.Team, pb.Yaml)
--- a/internal/version/view/routes.go
+++ b/internal/version/view/routes.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
+	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/hostroute"
 )
 
@@ -57,6 +58,29 @@
 	}
 }
 
+// separateRoutes stores the routes of a section that came whole from a source of an
+// earlier build, since an update without routes lists only those that changed.
+func (v *View) separateRoutes(s *fescuepb.Section) {
+	if s == nil || s.Deleted || s.RoutesApart {
+		return
+	}
+	src, problems := document.Parse(s.Team, s.Yaml)
+	if len(problems) > 0 {
+		return // a section without routes may have any content
+	}
+	_, routes, err := hostroute.Split(s, src.Section)
+	if err != nil {
+		return // the routes were not encoded before either
+	}
+	for _, r := range routes {
+		key := RouteKey{r.Team, r.Name}
+		if v.Routes[key] == nil && v.RemovedRoutes[key] <= s.Version {
+			r.ChangedVersion = s.Version
+			v.setRoute(r)
+		}
+	}
+}
+
 // RestoreSection stores a section of a saved state as SetSectionWithRoutes does,
 // with the saved versions of its routes. A state that was saved without them gives
 // the routes the version of the section.
--- a/internal/version/view/view.go
+++ b/internal/version/view/view.go
@@ -71,8 +71,12 @@
 // SetSection stores s and advances the view to version s.Version. If s does not
 // have its routes apart, it replaces those of its team.
 func (v *View) SetSection(s *fescuepb.Section) {
+	old := v.Sections[s.Team]
 	v.Sections[s.Team] = s
 	if s.RoutesApart {
+		if v.heads[s.Team] == nil {
+			v.separateRoutes(old)
+		}
 		v.heads[s.Team] = s
 	} else {
 		v.removeRoutes(s.Team, s.Version)
