--- a/internal/version/hostroute/hostroute.go
+++ b/internal/version/hostroute/hostroute.go
@@ -32,7 +32,7 @@
 		return nil, nil, errkind.Wrap(errkind.Internal, err, "encode the section of team %q without its routes", s.Team)
 	}
 	head := proto.CloneOf(s)
-	head.Yaml, head.RoutesApart = yaml, true
+	head.Yaml, head.RoutesApart, head.RouteCount = yaml, true, uint64(len(routes))
 	return head, routes, nil
 }
 
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -366,7 +366,7 @@
 	if err := m.loadClaims(image.Claims, image.PreviousClaims); err != nil {
 		return err
 	}
-	m.view.Version, m.view.MinDeltaBase = image.Version, image.DeltaFloor
+	m.view.Version, m.view.MinDeltaBase = image.Version, max(m.view.MinDeltaBase, image.DeltaFloor)
 	m.view.Blocks, m.view.BlocksChanged = image.BlockTable, image.BlocksChanged
 	return nil
 }
--- a/internal/version/view/receiver.go
+++ b/internal/version/view/receiver.go
@@ -79,13 +79,18 @@
 	return Paged
 }
 
-// finish adds the last page and replaces the view. The page must list everything
-// that was removed since the first one held.
+// finish adds the last page and replaces the view. Replicas that restored snapshots of
+// an earlier build at different versions order the routes differently, so pages of
+// several of them may lack some.
 func (r *Receiver) finish(u *fescuepb.Update, from Position) Outcome {
 	if u.From != nil && from.Since > r.position.Since {
 		return Unchanged
 	}
 	r.partial.merge(u)
+	if !r.partial.hasAllRoutes() {
+		r.partial = nil // begins anew from the whole view
+		return Unchanged
+	}
 	r.partial.Version = u.Version
 	if r.full {
 		r.partial.MinDeltaBase = u.Version // earlier removals are not all known
--- a/internal/version/view/routes.go
+++ b/internal/version/view/routes.go
@@ -81,9 +81,27 @@
 	}
 }
 
+// hasAllRoutes reports whether the view holds as many routes as its sections have.
+func (v *View) hasAllRoutes() bool {
+	missing := map[string]uint64{}
+	for team, head := range v.heads {
+		missing[team] = head.RouteCount
+	}
+	for key := range v.Routes {
+		missing[key.Team]--
+	}
+	for _, n := range missing {
+		if n != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // RestoreSection stores a section of a saved state as SetSectionWithRoutes does,
-// with the saved versions of its routes. A state that was saved without them gives
-// the routes the version of the section.
+// with the saved versions of its routes. A state of an earlier build has none, and no
+// record of removed routes: its routes get the version of the section, and no delta
+// starts before it.
 func (v *View) RestoreSection(s, head *fescuepb.Section, routes []*fescuepb.HostRoute, versions map[RouteKey]uint64) {
 	v.Sections[s.Team] = s
 	if head.RoutesApart {
@@ -93,6 +111,7 @@
 		key := RouteKey{r.Team, r.Name}
 		if r.ChangedVersion = versions[key]; r.ChangedVersion == 0 {
 			r.ChangedVersion = s.Version
+			v.MinDeltaBase = max(v.MinDeltaBase, s.Version)
 		}
 		v.Routes[key] = r
 	}
