follow, feed: a relay that stays behind is left after 3 s, and pages use up no initial push

What callers could see: an entry that keeps an old version and answers 503 for new routes while another source has the content. A relay tells its followers that it is connected while its own content is under way, and they stayed with it without end. The limit of 3 s without content now holds for that as well. Pages also counted as initial pushes, so a started entry could wait 0.5 s for each of the two counters that it needs.

--- a/internal/process/entry/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -171,7 +171,7 @@
 	case outcome == view.Gap: // the counter must not confirm content that is missing
 		return outcome, false
 	case outcome == view.Paged:
-		progress.pagedAt = now
+		progress.contentAt = now
 		progress.pages++
 		f.cfg.Metrics.Counter("follow_pages").Inc(1)
 		f.freshness.observePending(progress, max(u.Counter, u.Pending), now)
@@ -181,8 +181,10 @@
 		return outcome, false
 	}
 	advance := f.freshness.observe(progress, u.Counter, now)
-	if u.Pending > u.Counter {
-		progress.pagedAt = now // the source itself waits for content
+	if advance {
+		progress.contentAt = now
+	}
+	if u.Pending > u.Counter { // the source itself waits for content
 		f.freshness.observePending(progress, u.Pending, now)
 	}
 	if progress.confirmsVersion() && !f.confirmed {
--- a/internal/process/entry/follow/freshness.go
+++ b/internal/process/entry/follow/freshness.go
@@ -17,10 +17,10 @@
 	// before a started process acts on a version. A single advance may have been
 	// in transit to the source when the source was cut off.
 	requiredAdvances = 2
-	// pageStallTimeout is how long a watch may go without another page of an
-	// incomplete update before its source counts as stalled. The counter alone
-	// does not keep a source that delivers no content.
-	pageStallTimeout = 3 * time.Second
+	// contentStallTimeout is how long a watch may go without another page or confirmed
+	// content before its source counts as stalled. The counter alone does not keep a
+	// source that delivers no content, or a relay whose own content stays behind.
+	contentStallTimeout = 3 * time.Second
 )
 
 // freshness tracks the counters that a follower receives on all its watches and
@@ -47,7 +47,7 @@
 	// source never produces an advance but does catch up.
 	caughtUp     bool
 	lastProgress time.Time // when the watch was opened, or the counter last rose to the highest one known
-	pagedAt      time.Time // when the watch was opened, or last added a page
+	contentAt    time.Time // when the watch was opened, or last delivered a page or confirmed content
 	pages        int       // pages added
 }
 
@@ -80,7 +80,7 @@
 	}
 	rose := progress.lastCounter > 0 && counter > progress.lastCounter && counter > f.highest
 	progress.lastCounter = max(progress.lastCounter, counter)
-	if rose && now.Sub(progress.pagedAt) < pageStallTimeout {
+	if rose && now.Sub(progress.contentAt) < contentStallTimeout {
 		progress.lastProgress = now
 		f.pending, f.pendingAt = max(f.pending, counter), now
 	}
--- a/internal/process/entry/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -123,7 +123,7 @@
 	}
 	hedge := l.lastOpened.Add(hedgeDelay)
 	for _, w := range l.candidates { // a second source would send the same pages
-		if paged := w.progress.pagedAt.Add(hedgeDelay); paged.After(hedge) {
+		if paged := w.progress.contentAt.Add(hedgeDelay); paged.After(hedge) {
 			hedge = paged
 		}
 	}
--- a/internal/process/entry/follow/unit_test.go
+++ b/internal/process/entry/follow/unit_test.go
@@ -207,7 +207,7 @@
 	f := newFollower("entry", nil, nil)
 	now := time.Now()
 	f.now = func() time.Time { return now }
-	w := &watchProgress{lastProgress: now, pagedAt: now}
+	w := &watchProgress{lastProgress: now, contentAt: now}
 	counter := uint64(0)
 	send := func(u *fescuepb.Update) {
 		counter++
@@ -224,7 +224,7 @@
 			t.Fatal("confirmed by a counter that is ahead of the content")
 		}
 		if f.stalled() || now.Sub(w.lastProgress) > 0 {
-			t.Fatalf("the source counts as stalled %v after its latest page", now.Sub(w.pagedAt))
+			t.Fatalf("the source counts as stalled %v after its latest page", now.Sub(w.contentAt))
 		}
 		if relaySource := (relaySource{f}); f.pending() != counter || relaySource.Counter() != 0 {
 			t.Fatalf("pending counter %d, relayed counter %d, want %d and 0", f.pending(), relaySource.Counter(), counter)
@@ -236,7 +236,7 @@
 	if !f.stalled() || now.Sub(w.lastProgress) < counterTimeout {
 		t.Error("a source that sends no further page is kept")
 	}
-	w = &watchProgress{lastProgress: now, pagedAt: now}
+	w = &watchProgress{lastProgress: now, contentAt: now}
 	for range 3 {
 		send(large.Page(f.received.Position(), 1))
 	}
--- a/internal/process/entry/follow/watch.go
+++ b/internal/process/entry/follow/watch.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{source: s, cancel: cancel, acks: make(chan struct{}, 1)}
 	w.progress.lastProgress = f.now()
-	w.progress.pagedAt = w.progress.lastProgress
+	w.progress.contentAt = w.progress.lastProgress
 	go func() {
 		err := f.receive(ctx, w, events)
 		_ = events.Put(ctx, event{watch: w, err: err}) // fails only if the watch has been closed
@@ -125,7 +125,7 @@
 	fields := logrus.Fields{
 		"source": w.addr, "kind": string(w.kind), "reason": reason,
 		"counter": w.progress.lastCounter, "stood_ms": now.Sub(w.progress.lastProgress).Milliseconds(),
-		"pages": w.progress.pages, "page_age_ms": now.Sub(w.progress.pagedAt).Milliseconds(),
+		"pages": w.progress.pages, "page_age_ms": now.Sub(w.progress.contentAt).Milliseconds(),
 	}
 	if !w.heardAt.IsZero() {
 		fields["heard_ms"] = now.Sub(w.heardAt).Milliseconds()
--- a/internal/process/shared/feed/pusher.go
+++ b/internal/process/shared/feed/pusher.go
@@ -107,7 +107,7 @@
 	if err := p.stream.SendMsg(f); err != nil {
 		return err
 	}
-	if f.counter > p.counter && !p.awaitsAck {
+	if f.counter > p.counter && !p.awaitsAck && !f.isPage {
 		p.initialLeft--
 	}
 	p.counter, p.version, p.sentAt = f.counter, max(p.version, f.version), time.Now()
