--- a/internal/version/view/page.go
+++ b/internal/version/view/page.go
@@ -55,13 +55,25 @@
 // object is an object of a view in the order of positions.
 type object struct {
 	version  uint64
-	kind, id string // unique within the view; no kind is the beginning of another
-	message  proto.Message
+	kind, id string        // unique within the view; no kind is the beginning of another
+	message  proto.Message // nil for a removal
 	addTo    func(u *fescuepb.Update)
 }
 
 func (o *object) key() string { return o.kind + "/" + o.id }
 
+// size returns the size of the object when it is encoded, in bytes.
+func (o *object) size() int {
+	if o.message == nil {
+		return len(o.id) + removalOverhead
+	}
+	return proto.Size(o.message)
+}
+
+// removalOverhead is the size of a removed route beyond its names, in bytes: three tags,
+// three lengths and a version.
+const removalOverhead = 16
+
 // Page returns an update that takes a follower from p towards the view's version,
 // with about maxBytes of encoded content or less, but at least one object. Next is set in it
 // unless it is the last page. A follower that is not behind, or whose content is
@@ -82,16 +94,15 @@
 	if p == (Position{}) {
 		since = v.Version
 	}
-	objects, size := v.objectsAfter(p), 0
+	objects, size := append(v.objectsAfter(p), v.removalsAfter(p, since)...), 0
 	for i, o := range objects {
-		if size += proto.Size(o.message); size > maxBytes && i > 0 {
+		if size += o.size(); size > maxBytes && i > 0 {
 			last := objects[i-1]
 			u.Next = Position{Version: last.version, Key: last.key(), AsOf: v.Version, Since: since}.Message()
 			return u
 		}
 		o.addTo(u)
 	}
-	v.addRemovals(u, since)
 	return u
 }
 
@@ -162,30 +173,41 @@
 	if b := v.Blocks; b != nil {
 		add(b.Version, "blocks", "", b, func(u *fescuepb.Update) { u.BlockTable = b })
 	}
-	slices.SortFunc(out, func(a, b object) int {
-		return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.kind, b.kind), cmp.Compare(a.id, b.id))
-	})
+	slices.SortFunc(out, compareObjects)
 	return out
 }
 
-// addRemovals adds to the last page what was removed after a version. A page that
-// is not the last one lists no removals, because relays know a removal by a later
-// version than control does, so their order is not the same at every source.
-func (v *View) addRemovals(u *fescuepb.Update, since uint64) {
-	u.RemovedMembers = removedAfter(v.RemovedMembers, since)
-	u.RemovedTargets = removedAfter(v.RemovedTargets, since)
-	u.RemovedSuspects = removedAfter(v.RemovedSuspects, since)
-	u.RemovedRoutes = v.removedRoutesAfter(since)
-}
-
-// removedAfter returns the names that were removed after a version, sorted.
-func removedAfter(removed map[string]uint64, since uint64) []string {
-	var out []string
-	for name, version := range removed {
-		if version > since {
-			out = append(out, name)
+// removalsAfter returns the removals after a version as objects of the view's version
+// that come behind all others, ordered by name, as far as they lie after p. They are
+// not ordered by the version that removed them, because relays know a removal by
+// a later version than control does.
+func (v *View) removalsAfter(p Position, since uint64) []object {
+	var out []object
+	add := func(kind, id string, removed uint64, addTo func(u *fescuepb.Update)) {
+		o := object{v.Version, kind, id, nil, addTo}
+		if removed > since && !p.includes(v.Version, o.key()) {
+			out = append(out, o)
 		}
 	}
-	slices.Sort(out)
+	for id, removed := range v.RemovedMembers {
+		add("~member", id, removed, func(u *fescuepb.Update) { u.RemovedMembers = append(u.RemovedMembers, id) })
+	}
+	for key, removed := range v.RemovedRoutes {
+		add("~route", key.Team+"/"+key.Name, removed, func(u *fescuepb.Update) {
+			u.RemovedRoutes = append(u.RemovedRoutes, &fescuepb.RouteVersion{Team: key.Team, Name: key.Name, Version: removed})
+		})
+	}
+	for id, removed := range v.RemovedTargets {
+		add("~target", id, removed, func(u *fescuepb.Update) { u.RemovedTargets = append(u.RemovedTargets, id) })
+	}
+	for id, removed := range v.RemovedSuspects {
+		add("~suspect", id, removed, func(u *fescuepb.Update) { u.RemovedSuspects = append(u.RemovedSuspects, id) })
+	}
+	slices.SortFunc(out, compareObjects)
 	return out
 }
+
+// compareObjects orders objects by position.
+func compareObjects(a, b object) int {
+	return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.kind, b.kind), cmp.Compare(a.id, b.id))
+}
--- a/internal/version/view/receiver.go
+++ b/internal/version/view/receiver.go
@@ -66,8 +66,11 @@
 	if r.partial == nil || !r.position.reaches(from) || u.Version < r.position.AsOf {
 		return Unchanged
 	}
+	if u.From != nil && from.Since > r.position.Since { // does not list all removals
+		return Unchanged
+	}
 	if u.Next == nil {
-		return r.finish(u, from)
+		return r.finish(u)
 	}
 	next := PositionOf(u.Next)
 	if r.position.reaches(next) {
@@ -82,10 +85,7 @@
 // finish adds the last page and replaces the view. Replicas that restored snapshots of
 // an earlier build at different versions order the routes differently, so pages of
 // several of them may lack some.
-func (r *Receiver) finish(u *fescuepb.Update, from Position) Outcome {
-	if u.From != nil && from.Since > r.position.Since {
-		return Unchanged
-	}
+func (r *Receiver) finish(u *fescuepb.Update) Outcome {
 	r.partial.merge(u)
 	if !r.partial.hasAllRoutes() {
 		r.partial = nil // begins anew from the whole view
--- a/internal/version/view/routes.go
+++ b/internal/version/view/routes.go
@@ -139,20 +139,11 @@
 	for _, r := range v.sortedRoutes() {
 		changed = append(changed, &fescuepb.RouteVersion{Team: r.Team, Name: r.Name, Version: r.ChangedVersion})
 	}
-	return changed, v.removedRoutesAfter(0)
-}
-
-// removedRoutesAfter returns the routes that were removed after a version, ordered by
-// team and name.
-func (v *View) removedRoutesAfter(since uint64) []*fescuepb.RouteVersion {
-	var out []*fescuepb.RouteVersion
 	for key, version := range v.RemovedRoutes {
-		if version > since {
-			out = append(out, &fescuepb.RouteVersion{Team: key.Team, Name: key.Name, Version: version})
-		}
+		removed = append(removed, &fescuepb.RouteVersion{Team: key.Team, Name: key.Name, Version: version})
 	}
-	slices.SortFunc(out, func(a, b *fescuepb.RouteVersion) int {
+	slices.SortFunc(removed, func(a, b *fescuepb.RouteVersion) int {
 		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Name, b.Name))
 	})
-	return out
+	return changed, removed
 }
