state: Apply uses the section that Check has just parsed

Check keeps the last section that it found valid until the next accepted change. Apply takes its content only for the same team and the same bytes, and the content depends on these alone, so the result is the same on replicas that did not check it. TestReplicasAgree now checks some commands on one of the replicas only, and draws sections with host routes.

--- a/internal/version/state/change.go
+++ b/internal/version/state/change.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"strings"
@@ -55,7 +56,10 @@
 	defer m.mu.RUnlock()
 	res, known := m.recordedOutcome(r)
 	if !known {
-		_, res = m.evaluateChange(r)
+		var src *document.Source
+		if src, res = m.evaluateChange(r); res == nil && src != nil {
+			m.checked.Store(&checkedSection{team: r.Team, yaml: r.Yaml, src: src})
+		}
 	}
 	if res == nil {
 		return nil, nil
@@ -63,6 +67,22 @@
 	return res.Apply, ResultError(res)
 }
 
+// checkedSection is a section that Check found valid, with its content.
+type checkedSection struct {
+	team string
+	yaml []byte
+	src  *document.Source
+}
+
+// parse parses the section in a request. If Check has just parsed it, the result is
+// taken from there, which is the same, because it depends on the request alone.
+func (m *Machine) parse(r *fescuepb.ApplyRequest) (*document.Source, []document.Problem) {
+	if c := m.checked.Load(); c != nil && c.team == r.Team && bytes.Equal(c.yaml, r.Yaml) {
+		return c.src, nil
+	}
+	return document.ParseAfter(m.sources[r.Team], r.Team, r.Yaml)
+}
+
 // Validate returns the problems of the whole document with the section of a team
 // replaced by yaml.
 func (m *Machine) Validate(team string, yaml []byte) []*fescuepb.FieldProblem {
@@ -153,7 +173,7 @@
 	var src *document.Source
 	if !r.Delete {
 		var problems []document.Problem
-		src, problems = document.ParseAfter(m.sources[r.Team], r.Team, r.Yaml)
+		src, problems = m.parse(r)
 		if len(problems) == 0 && src.Section.Team != r.Team {
 			problems = append(problems, src.File.Problem([]any{"team"}, "%q is not the team %q that the change is for", src.Section.Team, r.Team))
 		}
@@ -237,6 +257,7 @@
 	} else {
 		m.sources[r.Team] = src
 	}
+	m.checked.Store(nil)
 	return &fescuepb.CommandResult{Apply: &fescuepb.ApplyReply{Revision: s.Revision, Version: index}}
 }
 
--- a/internal/version/state/cost_test.go
+++ b/internal/version/state/cost_test.go
@@ -66,3 +66,17 @@
 		t.Errorf("%.0f allocations for %d revisions, a parse of the whole section %.0f", allocs, revisions, whole)
 	}
 }
+
+// Guards against a new section that the replica which takes it parses twice, in Check
+// and in Apply.
+func TestApplyUsesTheSectionThatCheckParsed(t *testing.T) {
+	r := largeChange(t, largeSection(1000), 0)
+	whole := parseAllocs(r.Yaml)
+	m := New()
+	if reply, err := m.Check(r); reply != nil || err != nil {
+		t.Fatal(reply, err)
+	}
+	if allocs := allocsOf(func() { applyLarge(t, m, r) }); allocs > whole/2 {
+		t.Errorf("Apply allocates %.0f times, a parse of the whole section %.0f times", allocs, whole)
+	}
+}
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -36,11 +37,12 @@
 	view          *view.View
 	history       map[string][]*fescuepb.Section // by team, oldest first
 	outcomes      map[outcomeKey]*fescuepb.ChangeOutcome
-	outcomeOrder  []outcomeKey                // keys of outcomes, oldest first
-	departed      map[string]bool             // instance/incarnation pairs that may not join again
-	departedOrder []string                    // keys of departed, oldest first
-	sources       map[string]*document.Source // parsed current sections, by team
-	claims        map[string]groupClaims      // by groupKey
+	outcomeOrder  []outcomeKey                   // keys of outcomes, oldest first
+	departed      map[string]bool                // instance/incarnation pairs that may not join again
+	departedOrder []string                       // keys of departed, oldest first
+	sources       map[string]*document.Source    // parsed current sections, by team
+	claims        map[string]groupClaims         // by groupKey
+	checked       atomic.Pointer[checkedSection] // the last one, until the next accepted change; not part of the state
 	observer      func(u *fescuepb.Update, restored bool)
 }
 
--- a/internal/version/state/rapid_test.go
+++ b/internal/version/state/rapid_test.go
@@ -68,12 +68,20 @@
 }
 
 // Guards against replicas that diverge when they apply the same commands, in
-// particular after one of them was restored from a snapshot.
+// particular after one of them was restored from a snapshot or has checked a command
+// before, and parses sections on from others than the other replica.
 func TestReplicasAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(), New()
 		for index := uint64(1); index < 25; index++ {
-			data, _ := proto.Marshal(drawCommand(t, a))
+			cmd := drawCommand(t, a)
+			if rapid.Bool().Draw(t, "routes") {
+				cmd = drawRoutesChange(t, a)
+			}
+			if r := cmd.GetApply().GetRequest(); r != nil && rapid.Bool().Draw(t, "check") {
+				_, _ = a.Check(r)
+			}
+			data, _ := proto.Marshal(cmd)
 			if !bytes.Equal(a.Apply(index, data), b.Apply(index, data)) {
 				t.Fatalf("results differ at index %d", index)
 			}
