state: the log and the history hold large sections compressed

A control replica could run out of disk (256 MB) and memory (280 MB) in a storm of small changes of a large section: each change of one weight of 1,400 host routes put 357 KB into the log, on disk, in memory and on the way to each replica, and 357 KB into the history. The log is compacted every 1,000 entries and keeps 500, so it could reach 536 MB; 100 revisions took 36 MB in the history, 36 MB in the log and 36 MB in the state image, of which two copies exist while it is saved. A section at the limit of 1 MiB takes 2.9 times as much.

The replica that proposes a change now compresses its YAML from 4 KiB on. The history keeps the bytes of the log, so no replica compresses on its own and all hold the same bytes, whatever version of the library they have. YAML that is not compressed, in logs and state images of earlier versions, is read as before; it is told apart by its first byte, which YAML cannot have. Replicas of earlier versions cannot read the new entries.

--- a/internal/version/state/caps.go
+++ b/internal/version/state/caps.go
@@ -23,8 +23,9 @@
 			if list[i].Deleted {
 				continue
 			}
-			src, problems := document.ParseAfter(last, team, list[i].Yaml)
-			if len(problems) > 0 {
+			yaml, err := unpack(list[i].Yaml)
+			src, problems := document.ParseAfter(last, team, yaml)
+			if err != nil || len(problems) > 0 {
 				continue // accepted by a version with less strict parsing
 			}
 			last = src
--- a/internal/version/state/change.go
+++ b/internal/version/state/change.go
@@ -212,6 +212,12 @@
 // proposed, but other changes may have been accepted since.
 func (m *Machine) applyChange(index uint64, c *fescuepb.ApplyCommand) *fescuepb.CommandResult {
 	r := c.GetRequest()
+	logged := r.Yaml
+	yaml, err := unpack(logged)
+	if err != nil {
+		return errorResult(errkind.BadRequest, err.Error())
+	}
+	r.Yaml = yaml
 	if err := CheckRequest(r); err != nil {
 		return errorResult(errkind.BadRequest, err.Error())
 	}
@@ -220,7 +226,7 @@
 	}
 	src, res := m.evaluateChange(r)
 	if res == nil {
-		res = m.acceptChange(index, c, src)
+		res = m.acceptChange(index, c, src, logged)
 	}
 	if res.Apply != nil {
 		m.recordOutcome(&fescuepb.ChangeOutcome{
@@ -232,8 +238,9 @@
 	return res
 }
 
-// acceptChange stores the new revision of a section. Src is nil for a deletion.
-func (m *Machine) acceptChange(index uint64, c *fescuepb.ApplyCommand, src *document.Source) *fescuepb.CommandResult {
+// acceptChange stores the new revision of a section. Src is nil for a deletion. Logged
+// is the YAML as the log holds it, possibly packed.
+func (m *Machine) acceptChange(index uint64, c *fescuepb.ApplyCommand, src *document.Source, logged []byte) *fescuepb.CommandResult {
 	r := c.Request
 	s := &fescuepb.Section{
 		Team:           r.Team,
@@ -248,7 +255,7 @@
 	if err := m.storeSection(s, src); err != nil {
 		return errorResult(errkind.Of(err), err.Error())
 	}
-	m.history[r.Team] = append(m.history[r.Team], s)
+	m.history[r.Team] = append(m.history[r.Team], withYAML(s, logged))
 	if list := m.history[r.Team]; len(list) > maxHistory {
 		m.history[r.Team] = append([]*fescuepb.Section(nil), list[len(list)-maxHistory:]...)
 	}
@@ -261,6 +268,14 @@
 	return &fescuepb.CommandResult{Apply: &fescuepb.ApplyReply{Revision: s.Revision, Version: index}}
 }
 
+// withYAML returns a copy of a section with other YAML.
+func withYAML(s *fescuepb.Section, yaml []byte) *fescuepb.Section {
+	return &fescuepb.Section{
+		Team: s.Team, Revision: s.Revision, Yaml: yaml, Author: s.Author, ChangeId: s.ChangeId,
+		AcceptedUnixMs: s.AcceptedUnixMs, Deleted: s.Deleted, Version: s.Version,
+	}
+}
+
 // storeSection stores a new revision of a section. Src is nil for a deletion.
 func (m *Machine) storeSection(s *fescuepb.Section, src *document.Source) error {
 	if src == nil {
@@ -291,8 +306,13 @@
 	}
 }
 
-// EncodeChange returns the encoded command for a change request.
+// EncodeChange returns the encoded command for a change request that Check accepts.
 func EncodeChange(r *fescuepb.ApplyRequest, author string, acceptedUnixMs int64) ([]byte, error) {
+	yaml, err := pack(r.Yaml)
+	if err != nil {
+		return nil, err
+	}
+	r = &fescuepb.ApplyRequest{Team: r.Team, Yaml: yaml, ExpectedRevision: r.ExpectedRevision, ChangeId: r.ChangeId, Delete: r.Delete}
 	return proto.Marshal(&fescuepb.Command{Body: &fescuepb.Command_Apply{Apply: &fescuepb.ApplyCommand{
 		Request: r, Author: author, AcceptedUnixMs: acceptedUnixMs,
 	}}})
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -35,7 +35,7 @@
 type Machine struct {
 	mu            sync.RWMutex
 	view          *view.View
-	history       map[string][]*fescuepb.Section // by team, oldest first
+	history       map[string][]*fescuepb.Section // by team, oldest first, with the YAML as the log held it
 	outcomes      map[outcomeKey]*fescuepb.ChangeOutcome
 	outcomeOrder  []outcomeKey                   // keys of outcomes, oldest first
 	departed      map[string]bool                // instance/incarnation pairs that may not join again
@@ -247,7 +247,11 @@
 	}
 	out := make([]*fescuepb.Section, 0, limit)
 	for i := len(list) - 1; len(out) < limit; i-- {
-		out = append(out, list[i])
+		if yaml, err := unpack(list[i].Yaml); err == nil { // it was read when the revision was accepted
+			out = append(out, withYAML(list[i], yaml))
+		} else {
+			out = append(out, list[i])
+		}
 	}
 	return out
 }
