control: test that a section above the limit is refused for good

The operator's API answers an error of kind BadRequest with status 400, which tells the operator not to send the request again. No test said that Steering gives this kind to a section whose YAML exceeds 1 MiB. The test passes without a change.

--- a/internal/process/control/steering_test.go
+++ b/internal/process/control/steering_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
@@ -61,3 +63,22 @@
 		t.Errorf("unknown data centre: %v", err)
 	}
 }
+
+// Guards against a section above the limit that the operator sends again and again,
+// because the answer doesn't say that it can never be accepted.
+func TestSteeringRefusesLargeSections(t *testing.T) {
+	st := newServer(t, true).Steering()
+	err := st.Change(t.Context(), SerialChange{Team: "operator", Author: "operator", RequestID: "a", Build: func(*document.Section) (*document.Section, error) {
+		s := &document.Section{Team: "operator", Serial: 1}
+		for i := range 10_000 {
+			s.HostRoutes = append(s.HostRoutes, document.HostRoute{
+				Name: fmt.Sprint("route-", i), Host: "rota.example", Prefix: fmt.Sprintf("/%d/", i), Timeout: 2e9,
+				Services: []document.ServicePart{{Service: "rota", Weight: 1}},
+			})
+		}
+		return s, nil
+	}})
+	if errkind.Of(err) != errkind.BadRequest || !strings.Contains(err.Error(), "exceed the limit of 1048576") {
+		t.Errorf("got %v", err)
+	}
+}
