proxy: an answer that waited for its turn has the full time to be written

What callers saw: a caller that sends requests ahead and takes its answers slowly lost its connection one second into an answer that was ready long before, and with it all answers behind that one, although their targets had answered in full. Without the wait before, the same caller has 5 s.

Cause: the 5 s to write a complete answer began when it was ready. While it waits for the earlier answers of its connection, they pass. Since, one second is left from its turn; before that, none.

Change: a complete answer waits for its turn first, and the 5 s begin then. Its slot and its unit are released before, as they were. Streamed answers keep their deadline, because they hold a slot.

Evidence: TestPipelinedAnswersOutlastEarlierOnes, with the connection in memory. "caller reads slowly after a wait" fails without the change ("answer 1: unexpected EOF"), its control "caller reads slowly" passes with and without.

--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -159,7 +159,7 @@
 	}
 	h.Dialect.SetOrigin(rep.header, h.Instance, "", "")
 	defer func() { h.metrics.latency.RecordDuration(h.Now().Sub(start)) }()
-	rep.write(w)
+	rep.write(r.Context(), w)
 }
 
 // withLength prepares rep for an HTTP/1.0 caller. HTTP/1.0 has no chunked
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -10,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
@@ -77,17 +79,18 @@
 }
 
 // writeTimeout is how long it may take to write an answer that is completely
-// buffered.
+// buffered, from when all earlier requests of the connection are answered.
 const writeTimeout = 5 * time.Second
 
 // write sends the reply to the caller. If the answer breaks off after its first
 // byte was sent, write aborts the connection, because the caller must not take a
 // truncated answer for a complete one. A completely buffered answer releases its
-// slot and its unit before it is written.
-func (r *reply) write(w http.ResponseWriter) {
+// slot and its unit before it is written. ctx is the context of the request.
+func (r *reply) write(ctx context.Context, w http.ResponseWriter) {
 	until := r.deadline
 	if r.rest == nil {
 		r.finish(nil)
+		_ = caller.AwaitTurn(ctx) // if ctx has ended, the write waits or fails by itself
 		until = time.Now().Add(writeTimeout)
 	}
 	defer r.finish(http.ErrAbortHandler) // has no effect if finish was called below
