controlmain, platform: a refused look-up says which of three reasons it has

"no confirmed version" stood for a replica that waits for a quorum after its start and for one without any version.

--- a/internal/process/control/controlmain/directory.go
+++ b/internal/process/control/controlmain/directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/base/steady"
+	"github.com/fescuejunction/fescuejunction/internal/process/control/replica"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
@@ -14,29 +15,56 @@
 // callers reach no better one.
 const unconfirmedTimeout = 750 * time.Millisecond
 
+// RefusalReason is why a look-up is refused. Metrics and logs use it.
+type RefusalReason string
+
+// The reasons to refuse a look-up.
+const (
+	RefusalUnconfirmed RefusalReason = "unconfirmed" // no quorum has confirmed the state since the start
+	RefusalNoVersion   RefusalReason = "no_version"  // the replica has no committed version
+	RefusalNoEntry     RefusalReason = "no_entry"    // the version names no entry
+)
+
+// DirectoryState is what a replica answers look-ups from. The other fields explain a refusal.
+type DirectoryState struct {
+	Snapshot  *snapshot.Snapshot // newest committed version; nil if it may not be used
+	Refusal   RefusalReason      // applies if no entry is found
+	Running   time.Duration      // since the start of the replica
+	Confirmed bool               // a quorum has confirmed the state since the start
+	Replica   replica.Status
+}
+
 // directoryView gives look-ups the newest committed version. What a replica has on its disk
 // when it starts may name entries that have left since.
 type directoryView struct {
 	current   func() *snapshot.Snapshot
 	confirmed func() bool // a quorum has confirmed the state since the start
+	status    func() replica.Status
 	now       func() time.Time
 	startedAt time.Time
 	usable    atomic.Bool
 }
 
 func newDirectoryView(p *process) *directoryView {
-	v := &directoryView{current: p.leadership.Snapshot, now: steady.Now, startedAt: steady.Now()}
+	v := &directoryView{current: p.leadership.Snapshot, status: p.replica.Status, now: steady.Now, startedAt: steady.Now()}
 	v.confirmed = func() bool { return p.server.ConfirmedWithin(steady.Since(v.startedAt)) }
 	return v
 }
 
-// snapshot returns the newest committed version, or nil if there is none that may be used.
-func (v *directoryView) snapshot() *snapshot.Snapshot {
-	if !v.usable.Load() {
-		if !v.confirmed() && v.now().Sub(v.startedAt) < unconfirmedTimeout {
-			return nil
-		}
+// state returns the newest committed version, if there is one that may be used.
+func (v *directoryView) state() DirectoryState {
+	s := DirectoryState{Running: v.now().Sub(v.startedAt), Confirmed: v.confirmed(), Replica: v.status()}
+	if !v.usable.Load() && (s.Confirmed || s.Running >= unconfirmedTimeout) {
 		v.usable.Store(true)
 	}
-	return v.current()
+	snap := v.current()
+	switch {
+	case !v.usable.Load():
+		s.Refusal = RefusalUnconfirmed
+	case snap == nil || snap.Version == 0: // version 0 stands for the time before the first one
+		s.Refusal = RefusalNoVersion
+	default:
+		s.Snapshot, s.Refusal = snap, RefusalNoEntry
+	}
+	return s
 }
--- a/internal/process/control/controlmain/extension.go
+++ b/internal/process/control/controlmain/extension.go
@@ -8,7 +8,6 @@
 	"github.com/fescuejunction/fescuejunction/internal/base/httpserve"
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/process/control"
-	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
@@ -18,10 +17,9 @@
 type Extension struct {
 	// Operator returns the handler for Settings.OperatorAddr.
 	Operator func(st control.Steering, log *logrus.Entry) http.Handler
-	// Directory returns the handler for Settings.DirectoryAddr. snap returns the
-	// newest committed version, or nil before the first one and, after a start, until
-	// it is confirmed.
-	Directory func(snap func() *snapshot.Snapshot, log *logrus.Entry, metrics tally.Scope) http.Handler
+	// Directory returns the handler for Settings.DirectoryAddr. state returns the
+	// newest committed version, or why there is none to answer from.
+	Directory func(state func() DirectoryState, log *logrus.Entry, metrics tally.Scope) http.Handler
 	// Targets returns the source of the platform's list of targets.
 	Targets func(s *Settings, log *logrus.Entry) TargetSource
 }
--- a/internal/process/control/controlmain/run.go
+++ b/internal/process/control/controlmain/run.go
@@ -116,7 +116,7 @@
 		group.Go(func() error { return serveHTTP(ctx, p.settings.OperatorAddr, h, p.log) })
 	}
 	if ext.Directory != nil {
-		h := ext.Directory(newDirectoryView(p).snapshot, p.log, scope)
+		h := ext.Directory(newDirectoryView(p).state, p.log, scope)
 		group.Go(func() error { return serveHTTP(ctx, p.settings.DirectoryAddr, h, p.log) })
 	}
 	if ext.Targets != nil {
