controlmain, platform: after a start, look-ups wait up to 500 ms for a confirmed state

When all control replicas have been restarted, each of them refuses look-ups until an election or for 750 ms, so the caller gets refusals from all three replicas that it tries. It allows each of them one second. A look-up that finds the state unconfirmed now waits up to 500 ms for it, and is refused only afterwards. Replicas without a version and versions without an entry are still refused at once. What may be answered, and from when, is unchanged.

After a restart of a single replica a look-up waits for it until the leader's heartbeat, instead of going to the next replica at once.

--- a/internal/process/control/controlmain/directory.go
+++ b/internal/process/control/controlmain/directory.go
@@ -1,6 +1,7 @@
 package controlmain
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,15 @@
 // callers reach no better one.
 const unconfirmedTimeout = 750 * time.Millisecond
 
+const (
+	// maxLookupWait is how long a look-up waits for a state that may be used. Callers allow
+	// one second, of which a new connection and the answer take up to 220 ms from another
+	// region.
+	maxLookupWait = 500 * time.Millisecond
+	// lookupWaitInterval is how often a look-up that waits checks the state.
+	lookupWaitInterval = 10 * time.Millisecond
+)
+
 // RefusalReason is why a look-up is refused. Metrics and logs use it.
 type RefusalReason string
 
@@ -41,18 +51,32 @@
 	confirmed func() bool // a quorum has confirmed the state since the start
 	status    func() replica.Status
 	now       func() time.Time
+	sleep     func(time.Duration)
 	startedAt time.Time
 	usable    atomic.Bool
 }
 
 func newDirectoryView(p *process) *directoryView {
-	v := &directoryView{current: p.leadership.Snapshot, status: p.replica.Status, now: steady.Now, startedAt: steady.Now()}
+	v := &directoryView{current: p.leadership.Snapshot, status: p.replica.Status, now: steady.Now, sleep: time.Sleep, startedAt: steady.Now()}
 	v.confirmed = func() bool { return p.server.ConfirmedWithin(steady.Since(v.startedAt)) }
 	return v
 }
 
-// state returns the newest committed version, if there is one that may be used.
-func (v *directoryView) state() DirectoryState {
+// state returns the newest committed version, if there is one that may be used. Shortly after
+// a start it waits up to maxLookupWait for it, or until ctx ends: after a restart of all
+// replicas the caller would be refused by the next ones too.
+func (v *directoryView) state(ctx context.Context) DirectoryState {
+	for end := v.now().Add(maxLookupWait); ; {
+		s := v.stateNow()
+		if s.Refusal != RefusalUnconfirmed || ctx.Err() != nil || !v.now().Before(end) {
+			return s
+		}
+		v.sleep(lookupWaitInterval)
+	}
+}
+
+// stateNow returns the same as state without waiting.
+func (v *directoryView) stateNow() DirectoryState {
 	s := DirectoryState{Running: v.now().Sub(v.startedAt), Confirmed: v.confirmed(), Replica: v.status()}
 	if !v.usable.Load() && (s.Confirmed || s.Running >= unconfirmedTimeout) {
 		v.usable.Store(true)
--- a/internal/process/control/controlmain/extension.go
+++ b/internal/process/control/controlmain/extension.go
@@ -18,8 +18,9 @@
 	// Operator returns the handler for Settings.OperatorAddr.
 	Operator func(st control.Steering, log *logrus.Entry) http.Handler
 	// Directory returns the handler for Settings.DirectoryAddr. state returns the
-	// newest committed version, or why there is none to answer from.
-	Directory func(state func() DirectoryState, log *logrus.Entry, metrics tally.Scope) http.Handler
+	// newest committed version, or why there is none to answer from. It may wait up to
+	// 500 ms, until its context ends.
+	Directory func(state func(context.Context) DirectoryState, log *logrus.Entry, metrics tally.Scope) http.Handler
 	// Targets returns the source of the platform's list of targets.
 	Targets func(s *Settings, log *logrus.Entry) TargetSource
 }
