--- a/internal/process/entry/follow/large_updates_test.go
+++ b/internal/process/entry/follow/large_updates_test.go
@@ -74,19 +74,6 @@
 	}
 }
 
-func newRunningSiteOf(t *testing.T, entries, routes int) *site {
-	s := newSite(t, routes)
-	s.startEntries(entries)
-	s.run(30 * time.Second)
-	for _, e := range s.entries {
-		if !e.Confirmed() || versionInForce(e.Follower) != s.control.machine.Version() {
-			t.Fatalf("%s has not the newest version in force on a wide link", e.name)
-		}
-	}
-	s.narrow()
-	return s
-}
-
 // setShifts replaces a section of 20,000 shifts, 0.9 MB, of which the last has a cap.
 func (s *site) setShifts(t *testing.T, revision uint64, last int) change {
 	var y bytes.Buffer
--- a/internal/process/entry/follow/narrow_link_test.go
+++ b/internal/process/entry/follow/narrow_link_test.go
@@ -172,9 +172,12 @@
 
 // newRunningSite returns a site whose entries follow their sources and have all routes
 // in force. The links of the entries are narrow from then on.
-func newRunningSite(t *testing.T, routes int) *site {
+func newRunningSite(t *testing.T, routes int) *site { return newRunningSiteOf(t, entryCount, routes) }
+
+// newRunningSiteOf is newRunningSite with a number of entries.
+func newRunningSiteOf(t *testing.T, entries, routes int) *site {
 	s := newSite(t, routes)
-	s.startEntries(entryCount)
+	s.startEntries(entries)
 	s.run(30 * time.Second)
 	for _, e := range s.entries {
 		if !e.Confirmed() || versionInForce(e.Follower) != s.control.machine.Version() {
--- a/internal/version/view/pages_test.go
+++ b/internal/version/view/pages_test.go
@@ -7,15 +7,19 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 )
 
-func largeView() *View {
+// largeView has the size of 1,000 instances.
+func largeView() *View { return viewOf(1000, 5000, 10000) }
+
+// viewOf returns a view with so many objects, and a target that changed last.
+func viewOf(members, targets, routes int) *View {
 	v := New()
-	for i := range 1000 {
+	for i := range members {
 		v.SetMember(&fescuepb.Member{Instance: fmt.Sprintf("entry-south-%d", i), GrpcAddr: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256), DataCentre: "dc1", Region: "south", ChangedVersion: uint64(1 + i)})
 	}
-	for i := range 5000 {
+	for i := range targets {
 		v.SetTarget(&fescuepb.Target{Id: fmt.Sprintf("target-%06d", i), Service: "roster", DataCentre: "dc1", ChangedVersion: uint64(1001 + i)})
 	}
-	for i := range 10000 {
+	for i := range routes {
 		v.setRoute(&fescuepb.HostRoute{Team: "rota", Name: fmt.Sprintf("r-%06d", i), Host: "rota.example", Prefix: fmt.Sprintf("/p%06d/", i), ChangedVersion: 7000,
 			Services: []*fescuepb.ServicePart{{Service: "rota", Weight: 1}}})
 	}
