--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -81,8 +81,21 @@
 // requestServers returns the servers for requests of callers and for requests that
 // other entries forward.
 func (p *process) requestServers() (callers, peers *caller.Server) {
+	return p.serversOf(p.proxyConfig(), p.lookupConfig())
+}
+
+func (p *process) serversOf(requests proxy.Config, lookups lookup.Config) (callers, peers *caller.Server) {
+	callerHandler, peerHandler := proxy.New(requests, false), proxy.New(requests, true)
+	mux := http.NewServeMux()
+	mux.Handle("GET /lookup", lookup.New(lookups))
+	mux.Handle("/", callerHandler)
+	return p.requestServer(mux, p.callerLimits, callerHandler), p.requestServer(peerHandler, p.peerLimits, peerHandler)
+}
+
+// proxyConfig returns the dependencies of the handlers of requests.
+func (p *process) proxyConfig() proxy.Config {
 	targets := p.targetTransport()
-	cfg := proxy.Config{
+	return proxy.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
 		Ready: p.ready, Confirmed: p.follower.Confirmed, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
@@ -92,15 +105,14 @@
 		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
 		Now:      time.Now, Log: p.log, Metrics: p.scope,
 	}
-	lookups := lookup.New(lookup.Config{
+}
+
+// lookupConfig returns the dependencies of the handler of look-ups.
+func (p *process) lookupConfig() lookup.Config {
+	return lookup.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Blocks: &p.blocks,
 		Ready: p.follower.Ready, Stopping: p.stopping, Dispatcher: p.groups.DispatchingEntry, Usable: p.groups.Usable,
 		KeyToken: func(service string) string { return p.groups.Group(service).Token },
 		Metrics:  p.scope,
-	})
-	mux := http.NewServeMux()
-	mux.Handle("GET /lookup", lookups)
-	callerHandler, peerHandler := proxy.New(cfg, false), proxy.New(cfg, true)
-	mux.Handle("/", callerHandler)
-	return p.requestServer(mux, p.callerLimits, callerHandler), p.requestServer(peerHandler, p.peerLimits, peerHandler)
+	}
 }
