entry: route every path of a routed host, look-ups and unclean paths included

Callers saw: on a host with a route for all of its paths, GET and HEAD /lookup were answered by the entry itself: 200 without the target's stamp, with the addresses of the system's entries, or 404. Paths with "//", "/./" or "/../" got 307 to another path.

Cause: the server for callers was an http.ServeMux with the product's look-up. It selects by path before any route by host is looked up, and it cleans and redirects paths. Class of fault: a part of the process interprets the target of a caller's request before the routes do.

Evidence: the bodies are those of package lookup (the 404 has no request_id, which every refusal of package proxy has), and the entry logs no line for these requests.

Change: a handler without a multiplexer. A look-up is answered only on a host of the entry itself (addresses, localhost, own_hosts) that has no routes. With need_host_routes no host is the entry's own unless own_hosts lists it, so the answer does not depend on the version of the document in force.

Why it works: own hosts are selected by the settings, and everything else reaches the routes with the target as the caller sent it.

--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -14,13 +14,17 @@
 	Region         string `yaml:"region"`
 	DataCentre     string `yaml:"data_centre"`
 	settings.Ports `yaml:",inline"`
-	CallerAddr     string   `yaml:"caller_addr"`           // HTTP for callers
-	HealthAddr     string   `yaml:"health_addr,omitempty"` // HTTP for GET /healthz only
-	PeerAddr       string   `yaml:"peer_addr,omitempty"`   // HTTP for other entries
-	GRPCAddr       string   `yaml:"grpc_addr,omitempty"`
-	AdminAddr      string   `yaml:"admin_addr,omitempty"`
-	MetricsAddr    string   `yaml:"metrics_addr,omitempty"` // HTTP for /metrics only; if empty, /metrics is served only at admin_addr
-	Control        []string `yaml:"control,omitempty"`      // gRPC addresses of the control replicas
+	CallerAddr     string `yaml:"caller_addr"` // HTTP for callers
+	// OwnHosts are further hosts, without a port, under which callers use the entry itself:
+	// for look-ups and for services by name. They always use IP addresses and localhost for
+	// this, unless NeedHostRoutes is set. All other hosts have host routes only.
+	OwnHosts    []string `yaml:"own_hosts,omitempty"`
+	HealthAddr  string   `yaml:"health_addr,omitempty"` // HTTP for GET /healthz only
+	PeerAddr    string   `yaml:"peer_addr,omitempty"`   // HTTP for other entries
+	GRPCAddr    string   `yaml:"grpc_addr,omitempty"`
+	AdminAddr   string   `yaml:"admin_addr,omitempty"`
+	MetricsAddr string   `yaml:"metrics_addr,omitempty"` // HTTP for /metrics only; if empty, /metrics is served only at admin_addr
+	Control     []string `yaml:"control,omitempty"`      // gRPC addresses of the control replicas
 	// Seeds are addresses of some control replicas. Their gRPC port is derived
 	// from the port range, whatever port an address has. Seeds cannot be combined
 	// with Control.
@@ -29,9 +33,9 @@
 	// PlatformURL is the URL of the platform's list of instances. Without it, only
 	// services with guarded_slots have targets.
 	PlatformURL string `yaml:"platform_url,omitempty"`
-	// NeedHostRoutes keeps the entry from serving until the document contains host
-	// routes. Before that, the entry could not distinguish an unknown host from a
-	// missing document.
+	// NeedHostRoutes states that all requests are on host routes. It keeps the entry from
+	// serving until the document contains host routes. Before that, the entry could not
+	// distinguish an unknown host from a missing document.
 	NeedHostRoutes bool   `yaml:"need_host_routes,omitempty"`
 	BlocksFile     string `yaml:"blocks,omitempty"` // file with client blocks as text, used until control provides them
 	MemoryLimit    int    `yaml:"memory_limit_mib,omitempty"`
@@ -84,6 +88,7 @@
 		c.Add([]any{"platform_url"}, "a value is required unless need_host_routes is set")
 	}
 	c.Addr(s.CallerAddr, false, "caller_addr")
+	s.checkOwnHosts(c)
 	c.OptionalAddr(s.HealthAddr, "health_addr")
 	c.Addr(s.PeerAddr, s.TLS.PlaintextLoopback, "peer_addr")
 	c.Addr(s.GRPCAddr, s.TLS.PlaintextLoopback, "grpc_addr")
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -85,11 +85,9 @@
 }
 
 func (p *process) serversOf(requests proxy.Config, lookups lookup.Config) (callers, peers *caller.Server) {
-	callerHandler, peerHandler := proxy.New(requests, false), proxy.New(requests, true)
-	mux := http.NewServeMux()
-	mux.Handle("GET /lookup", lookup.New(lookups))
-	mux.Handle("/", callerHandler)
-	return p.requestServer(mux, p.callerLimits, callerHandler), p.requestServer(peerHandler, p.peerLimits, peerHandler)
+	forCallers, forPeers := proxy.New(requests, false), proxy.New(requests, true)
+	handler := &callerHandler{lookups: lookup.New(lookups), requests: forCallers, store: p.store, ownHost: p.settings.ownHost}
+	return p.requestServer(handler, p.callerLimits, forCallers), p.requestServer(forPeers, p.peerLimits, forPeers)
 }
 
 // proxyConfig returns the dependencies of the handlers of requests.
--- a/internal/request/lookup/lookup.go
+++ b/internal/request/lookup/lookup.go
@@ -19,6 +19,9 @@
 	"github.com/uber-go/tally/v4"
 )
 
+// Path is the path of a look-up.
+const Path = "/lookup"
+
 // maxEntries bounds the entries in a response.
 const maxEntries = 8
 
