proxy: select the route of a host by the path as it was sent

Cause: the path was decoded before the prefixes of the host were compared with it. The same class of fault as the look-up: a part of the process interprets the target before the routes do. The prefix that begins the path as sent decides; whether an escape equals its character, only the target of the request knows.

Change: host routes match the path without the query, byte for byte (RFC 3986, section 6.2.1). Routes of a service, which callers address by its name, still match the decoded path, as their at-most-once rules need it.

--- a/internal/process/entry/routed_host_test.go
+++ b/internal/process/entry/routed_host_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,7 +36,7 @@
 
 // routedPrefixes are the prefixes of the routes of each routed host. Each has a service of
 // its own, so that the target that gets a request tells which route was selected.
-var routedPrefixes = []string{"/", "/lookup/", "/chairs/", "/chairs//", "/chairs/../", "/" + ownService + "/"}
+var routedPrefixes = []string{"/", "/lookup/", "/chairs/", "/chairs//", "/chairs/../", "/a%20b/", "/%E0%B4%B0/", "/" + ownService + "/"}
 
 // The routed hosts. The targets of nearHost and addressHost are in data centre a, where
 // callers send their requests; those of farHost are in data centre b, which has another
@@ -59,6 +60,12 @@
 	"/" + strings.Repeat("x/", 500),
 }
 
+// escapedPaths are paths that a library would decode.
+var escapedPaths = []string{
+	"/%6cookup", "/lookup%3Fservice=near-0", "/chairs/%2e%2e/17", "/chairs/%2E./17", "/chairs%2F17", "/chairs%2f17/handover", "/%63hairs/17", "/chairs%2F/17",
+	"/chairs%252F17", "/a%20b/c", "/a%20b", "/%E0%B4%B0/x", "/%e0%b4%b0/x", "/%e0", "/%00", "/%25", "/%7Eu",
+}
+
 var (
 	methodsWithBody    = []string{"POST", "PUT", "PATCH", "DELETE", "PROPFIND", "QUERY"}
 	methodsWithoutBody = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PURGE", "get", "LOOKUP", "POST", "DELETE"}
@@ -116,7 +123,7 @@
 
 // shapes returns all requests for a host: each path with each method, in both forms.
 func shapes(host string) (out []shape) {
-	for _, path := range ownPaths {
+	for _, path := range slices.Concat(ownPaths, escapedPaths) {
 		for _, absolute := range []bool{false, true} {
 			for _, method := range methodsWithoutBody {
 				out = append(out, shape{method: method, host: host, path: path, absolute: absolute})
@@ -133,7 +140,7 @@
 func drawShape(t *rapid.T) shape {
 	s := shape{host: rapid.SampledFrom([]string{nearHost, farHost, addressHost}).Draw(t, "host"), absolute: rapid.Bool().Draw(t, "absolute")}
 	pieces := rapid.SliceOfN(rapid.SampledFrom([]string{
-		"/", "/", "/", ".", "..", "lookup", ownService, "chairs", "near-0", "healthz", "x", ";", ":", "@", "*", "://", "?", "?service=near-0", "&",
+		"/", "/", "/", ".", "..", "%2e", "%2F", "%2f", "lookup", "%6cookup", "%00", "%25", "a%20b", "%E0%B4%B0", ownService, "chairs", "near-0", "healthz", "x", ";", ":", "@", "*", "://", "?", "?service=near-0", "&",
 	}), 0, 8).Draw(t, "path")
 	s.path = "/" + strings.Join(pieces, "")
 	s.method = rapid.SampledFrom(methodsWithoutBody).Draw(t, "method")
@@ -364,7 +371,7 @@
 // Guards against an entry, or a library that it uses, that takes part of the requests of a
 // routed host for its own: answers or redirects them, changes them, or sends them to
 // another service than that of the longest prefix that begins the path. The product's
-// look-up and the cleaning of paths had this fault.
+// look-up, the cleaning of paths and the decoding of escapes had this fault.
 func TestRequestsOfRoutedHostReachTheirRoute(t *testing.T) {
 	for _, needHostRoutes := range []bool{false, true} {
 		s := newRoutedSystem(t, needHostRoutes)
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -14,6 +14,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
 	"github.com/fescuejunction/fescuejunction/internal/request/spill"
+	"github.com/fescuejunction/fescuejunction/internal/request/uri"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 	"github.com/oklog/ulid/v2"
 )
@@ -230,9 +231,8 @@
 // host and path if the host has routes. Otherwise it is a route of the service
 // that the caller or the path names.
 func (h *Handler) findRoute(c *call, named string) error {
-	host, path := hostName(c.host), routePath(c.path)
-	if route := c.snap.HostRoute(host, path); route != nil {
-		c.route = route
+	host, path := hostName(c.host), uri.Path(c.path)
+	if c.route = c.snap.HostRoute(host, path); c.route != nil {
 		return h.chooseService(c)
 	}
 	if c.snap.HasHost(host) {
@@ -241,7 +241,7 @@
 	if err := c.findService(named); err != nil {
 		return err
 	}
-	path = routePath(c.path)
+	path = decodedPath(c.path)
 	c.route = c.service.Route(c.method, path)
 	if c.route == nil {
 		return errkind.New(errkind.UnknownRoute, "service %q has no route for %s %s", c.service.Name, c.method, path)
@@ -294,11 +294,11 @@
 	return nil
 }
 
-// routePath returns the path without the query, decoded as the target decodes
+// decodedPath returns the path without the query, decoded as the target decodes
 // it. Without the decoding, a caller could avoid the rules of an at-most-once
-// route by escaping characters of its path.
-func routePath(requestURI string) string {
-	path, _, _ := strings.Cut(requestURI, "?")
+// route of a service by escaping characters of its path.
+func decodedPath(target string) string {
+	path := uri.Path(target)
 	if decoded, err := url.PathUnescape(path); err == nil {
 		return decoded
 	}
