proxy: forward the target of a request in absolute form unchanged

Callers saw: with a target in absolute form, characters that a library encodes reached the target of the request encoded (/x#f as /x%23f, /a|b as /a%7Cb), and could select another route. CONNECT near.example:80, which has no path, reached the target as CONNECT /.

Cause: the path of a target that is not in origin form was built anew from the parsed URL.

Change: package uri reads the target from the request line. Only scheme and authority are removed; an empty path is "/" (RFC 9110, section 4.2.3). A target without a path is on no route and gets 404. The target is not parsed again when it is sent on.

--- a/internal/process/entry/routed_host_test.go
+++ b/internal/process/entry/routed_host_test.go
@@ -23,6 +23,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/connection/caller"
 	"github.com/fescuejunction/fescuejunction/internal/connection/peer"
 	"github.com/fescuejunction/fescuejunction/internal/connection/target"
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/process/entry/lifecycle"
 	"github.com/fescuejunction/fescuejunction/internal/process/shared/budget"
 	"github.com/fescuejunction/fescuejunction/internal/request/dialect"
@@ -66,6 +67,9 @@
 	"/chairs%252F17", "/a%20b/c", "/a%20b", "/%E0%B4%B0/x", "/%e0%b4%b0/x", "/%e0", "/%00", "/%25", "/%7Eu",
 }
 
+// unescapedPaths are paths that a library would encode.
+var unescapedPaths = []string{"/\u0d30/x", "/x#f", "/a\"b", "/a|b", "/a\\b", "/a^b", "/{id}", "/[1]", "/<x>", "/`x`"}
+
 var (
 	methodsWithBody    = []string{"POST", "PUT", "PATCH", "DELETE", "PROPFIND", "QUERY"}
 	methodsWithoutBody = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PURGE", "get", "LOOKUP", "POST", "DELETE"}
@@ -123,7 +127,7 @@
 
 // shapes returns all requests for a host: each path with each method, in both forms.
 func shapes(host string) (out []shape) {
-	for _, path := range slices.Concat(ownPaths, escapedPaths) {
+	for _, path := range slices.Concat(ownPaths, escapedPaths, unescapedPaths) {
 		for _, absolute := range []bool{false, true} {
 			for _, method := range methodsWithoutBody {
 				out = append(out, shape{method: method, host: host, path: path, absolute: absolute})
@@ -140,7 +144,7 @@
 func drawShape(t *rapid.T) shape {
 	s := shape{host: rapid.SampledFrom([]string{nearHost, farHost, addressHost}).Draw(t, "host"), absolute: rapid.Bool().Draw(t, "absolute")}
 	pieces := rapid.SliceOfN(rapid.SampledFrom([]string{
-		"/", "/", "/", ".", "..", "%2e", "%2F", "%2f", "lookup", "%6cookup", "%00", "%25", "a%20b", "%E0%B4%B0", ownService, "chairs", "near-0", "healthz", "x", ";", ":", "@", "*", "://", "?", "?service=near-0", "&",
+		"/", "/", "/", ".", "..", "%2e", "%2F", "%2f", "lookup", "%6cookup", "%00", "%25", "a%20b", "%E0%B4%B0", "\u0d30", "#", "\"", "\\", ownService, "chairs", "near-0", "healthz", "x", ";", ":", "@", "*", "://", "?", "?service=near-0", "&",
 	}), 0, 8).Draw(t, "path")
 	s.path = "/" + strings.Join(pieces, "")
 	s.method = rapid.SampledFrom(methodsWithoutBody).Draw(t, "method")
@@ -404,6 +408,21 @@
 	}
 }
 
+// expectUnserved sends a request that must be refused with one of the given kinds.
+func (s *routedSystem) expectUnserved(r shape, kinds []errkind.Kind) {
+	s.Helper()
+	s.requests++
+	resp, body, err := s.send(r.method, r.encode(fmt.Sprintf("r%d", s.requests)))
+	if err != nil {
+		s.Fatalf("%v: %v", r, err)
+	}
+	var refusal struct{ Kind errkind.Kind }
+	_ = json.Unmarshal([]byte(body), &refusal) // another body has no kind
+	if !slices.Contains(kinds, refusal.Kind) || resp.Header.Get(dialect.HeaderNotRun) != "true" {
+		s.Errorf("%v: answered %d %s, want one of %v", r, resp.StatusCode, body, kinds)
+	}
+}
+
 // Guards against the loss of the entry's own interface: look-ups on its own hosts.
 func TestLookupsOnOwnHosts(t *testing.T) {
 	s := newRoutedSystem(t, false)
@@ -421,3 +440,17 @@
 		}
 	}
 }
+
+// Guards against a request without a path that reaches a target with a path that the caller
+// did not send.
+func TestTargetsWithoutPathAreOnNoRoute(t *testing.T) {
+	s := newRoutedSystem(t, false)
+	s.use(s.first, 7, routedDocument(nearHost))
+	for _, r := range []shape{{method: "OPTIONS", path: "*"}, {method: "GET", path: "*"}, {method: "CONNECT", path: nearHost + ":80"}} {
+		r.host = nearHost
+		s.expectUnserved(r, []errkind.Kind{errkind.UnknownRoute})
+	}
+	if n := s.seen.Load(); n > 0 {
+		t.Errorf("%d requests reached a target", n)
+	}
+}
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -127,15 +127,7 @@
 }
 
 func newCall(r *http.Request, snap *snapshot.Snapshot, now time.Time) *call {
-	return &call{snap: snap, received: now, method: r.Method, host: r.Host, path: requestTarget(r), header: r.Header}
-}
-
-// requestTarget returns path and query exactly as the caller sent them.
-func requestTarget(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
+	return &call{snap: snap, received: now, method: r.Method, host: r.Host, path: uri.Target(r), header: r.Header}
 }
 
 // requestID returns the identifier that a caller has given if it is valid, or
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -113,19 +113,14 @@
 
 // request returns the HTTP request to send.
 func (x *exchange) request(ctx context.Context, c *call) (*http.Request, error) {
-	u, err := url.ParseRequestURI(c.path)
-	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "parse request path")
-	}
-	// Opaque keeps path and query exactly as the caller sent them.
-	u.Scheme, u.Host, u.Opaque, u.RawQuery, u.ForceQuery = "http", x.addr, c.path, "", false
 	// The address is not parsed here: an invalid one fails when it is dialled, as one
 	// that cannot be reached, and is not the caller's fault.
 	req, err := http.NewRequestWithContext(ctx, c.method, placeholderURL, x.body(c))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "create request to %q", x.addr)
 	}
-	req.URL, req.Host = u, x.host
+	// Opaque keeps path and query exactly as the caller sent them.
+	req.URL, req.Host = &url.URL{Scheme: "http", Host: x.addr, Opaque: c.path}, x.host
 	req.ContentLength = int64(len(c.body))
 	req.GetBody = nil
 	req.Header = x.header
