proxy: do not take a request of an unknown host for one of a named service

Callers saw: while an entry has not heard of a new host's routes, /rota/chairs on that host ran at the service rota if the document has one that callers address by name, with the path /chairs. The same at an entry to which another one forwards the request.

Cause: for a host without routes, the first path segment or a header names the service, whatever the host is.

A forwarded request states whether a host route was selected. An entry without that host answers 404, or 503 if its version is not confirmed or is older than that of the forwarding entry.

TestRequestsOfUnknownHostReachNothing covers look-ups and named services on each version that an entry may have, at the first entry and at the second.

--- a/internal/process/entry/routed_host_test.go
+++ b/internal/process/entry/routed_host_test.go
@@ -144,7 +144,8 @@
 func drawShape(t *rapid.T) shape {
 	s := shape{host: rapid.SampledFrom([]string{nearHost, farHost, addressHost}).Draw(t, "host"), absolute: rapid.Bool().Draw(t, "absolute")}
 	pieces := rapid.SliceOfN(rapid.SampledFrom([]string{
-		"/", "/", "/", ".", "..", "%2e", "%2F", "%2f", "lookup", "%6cookup", "%00", "%25", "a%20b", "%E0%B4%B0", "\u0d30", "#", "\"", "\\", ownService, "chairs", "near-0", "healthz", "x", ";", ":", "@", "*", "://", "?", "?service=near-0", "&",
+		"/", "/", "/", ".", "..", "%2e", "%2F", "%2f", "lookup", "%6cookup", ownService, "chairs", "a%20b", "%E0%B4%B0", "\u0d30", "near-0", "healthz",
+		"x", ";", ":", "@", "*", "%00", "%25", "#", "\"", "\\", "://", "?", "?service=near-0", "&",
 	}), 0, 8).Draw(t, "path")
 	s.path = "/" + strings.Join(pieces, "")
 	s.method = rapid.SampledFrom(methodsWithoutBody).Draw(t, "method")
@@ -408,6 +409,47 @@
 	}
 }
 
+// Guards against an entry that takes requests of a host for its own, or for a service that
+// it names in the first path segment, while it has not heard of the host's routes.
+func TestRequestsOfUnknownHostReachNothing(t *testing.T) {
+	known := []string{nearHost, farHost, addressHost}
+	unknownHere, unknownThere := []errkind.Kind{errkind.UnknownRoute, errkind.NotReady}, []errkind.Kind{errkind.NotReady, errkind.NoTarget}
+	for _, tc := range []struct {
+		name           string
+		needHostRoutes bool
+		first, second  []string // routed hosts in the version of each entry; nil: it has no version
+		hosts          []string // of the requests
+		kinds          []errkind.Kind
+	}{
+		{"no version", true, nil, known, known, unknownHere},
+		{"no version, own callers", false, nil, known, []string{nearHost, farHost}, unknownHere},
+		{"no host routes yet", true, []string{}, known, known, unknownHere},
+		{"no host routes yet, own callers", false, []string{}, known, []string{nearHost, farHost}, unknownHere},
+		{"other hosts only", true, []string{farHost}, known, []string{nearHost, addressHost}, unknownHere},
+		{"other hosts only, own callers", false, []string{farHost}, known, []string{nearHost}, unknownHere},
+		{"other hosts only at the other entry", true, known, []string{nearHost}, []string{farHost}, unknownThere},
+		{"no host routes at the other entry, own callers", false, known, []string{}, []string{farHost}, unknownThere},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newRoutedSystem(t, tc.needHostRoutes)
+			if tc.first != nil {
+				s.use(s.first, 7-uint64(len(known)-len(tc.first)), routedDocument(tc.first...))
+			}
+			s.use(s.second, 7-uint64(len(known)-len(tc.second)), routedDocument(tc.second...))
+			for _, host := range tc.hosts {
+				for _, r := range shapes(host) {
+					if r.method == "GET" || r.method == "POST" && r.body != "" && !r.absolute {
+						s.expectUnserved(r, tc.kinds)
+					}
+				}
+			}
+			if n := s.seen.Load(); n > 0 {
+				t.Errorf("%d requests reached a target", n)
+			}
+		})
+	}
+}
+
 // expectUnserved sends a request that must be refused with one of the given kinds.
 func (s *routedSystem) expectUnserved(r shape, kinds []errkind.Kind) {
 	s.Helper()
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -98,6 +98,7 @@
 		Ready: p.ready, Confirmed: p.follower.Confirmed, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:   p.regionShares(),
+		OwnHost:  p.settings.ownHost,
 		Services: &proxy.ServiceStates{}, SharedRetries: p.sharedRetryPolicy(), Announced: p.announced, Targets: targets, Peers: p.peerTransport(),
 		Bodies: proxy.NewBodyMemory(bodyMemoryLimit(p.settings)), Answers: proxy.NewBodyMemory(proxy.DefaultAnswerMemory),
 		Suspects: &proxy.Suspects{Table: p.suspects, Crashed: targets.Crashed, Report: p.reporter.report},
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -61,6 +61,7 @@
 	hops              int           // how often the request was forwarded
 	forwardedBy       string        // instance that forwarded the request, "" if it came from a caller
 	forwardedService  string        // service that the forwarding instance has selected
+	onHostRoute       bool          // the forwarding instance has selected a host route
 	callerTimeout     time.Duration // how long the caller waits, 0 if it is not stated
 	forwardedTimeLeft time.Duration // time left until the deadline, as the forwarding instance states it
 	forwardedVersion  uint64        // version of the steering document in force at the forwarding instance
@@ -190,6 +191,7 @@
 		c.id = id
 	}
 	c.forwardedService = h.Get(headerService)
+	c.onHostRoute = h.Get(headerHostRoute) != ""
 	c.sends = readSends(h)
 	c.forwardedTimeLeft, _ = dialect.Milliseconds(h.Get(headerLeft))        // if it is missing, the caller's timeout applies
 	c.forwardedVersion, _ = strconv.ParseUint(h.Get(headerVersion), 10, 64) // if it is missing, notReadyIfBehind keeps its error
@@ -219,17 +221,20 @@
 	return err
 }
 
-// findRoute selects the route and the service of a request. The route is that of
-// host and path if the host has routes. Otherwise it is a route of the service
-// that the caller or the path names.
+// findRoute selects the route and the service of a request. A host with routes has no
+// other requests. On other hosts, the caller or the path names the service and the route is
+// one of the service, unless the host may have routes in another version.
 func (h *Handler) findRoute(c *call, named string) error {
-	host, path := hostName(c.host), uri.Path(c.path)
+	host, path := uri.HostName(c.host), uri.Path(c.path)
 	if c.route = c.snap.HostRoute(host, path); c.route != nil {
 		return h.chooseService(c)
 	}
 	if c.snap.HasHost(host) {
 		return errkind.New(errkind.UnknownRoute, "host %q has no route for %s", host, path)
 	}
+	if !h.namesServices(c, host) {
+		return errkind.New(errkind.UnknownRoute, "host %q has no routes and is not a host of the entry itself", host)
+	}
 	if err := c.findService(named); err != nil {
 		return err
 	}
@@ -241,10 +246,13 @@
 	return nil
 }
 
-// hostName returns the host of a Host header in lower case and without a port.
-func hostName(host string) string {
-	name, _, _ := strings.Cut(host, ":")
-	return strings.ToLower(name)
+// namesServices reports whether requests for a host without routes name their service. The
+// instance that forwards a request has decided this for its own hosts.
+func (h *Handler) namesServices(c *call, host string) bool {
+	if c.hops > 0 {
+		return !c.onHostRoute
+	}
+	return h.OwnHost == nil || h.OwnHost(host)
 }
 
 // chooseService selects the service of a route by host, which may split its
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -82,7 +82,10 @@
 	Ready      func() bool // reports whether a confirmed version of the document is in force
 	// Confirmed reports whether control has confirmed the version in force recently. It may
 	// be false for long in a data centre that is cut off. Nil: each version is confirmed.
-	Confirmed     func() bool
+	Confirmed func() bool
+	// OwnHost reports whether callers use a host, in lower case and without a port, for the
+	// entry itself and name services there. Nil: all hosts without routes.
+	OwnHost       func(name string) bool
 	Start         Start
 	Stopping      func() Stop // returns the progress of a planned stop; nil if there never is one
 	Groups        Groups
--- a/internal/request/proxy/headers.go
+++ b/internal/request/proxy/headers.go
@@ -13,6 +13,7 @@
 	headerForward     = "Fescue-Forward" // identifier of this one forward; the answer repeats it
 	headerLeft        = "Fescue-Forwarded-Left-Ms"
 	headerService     = "Fescue-Forwarded-Service"
+	headerHostRoute   = "Fescue-Forwarded-Host-Route" // set if the forwarding instance has selected a host route
 	headerVersion     = "Fescue-Forwarded-Version"
 	headerObjective   = "Fescue-Forwarded-Objective-Ms" // time left for the latency objective; 0 if it is missed
 	headerSends       = "Fescue-Forwarded-Sends"        // sends to targets so far; the answer has this header too
@@ -29,6 +30,6 @@
 // internalHeaders are set by entries that forward a request. They are accepted
 // on the listener for other entries only, and removed from callers' requests.
 var internalHeaders = []string{
-	headerForwardedBy, headerHops, headerRemote, headerRecorded, headerID, headerForward, headerLeft, headerService, headerVersion,
+	headerForwardedBy, headerHops, headerRemote, headerRecorded, headerID, headerForward, headerLeft, headerService, headerHostRoute, headerVersion,
 	headerObjective, headerSends,
 }
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -255,6 +255,7 @@
 	h.Set(headerForward, strconv.FormatUint(rand.Uint64(), 36))
 	h.Set(headerLeft, dialect.FormatMilliseconds(c.timeLeft(now)))
 	h.Set(headerService, c.service.Name)
+	setFlagHeader(h, headerHostRoute, c.route.Host != "")
 	left, _ := objectiveLeft(c, now)
 	h.Set(headerObjective, strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set(headerSends, strconv.Itoa(c.sends))
--- a/internal/request/proxy/suspects_test.go
+++ b/internal/request/proxy/suspects_test.go
@@ -14,6 +14,7 @@
 	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
+	"github.com/fescuejunction/fescuejunction/internal/request/uri"
 	"github.com/fescuejunction/fescuejunction/internal/version/document"
 	"github.com/fescuejunction/fescuejunction/internal/version/quarantine"
 	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
@@ -127,7 +128,7 @@
 	}
 	byHost := func(service, host string) *call {
 		c := byService(service, host)
-		c.route.Host = hostName(host)
+		c.route.Host = uri.HostName(host)
 		return c
 	}
 	for _, x := range []struct {
