--- a/internal/request/proxy/suspects_test.go
+++ b/internal/request/proxy/suspects_test.go
@@ -112,6 +112,7 @@
 
 func (w *testEntry) accepted(req *http.Request) *call {
 	w.Helper()
+	req.RequestURI = req.URL.RequestURI() // as of a request that a server has read
 	c, err := w.h.accept(httptest.NewRecorder(), req, time.Now())
 	if err != nil {
 		w.Fatal(err)
