entry: services are named on any host again in a deployment without host routes

A deployment without host routes in the document, need_host_routes or own_hosts has them on every host, as before. Look-ups stay on own hosts: they answer with a success, whoever owns the path.

--- a/internal/process/entry/callers.go
+++ b/internal/process/entry/callers.go
@@ -42,9 +42,9 @@
 	return h.ownHost(host) && (snap == nil || !snap.HasHost(host))
 }
 
-// ownHost reports whether callers use a host, in lower case and without a port, for the
-// entry itself: for look-ups and for services by name. It depends on the settings only, as
-// an earlier version of the document may lack the routes of a host.
+// ownHost reports whether a host, in lower case and without a port, is one of the entry
+// itself. It depends on the settings only, as an earlier version of the document may lack
+// the routes of a host.
 func (s *Settings) ownHost(name string) bool {
 	if slices.ContainsFunc(s.OwnHosts, func(own string) bool { return strings.EqualFold(own, name) }) {
 		return true
@@ -52,6 +52,13 @@
 	return !s.NeedHostRoutes && (name == "" || name == "localhost" || isAddress(name))
 }
 
+// namesServices reports whether requests for a host without routes in snap name their
+// service: on own hosts, and on every host in a deployment that shows no sign of host routes.
+func (s *Settings) namesServices(host string, snap *snapshot.Snapshot) bool {
+	mayHaveHostRoutes := s.NeedHostRoutes || len(s.OwnHosts) > 0 || snap.HasHostRoutes()
+	return !mayHaveHostRoutes || s.ownHost(host)
+}
+
 // isAddress reports whether a host is an IP address. One of IPv6 has brackets.
 func isAddress(host string) bool {
 	_, err := netip.ParseAddr(strings.TrimSuffix(strings.TrimPrefix(host, "["), "]"))
--- a/internal/process/entry/routed_host_test.go
+++ b/internal/process/entry/routed_host_test.go
@@ -432,6 +432,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newRoutedSystem(t, tc.needHostRoutes)
+			if !tc.needHostRoutes {
+				s.first.settings.OwnHosts = []string{"entry.example"}
+			}
 			if tc.first != nil {
 				s.use(s.first, 7-uint64(len(known)-len(tc.first)), routedDocument(tc.first...))
 			}
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -16,8 +16,8 @@
 	settings.Ports `yaml:",inline"`
 	CallerAddr     string `yaml:"caller_addr"` // HTTP for callers
 	// OwnHosts are further hosts, without a port, under which callers use the entry itself:
-	// for look-ups and for services by name. They always use IP addresses and localhost for
-	// this, unless NeedHostRoutes is set. All other hosts have host routes only.
+	// for look-ups and for services by name. IP addresses and localhost are such hosts unless
+	// NeedHostRoutes is set. Without OwnHosts and host routes, services are named on any host.
 	OwnHosts    []string `yaml:"own_hosts,omitempty"`
 	HealthAddr  string   `yaml:"health_addr,omitempty"` // HTTP for GET /healthz only
 	PeerAddr    string   `yaml:"peer_addr,omitempty"`   // HTTP for other entries
--- a/internal/process/entry/settings_test.go
+++ b/internal/process/entry/settings_test.go
@@ -6,7 +6,9 @@
 	"strings"
 	"testing"
 
+	"github.com/fescuejunction/fescuejunction/api/fescuepb"
 	"github.com/fescuejunction/fescuejunction/internal/base/settings"
+	"github.com/fescuejunction/fescuejunction/internal/version/snapshot"
 )
 
 // Guards against hosts in own_hosts that no request can have.
@@ -29,3 +31,35 @@
 		}
 	}
 }
+
+// Guards against the loss of services that callers name on a host of any name, in a
+// deployment without host routes, and against such names on a host that may have routes.
+func TestHostsOnWhichServicesAreNamed(t *testing.T) {
+	build := func(hosts ...string) *snapshot.Snapshot {
+		snap, err := snapshot.Build(1, []*fescuepb.Section{{Team: "platform", Yaml: []byte(routedDocument(hosts...))}}, nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return snap
+	}
+	without, with := build(), build(nearHost)
+	for _, tc := range []struct {
+		settings          Settings
+		snap              *snapshot.Snapshot
+		name, own, listed bool // a DNS name, an address, a name in own_hosts
+	}{
+		{Settings{}, without, true, true, true},
+		{Settings{}, with, false, true, false},
+		{Settings{OwnHosts: []string{"Entry.example"}}, without, false, true, true},
+		{Settings{OwnHosts: []string{"Entry.example"}}, with, false, true, true},
+		{Settings{NeedHostRoutes: true}, without, false, false, false},
+		{Settings{NeedHostRoutes: true}, with, false, false, false},
+		{Settings{NeedHostRoutes: true, OwnHosts: []string{"Entry.example"}}, with, false, false, true},
+	} {
+		for host, want := range map[string]bool{"other.example": tc.name, "10.1.0.13": tc.own, "localhost": tc.own, "[::1]": tc.own, "entry.example": tc.listed} {
+			if got := tc.settings.namesServices(host, tc.snap); got != want {
+				t.Errorf("%+v, host routes %v: services are named on %s: %v, want %v", tc.settings.OwnHosts, tc.snap.HasHostRoutes(), host, got, want)
+			}
+		}
+	}
+}
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -246,13 +246,13 @@
 	return nil
 }
 
-// namesServices reports whether requests for a host without routes name their service. The
-// instance that forwards a request has decided this for its own hosts.
+// namesServices reports whether requests for a host without routes name their service. For a
+// forwarded request, the forwarding instance has decided this.
 func (h *Handler) namesServices(c *call, host string) bool {
 	if c.hops > 0 {
 		return !c.onHostRoute
 	}
-	return h.OwnHost == nil || h.OwnHost(host)
+	return h.NamesServices == nil || h.NamesServices(host, c.snap)
 }
 
 // chooseService selects the service of a route by host, which may split its
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -83,9 +83,9 @@
 	// Confirmed reports whether control has confirmed the version in force recently. It may
 	// be false for long in a data centre that is cut off. Nil: each version is confirmed.
 	Confirmed func() bool
-	// OwnHost reports whether callers use a host, in lower case and without a port, for the
-	// entry itself and name services there. Nil: all hosts without routes.
-	OwnHost       func(name string) bool
+	// NamesServices reports whether requests for a host without routes in snap name their
+	// service. The host is in lower case and has no port. Nil: they always do.
+	NamesServices func(host string, snap *snapshot.Snapshot) bool
 	Start         Start
 	Stopping      func() Stop // returns the progress of a planned stop; nil if there never is one
 	Groups        Groups
