uri: a target without an authority is not in absolute form

GET x:y://z/a was sent to the target of the request as GET /a: the first "://" was taken for the end of the scheme. It is on no route now, like http:///a. TestTarget and TestTargetsWithoutPathAreOnNoRoute; before: target "/a", want "x:y://z/a".

--- a/internal/process/entry/routed_host_test.go
+++ b/internal/process/entry/routed_host_test.go
@@ -491,7 +491,7 @@
 func TestTargetsWithoutPathAreOnNoRoute(t *testing.T) {
 	s := newRoutedSystem(t, false)
 	s.use(s.first, 7, routedDocument(nearHost))
-	for _, r := range []shape{{method: "OPTIONS", path: "*"}, {method: "GET", path: "*"}, {method: "CONNECT", path: nearHost + ":80"}} {
+	for _, r := range []shape{{method: "OPTIONS", path: "*"}, {method: "GET", path: "*"}, {method: "CONNECT", path: nearHost + ":80"}, {method: "GET", path: "x:y://z/a"}, {method: "GET", path: "http:///a"}} {
 		r.host = nearHost
 		s.expectUnserved(r, []errkind.Kind{errkind.UnknownRoute})
 	}
--- a/internal/request/uri/uri.go
+++ b/internal/request/uri/uri.go
@@ -12,13 +12,12 @@
 
 // Target returns the target of a request in origin form (RFC 9112, section 3.2.1): the path,
 // which begins with a slash, and the query. An absolute form loses scheme and authority. A
-// target without a path, in authority or asterisk form, is returned as it is.
+// target without a path, such as one in authority or asterisk form, is returned as it is.
 func Target(r *http.Request) string {
-	given := r.RequestURI
-	_, rest, absolute := strings.Cut(given, "://")
-	if strings.HasPrefix(given, "/") || !absolute || r.URL.Scheme == "" {
-		return given
+	if r.URL.Scheme == "" || r.URL.Host == "" { // not in absolute form
+		return r.RequestURI
 	}
+	_, rest, _ := strings.Cut(r.RequestURI, "://")
 	i := strings.IndexAny(rest, "/?")
 	switch {
 	case i < 0:
--- a/internal/request/uri/uri_test.go
+++ b/internal/request/uri/uri_test.go
@@ -31,6 +31,9 @@
 		{"OPTIONS", "*", "*"},
 		{"CONNECT", "x.example:443", "x.example:443"},
 		{"CONNECT", "/a", "/a"},
+		{"GET", "x:y://z/a", "x:y://z/a"},
+		{"GET", "x:/a", "x:/a"},
+		{"GET", "http:///a", "http:///a"},
 	} {
 		if got := Target(read(t, tc.method, tc.given)); got != tc.want {
 			t.Errorf("%s %s: target %q, want %q", tc.method, tc.given, got, tc.want)
