--- a/internal/process/entry/request_shapes_test.go
+++ b/internal/process/entry/request_shapes_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -40,20 +41,24 @@
 // shape is a request of a caller.
 type shape struct {
 	method, host, path string // the path with the query
+	spelling           string // of the host, with a port or in capitals; "": as the route has it
 	absolute, chunked  bool   // the form of the target, the framing of the body
 	body               string
 }
 
+// authority returns the host as the caller writes it.
+func (s shape) authority() string { return cmp.Or(s.spelling, s.host) }
+
 func (s shape) String() string {
 	form := map[bool]string{false: "origin", true: "absolute"}[s.absolute]
-	return fmt.Sprintf("%s %q of host %s in %s form, body %q, chunked %v", s.method, s.path, s.host, form, s.body, s.chunked)
+	return fmt.Sprintf("%s %q of host %s in %s form, body %q, chunked %v", s.method, s.path, s.authority(), form, s.body, s.chunked)
 }
 
 // encode returns the bytes of the request.
 func (s shape) encode(id string) string {
-	target, host := s.path, s.host
+	target, host := s.path, s.authority()
 	if s.absolute { // the authority in the target overrides the Host header
-		target, host = "http://"+s.host+s.path, "other.example"
+		target, host = "http://"+s.authority()+s.path, "other.example"
 	}
 	head := s.method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + dialect.HeaderRequestID + ": " + id + "\r\n" + dialect.HeaderShift + ": s1\r\n"
 	switch {
@@ -75,7 +80,7 @@
 			longest = i
 		}
 	}
-	return echo(serviceOf(s.host, longest), s.method, s.path, s.host, s.body)
+	return echo(serviceOf(s.host, longest), s.method, s.path, s.authority(), s.body)
 }
 
 func echo(service, method, target, host, body string) string {
@@ -110,7 +115,8 @@
 		"x", ";", ":", "@", "*", "%00", "%25", "#", "\"", "\\", "://", "?", "?service=near-0", "&",
 	}), 0, 8).Draw(t, "path")
 	s.path = "/" + strings.Join(pieces, "")
-	s.method = rapid.SampledFrom(methodsWithoutBody).Draw(t, "method")
+	s.spelling = rapid.SampledFrom([]string{"", s.host + ":80", s.host + ":8641", strings.ToUpper(s.host), strings.ToUpper(s.host) + ":80"}).Draw(t, "spelling")
+	s.method = rapid.OneOf(rapid.SampledFrom(methodsWithoutBody), rapid.StringMatching("[A-Za-z!#$%&'*+.^_|~-]{1,9}")).Filter(func(m string) bool { return m != "CONNECT" }).Draw(t, "method")
 	if rapid.Bool().Draw(t, "with body") {
 		s.method = rapid.SampledFrom(methodsWithBody).Draw(t, "method")
 		s.body = rapid.StringMatching(`[a-z =&/]{1,20}`).Draw(t, "body")
--- a/internal/process/entry/routed_host_test.go
+++ b/internal/process/entry/routed_host_test.go
@@ -344,6 +344,31 @@
 	}
 }
 
+// Guards against an entry that takes those requests of a routed host for its own that match
+// none of its routes.
+func TestRequestsWithoutRouteOnRoutedHostReachNothing(t *testing.T) {
+	var doc []string
+	for line := range strings.Lines(routedDocument(nearHost, addressHost)) {
+		if !strings.Contains(line, "prefix: ") || strings.Contains(line, `prefix: "/chairs/"`) {
+			doc = append(doc, line)
+		}
+	}
+	for _, needHostRoutes := range []bool{false, true} {
+		s := newRoutedSystem(t, needHostRoutes)
+		s.use(s.first, 7, strings.Join(doc, ""))
+		for _, host := range []string{nearHost, addressHost} {
+			for _, r := range shapes(host) {
+				if r.method != "HEAD" && !strings.HasPrefix(r.path, "/chairs/") {
+					s.expectUnserved(r, []errkind.Kind{errkind.UnknownRoute})
+				}
+			}
+		}
+		if n := s.seen.Load(); n > 0 {
+			t.Errorf("%d requests reached a target", n)
+		}
+	}
+}
+
 // expectUnserved sends a request that must be refused with one of the given kinds.
 func (s *routedSystem) expectUnserved(r shape, kinds []errkind.Kind) {
 	s.Helper()
