--- a/internal/request/proxy/suspects_test.go
+++ b/internal/request/proxy/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -112,14 +113,21 @@
 
 func (w *testEntry) accepted(req *http.Request) *call {
 	w.Helper()
-	req.RequestURI = req.URL.RequestURI() // as of a request that a server has read
-	c, err := w.h.accept(httptest.NewRecorder(), req, time.Now())
+	c, err := w.h.accept(httptest.NewRecorder(), asServed(req), time.Now())
 	if err != nil {
 		w.Fatal(err)
 	}
 	return c
 }
 
+// asServed returns a client's request as a server reads it, with its target in origin form.
+func asServed(req *http.Request) *http.Request {
+	served := req.Clone(req.Context())
+	served.RequestURI = req.URL.RequestURI()
+	served.URL = &url.URL{Path: req.URL.Path, RawPath: req.URL.RawPath, RawQuery: req.URL.RawQuery}
+	return served
+}
+
 // Guards against copies of a request with different fingerprints, because each entry
 // is addressed by another Host header, and against requests to different services with
 // the same fingerprint.
