review: fronts exceed their memory while allowed bodies arrive

Cause: a body is read with io.ReadAll, which copies it each time it grows, and only the bytes read count against half of the memory limit.

Nothing of the project changes.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(s *system, trouble bool) (broken bool, err error){
 	"extra-bytes": extraBytes,
+	"big-bodies":  bigBodies,
 }
 
 const (
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -310,17 +310,27 @@
 	return nil
 }
 
+// ready returns an error unless the front is ready.
+func (m *machine) ready() error {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + m.at(portReady) + "/healthz")
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 200 {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // awaitReady waits until all fronts are ready.
 func (s *system) awaitReady(limit time.Duration) error {
-	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		n := 0
 		for _, m := range s.fronts {
-			if resp, err := client.Get("http://" + m.at(portReady) + "/healthz"); err == nil {
-				resp.Body.Close()
-				if resp.StatusCode == 200 {
-					n++
-				}
+			if m.ready() == nil {
+				n++
 			}
 		}
 		if n == len(s.fronts) {
