review: unsafe requests run twice at a front that wakes with old routes

Cause: a request takes the version that the front holds, however old it is. After a freeze that is one in which the route is safe, so a request whose answer is lost is sent to a second backend.

Nothing of the project changes.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(s *system, trouble bool) (broken bool, err error){
 	"extra-bytes": extraBytes,
 	"big-bodies":  bigBodies,
+	"stale-route": staleRoute,
 }
 
 const (
