review: cold backends get the requests of warm ones, in two ways

Cause: a second cold time is compared with the first one as committed, so one that is not longer is missed (review/8). A front that starts again does not know that the backends of a zone that is taken back are cold, and asks nobody (review/9).

Nothing of the project changes.

--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -17,8 +17,10 @@
 	id, service, zone, addr string
 	slots                   int
 	listed                  bool
+	startedAt               time.Time
 	lis                     net.Listener
 	work                    time.Duration
+	cold                    *coldState // nil: never cold
 	// respond writes the answer to a request that has run, if it is set. It reports
 	// whether the connection stays open.
 	respond func(b *backend, c *serverConn, req *http.Request, body []byte) bool
@@ -37,10 +39,15 @@
 
 // addBackend starts a backend.
 func (s *system) addBackend(svc, zone string, work time.Duration) (*backend, error) {
+	return s.addColdBackend(svc, zone, work, nil)
+}
+
+// addColdBackend starts a backend that is cold at times.
+func (s *system) addColdBackend(svc, zone string, work time.Duration, cold *coldState) (*backend, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.backends)
-	b := &backend{s: s, id: fmt.Sprintf("i-%08x", 0x5a00+n), service: svc, zone: zone, addr: s.addr(firstBackendHost+n, portBackend), slots: s.service[svc].slots, listed: true, work: work, conns: map[net.Conn]bool{}}
+	b := &backend{s: s, id: fmt.Sprintf("i-%08x", 0x5a00+n), service: svc, zone: zone, addr: s.addr(firstBackendHost+n, portBackend), slots: s.service[svc].slots, listed: true, startedAt: time.Now(), work: work, cold: cold, conns: map[net.Conn]bool{}}
 	var err error
 	if b.lis, err = net.Listen("tcp", b.addr); err != nil {
 		return nil, err
@@ -99,7 +106,7 @@
 func (b *backend) handle(c *serverConn, req *http.Request, body []byte) bool {
 	id := req.Header.Get("X-Attempt-Id")
 	if req.URL.Path == "/health" {
-		return writeAnswer(c, "200 OK", fmt.Sprintf("X-Instance-Id: %s\r\nX-Backend-Load: %s\r\n", b.id, b.load()), "")
+		return writeAnswer(c, "200 OK", fmt.Sprintf("X-Instance-Id: %s\r\nX-Backend-Load: %s\r\nX-Cold-Ms: %d\r\n", b.id, b.load(), b.coldMs(time.Now())), "")
 	}
 	switch want := req.Header.Get("X-Expect-Instance"); {
 	case want != "" && want != b.id:
@@ -107,6 +114,10 @@
 	case id == "":
 		return writeAnswer(c, "400 Bad Request", "X-Not-Executed: 1\r\n", "")
 	}
+	if b.cold != nil && b.cold.arrives(id, time.Now()) {
+		b.crash(req)
+		return false
+	}
 	b.mu.Lock()
 	if b.running >= b.slots {
 		b.mu.Unlock()
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -17,6 +17,8 @@
 	m    *machine
 	conn net.Conn
 	r    *bufio.Reader
+	// onSend is called with the identifier of a request before it is sent; nil if not needed.
+	onSend func(id string)
 }
 
 // reply is the answer to one request. The status is 0 without a whole answer.
@@ -51,6 +53,9 @@
 	}
 	w.WriteString("\r\n" + body)
 	_ = c.conn.SetDeadline(time.Now().Add(timeout))
+	if c.onSend != nil {
+		c.onSend(out.id)
+	}
 	if _, out.err = io.WriteString(c.conn, w.String()); out.err == nil {
 		out.read(c)
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,9 +10,11 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(s *system, trouble bool) (broken bool, err error){
-	"extra-bytes": extraBytes,
-	"big-bodies":  bigBodies,
-	"stale-route": staleRoute,
+	"extra-bytes":  extraBytes,
+	"big-bodies":   bigBodies,
+	"stale-route":  staleRoute,
+	"cold-restart": coldRestart,
+	"cold-again":   coldAgain,
 }
 
 const (
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -220,10 +220,14 @@
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
 		out := map[string][]map[string]any{}
 		s.mu.Lock()
+		at := time.Now().Add(-listLag) // the list lags
 		for _, b := range s.backends {
+			if b.startedAt.After(at) {
+				continue
+			}
 			if zone := r.URL.Query().Get("zone"); b.listed && (zone == "" || zone == b.zone) {
 				out[b.zone] = append(out[b.zone], map[string]any{
-					"id": b.id, "service": b.service, "address": b.addr, "version": "v1", "slots": b.slots, "state": "ready", "coldRemainingMs": 0,
+					"id": b.id, "service": b.service, "address": b.addr, "version": "v1", "slots": b.slots, "state": "ready", "coldRemainingMs": b.coldMs(at),
 				})
 			}
 		}
