review: the case of the second cold time within the limits of the site

Cause: six backends were added to one; the site has share .3. Change: three beside ten, over half a second, and more clients.

--- a/review/rig2/cold_again.go
+++ b/review/rig2/cold_again.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	newBackends = 6
-	againAfter  = 2300 * time.Millisecond // from its start until a new backend becomes cold again
-	againGap    = 90 * time.Millisecond   // between one new backend and the next
+	oldBackends  = 10
+	newBackends  = 3                       // share .3
+	newGap       = 250 * time.Millisecond  // between the starts of new backends, .5 s for all
+	againAfter   = 2450 * time.Millisecond // from its start until a new backend becomes cold again
+	againClients = 320
 )
 
 // coldAgain: new backends start, cold, and become cold once more before that is over.
@@ -19,22 +21,27 @@
 		s.addMachine("core", z)
 	}
 	s.addMachine("front", "z1")
-	if _, err := s.addBackend("shop", "z1", 50*time.Millisecond); err != nil {
-		return false, err
+	for range oldBackends {
+		if _, err := s.addBackend("shop", "z1", 50*time.Millisecond); err != nil {
+			return false, err
+		}
 	}
 	if err := s.startAll([]route{{"r-shop", "shop.example", "/", "unsafe", "shop", 8000}}); err != nil {
 		return false, err
 	}
 	var all sync.WaitGroup
-	sent := s.press(s.fronts[0], coldClients, time.Now().Add(14*time.Second), &all)
+	sent := s.press(s.fronts[0], againClients, time.Now().Add(14*time.Second), &all)
 	time.Sleep(4 * time.Second)
 	var cold []*backend
-	started := time.Now()
 	for i := range newBackends {
+		if i > 0 {
+			time.Sleep(newGap)
+		}
+		started := time.Now()
 		state := &coldState{}
 		state.start(started)
 		if trouble {
-			state.start(started.Add(againAfter + time.Duration(i)*againGap))
+			state.start(started.Add(againAfter))
 		}
 		b, err := s.addColdBackend("shop", "z1", 50*time.Millisecond, state)
 		if err != nil {
