--- a/internal/process/entry/follow/follow.go
+++ b/internal/process/entry/follow/follow.go
@@ -40,6 +40,7 @@
 	now       func() time.Time // clock of package steady
 	ackNeeded chan struct{}    // signalled if the versions to acknowledge changed; capacity 1
 
+	confirmation  confirmation
 	chunks        chunks
 	blocksChanged chan struct{} // signalled if a new snapshot, which may name another table, is in force; capacity 1
 
@@ -109,14 +110,6 @@
 	return f.ready
 }
 
-// Confirmed reports whether the counter advanced within the last 1.5 s
-// (freshnessWindow).
-func (f *Follower) Confirmed() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.freshness.isFresh(f.now())
-}
-
 // stalled reports whether the counter has not advanced within counterTimeout.
 func (f *Follower) stalled() bool {
 	f.mu.Lock()
@@ -194,6 +187,9 @@
 	if f.confirmed || f.ready {
 		f.installLocked()
 	}
+	if f.freshness.isFresh(now) && f.inForce == f.received.View.Version {
+		f.confirmation.confirm(f.freshness.advancedAt)
+	}
 	return outcome, advance || outcome == view.Advanced
 }
 
--- a/internal/process/entry/follow/freshness.go
+++ b/internal/process/entry/follow/freshness.go
@@ -10,7 +10,7 @@
 	// counterTimeout is how long the counter of a source may stand still before
 	// the follower looks for another source.
 	counterTimeout = feed.StallTimeout
-	// freshnessWindow is how long the version counts as confirmed after an
+	// freshnessWindow is how long the version in force counts as confirmed after an
 	// advance of the counter.
 	freshnessWindow = 1500 * time.Millisecond
 	// requiredAdvances is how many times the counter must advance on one watch
--- a/internal/process/entry/follow/loop.go
+++ b/internal/process/entry/follow/loop.go
@@ -67,10 +67,12 @@
 func (l *loop) run(ctx context.Context) {
 	defer l.closeAll()
 	for ctx.Err() == nil {
+		l.follower.recordStep()
 		l.step(ctx, l.follower.now())
 		timer := time.NewTimer(l.untilWake())
 		select {
 		case ev := <-l.events.C():
+			l.follower.recordStep()
 			l.handleEvent(ev, l.follower.now())
 		case <-l.follower.ackNeeded:
 			l.acknowledge()
--- a/internal/process/entry/follow/unit_test.go
+++ b/internal/process/entry/follow/unit_test.go
@@ -186,6 +186,7 @@
 	l.current = &watch{cancel: func() {}}
 	l.current.progress.lastProgress, l.nextUpgradeAt = now, now.Add(maxUpgradeDelay)
 	f.freshness.lastAdvance, f.freshness.advancedAt = 1, now
+	f.confirmation.confirm(now)
 	if !f.Confirmed() || l.untilWake() <= 0 {
 		t.Fatalf("confirmed %v, next step in %v", f.Confirmed(), l.untilWake())
 	}
--- a/internal/process/entry/steer.go
+++ b/internal/process/entry/steer.go
@@ -95,7 +95,7 @@
 	targets := p.targetTransport()
 	return proxy.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Dialect: p.ext.Dialect,
-		Ready: p.ready, Confirmed: p.follower.Confirmed, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
+		Ready: p.ready, Confirmed: p.follower.Confirmed, Resuming: p.follower.Resuming, Start: p.start, Stopping: p.stopProgress, Groups: p.groups, Guarded: p.guarded,
 		Caps: &shiftCaps{p.shared, p.store}, Places: spill.NewChooser(p.linkBudget, rand.Float64), Ledger: p.ledger,
 		Shares:        p.regionShares(),
 		NamesServices: p.settings.namesServices,
@@ -110,7 +110,7 @@
 func (p *process) lookupConfig() lookup.Config {
 	return lookup.Config{
 		Instance: p.settings.Instance, DataCentre: p.settings.DataCentre, Store: p.store, Blocks: &p.blocks,
-		Ready: p.follower.Ready, Stopping: p.stopping, Dispatcher: p.groups.DispatchingEntry, Usable: p.groups.Usable,
+		Ready: p.follower.Ready, Confirmed: p.follower.Confirmed, Stopping: p.stopping, Dispatcher: p.groups.DispatchingEntry, Usable: p.groups.Usable,
 		KeyToken: func(service string) string { return p.groups.Group(service).Token },
 		Metrics:  p.scope,
 	}
--- a/internal/request/lookup/lookup.go
+++ b/internal/request/lookup/lookup.go
@@ -50,7 +50,10 @@
 	Store      *snapshot.Store
 	Blocks     *atomic.Pointer[blocks.Table]
 	Ready      func() bool
-	Stopping   func() bool
+	// Confirmed reports whether control has confirmed the version in force recently. Nil:
+	// each version is confirmed.
+	Confirmed func() bool
+	Stopping  func() bool
 	// Dispatcher returns the member that dispatches a service in this data
 	// centre, or nil if none is known.
 	Dispatcher func(service string) *fescuepb.Member
@@ -122,11 +125,15 @@
 	if !h.cfg.Ready() {
 		return nil, "", errkind.New(errkind.NotReady, "no confirmed version of the steering document is in force yet")
 	}
+	confirmed := h.cfg.Confirmed == nil || h.cfg.Confirmed() // read before the version, which it must not be ahead of
 	snap := h.cfg.Store.Load()
 	query := r.URL.Query()
 	service := query.Get("service")
 	svc := snap.Services[service]
-	if svc == nil {
+	switch {
+	case svc == nil && !confirmed: // a later version may have it
+		return nil, "", errkind.New(errkind.NotReady, "service %q is not in version %d, which is not confirmed at present", service, snap.Version)
+	case svc == nil:
 		return nil, "", errkind.New(errkind.UnknownService, "service %q is not in the steering document", service)
 	}
 	client, err := clientAddr(query.Get("client"), r.RemoteAddr)
--- a/internal/request/lookup/lookup_test.go
+++ b/internal/request/lookup/lookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
@@ -201,3 +202,21 @@
 		t.Errorf("not ready: %d", rec.Code)
 	}
 }
+
+// Guards against a final answer from an old version: callers do not repeat a look-up after
+// 404, and a later version may have the service.
+func TestServiceIsUnknownOnlyInAConfirmedVersion(t *testing.T) {
+	f := newFixture(t)
+	confirmed := false
+	f.handler.cfg.Confirmed = func() bool { return confirmed }
+	if rec, _ := f.get("service=nowhere"); rec.Code != http.StatusServiceUnavailable {
+		t.Errorf("unconfirmed: status %d", rec.Code)
+	}
+	if rec, _ := f.get("service=rota"); rec.Code != http.StatusOK {
+		t.Errorf("a cut-off entry answers look-ups of services that it knows: status %d", rec.Code)
+	}
+	confirmed = true
+	if rec, _ := f.get("service=nowhere"); rec.Code != http.StatusNotFound {
+		t.Errorf("confirmed: status %d", rec.Code)
+	}
+}
--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -128,7 +128,7 @@
 func (c *call) dispatchWork() dispatch.Work {
 	w := dispatch.Work{
 		Class: c.route.Class, Route: c.route.Name, Deadline: c.deadline,
-		Safe: c.route.Safe, AtMostOnce: c.atMostOnce(), Remote: c.remote, Priority: c.route.Priority, Exclude: c.triedTargets,
+		Safe: c.repeatable(), AtMostOnce: c.atMostOnce(), Remote: c.remote, Priority: c.route.Priority, Exclude: c.triedTargets,
 	}
 	if c.service.GuardedSlots {
 		w.Objective, w.AnySlot = c.objective, c.step.Mode == spill.AnySlot
@@ -143,11 +143,11 @@
 	now := h.Now()
 	decision := retry.Decide(retry.FailedRequest{
 		Kind: errkind.Of(err), AtMostOnce: c.atMostOnce(), Attempts: attempt,
-		Safe: c.route.Safe, MaxAttempts: c.route.MaxAttempts, Remaining: c.timeLeft(now), TargetCrashes: h.targetCrashes(c),
+		Safe: c.repeatable(), MaxAttempts: c.route.MaxAttempts, Remaining: c.timeLeft(now), TargetCrashes: h.targetCrashes(c),
 	}, h.stateOf(c.service).retries, now, rand.Float64())
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "attempt": attempt, "retry": decision.Retry,
-		"reason": decision.Reason, "error": err.Error(),
+		"reason": decision.Reason, "error": err.Error(), "version": c.snap.Version, "confirmed": c.confirmed,
 	}).Info("attempt failed")
 	if !decision.Retry {
 		return false
@@ -172,6 +172,6 @@
 		"request_id": c.id, "service": c.service.Name, "route": c.route.Name, "shift": c.shift,
 		"dc": h.DataCentre, "target": t.Target.ID, "reason": t.Reason, "attempt": attempt,
 		"queued_ms": milliseconds(t.QueuedFor), "dispatcher": t.Dispatcher, "reply_ms": milliseconds(t.ReplyTime), "mode": c.step.Mode.String(), "region": c.step.Region,
-		"objective_ms": milliseconds(c.objective.Sub(h.Now())), "object": c.affinity, "wait_ms": milliseconds(c.callerTimeout), "here_ms": milliseconds(h.Now().Sub(c.received)), "version": c.snap.Version,
+		"objective_ms": milliseconds(c.objective.Sub(h.Now())), "object": c.affinity, "wait_ms": milliseconds(c.callerTimeout), "here_ms": milliseconds(h.Now().Sub(c.received)), "version": c.snap.Version, "confirmed": c.confirmed,
 	}, "request dispatched")
 }
--- a/internal/request/proxy/call.go
+++ b/internal/request/proxy/call.go
@@ -29,6 +29,7 @@
 type call struct {
 	id         string
 	snap       *snapshot.Snapshot
+	confirmed  bool // snap was the newest version not long before the request was read
 	service    *snapshot.Service
 	route      *snapshot.Route
 	shift      string
@@ -49,9 +50,12 @@
 	triedTargets []string // IDs of the targets to which this entry has sent the request
 	mayHaveRun   error    // error of a send after which the request may have run, or nil
 	noMoreSends  bool     // no further send of the request is allowed
-	received     time.Time
-	body         []byte
-	release      func() // returns the memory of the body; nil without a body
+	// runsOnceElsewhere is set if another entry has answered that it must not repeat the
+	// request.
+	runsOnceElsewhere bool
+	received          time.Time
+	body              []byte
+	release           func() // returns the memory of the body; nil without a body
 
 	method string
 	host   string // Host header, as the caller sent it
@@ -65,8 +69,9 @@
 	callerTimeout     time.Duration // how long the caller waits, 0 if it is not stated
 	forwardedTimeLeft time.Duration // time left until the deadline, as the forwarding instance states it
 	forwardedVersion  uint64        // version of the steering document in force at the forwarding instance
-	remote            bool          // forwarded from another data centre
-	startRecorded     bool          // the instance that stores the key has recorded its start already
+	forwarded         forwardedRoute
+	remote            bool // forwarded from another data centre
+	startRecorded     bool // the instance that stores the key has recorded its start already
 
 	cachedFingerprint atomic.Uint64 // 0 until it is needed
 
@@ -84,7 +89,7 @@
 // invalid in itself cannot have run, since no ledger accepts it.
 func (c *call) didRun(kind errkind.Kind) errkind.DidRun {
 	didRun := kind.Response().DidRun
-	mayBeOnce := c.route == nil || c.atMostOnce()
+	mayBeOnce := c.route == nil || c.atMostOnce() || !c.confirmed
 	if didRun == errkind.No && c.hasKey && mayBeOnce && !c.provedNotStarted && kind != errkind.BadKey {
 		return errkind.Unknown
 	}
@@ -95,10 +100,11 @@
 func (c *call) timeLeft(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
 // parse checks the request line and the header of a request and selects its
-// route and service. Each kind of fault has its own error kind. The call is
-// never nil, so that an error answer can name the request.
-func (h *Handler) parse(r *http.Request, snap *snapshot.Snapshot, now time.Time) (*call, error) {
+// route and service. confirmed states whether snap is confirmed. Each kind of fault has its
+// own error kind. The call is never nil, so that an error answer can name the request.
+func (h *Handler) parse(r *http.Request, snap *snapshot.Snapshot, confirmed bool, now time.Time) (*call, error) {
 	c := newCall(r, snap, now)
+	c.confirmed = confirmed
 	head, err := h.Dialect.Request(r.Header)
 	c.id, c.hasKey, c.dataCentre = requestID(head.ID), head.Key != "", h.DataCentre
 	// A forwarded request has internal headers beside those of its caller.
@@ -108,14 +114,18 @@
 	if err := c.parseForwardHeaders(r.Header, h.peer); err != nil {
 		return c, err
 	}
+	c.confirmed = c.confirmedHere(confirmed)
 	if err != nil {
 		return c, err
 	}
 	if err := h.findRoute(c, head.Service); err != nil {
-		return c, h.notReadyIfUnconfirmed(c, c.notReadyIfBehind(err))
+		return c, err
+	}
+	if err := c.checkUnconfirmed(); err != nil {
+		return c, err
 	}
 	if err := c.checkShift(head.Shift); err != nil {
-		return c, h.notReadyIfUnconfirmed(c, err)
+		return c, err
 	}
 	c.object = head.Affinity
 	if c.route.Affinity {
@@ -194,33 +204,11 @@
 	c.onHostRoute = h.Get(headerHostRoute) != ""
 	c.sends = readSends(h)
 	c.forwardedTimeLeft, _ = dialect.Milliseconds(h.Get(headerLeft))        // if it is missing, the caller's timeout applies
-	c.forwardedVersion, _ = strconv.ParseUint(h.Get(headerVersion), 10, 64) // if it is missing, notReadyIfBehind keeps its error
+	c.forwardedVersion, _ = strconv.ParseUint(h.Get(headerVersion), 10, 64) // 0 if it is missing
+	c.forwarded = parseForwardedRoute(h.Get(headerRoute))
 	return nil
 }
 
-// notReadyIfBehind returns err, or an error of kind NotReady if the forwarding
-// instance has a later version of the steering document in force. That version
-// may have the route that is missing here.
-func (c *call) notReadyIfBehind(err error) error {
-	if c.forwardedVersion <= c.snap.Version {
-		return err
-	}
-	return errkind.New(errkind.NotReady, "version %d is in force here, the request was forwarded on version %d", c.snap.Version, c.forwardedVersion)
-}
-
-// notReadyIfUnconfirmed returns err, or an error of kind NotReady if err says that
-// something is not in the document and the version in force may be an old one. Callers do
-// not repeat a request after such an answer, and a later version may have it.
-func (h *Handler) notReadyIfUnconfirmed(c *call, err error) error {
-	switch errkind.Of(err) {
-	case errkind.UnknownRoute, errkind.UnknownService, errkind.UnknownShift:
-		if h.Confirmed != nil && !h.Confirmed() {
-			return errkind.New(errkind.NotReady, "%v, but version %d is not confirmed at present", err, c.snap.Version)
-		}
-	}
-	return err
-}
-
 // findRoute selects the route and the service of a request. A host with routes has no
 // other requests. On other hosts, the caller or the path names the service and the route is
 // one of the service, unless the host may have routes in another version.
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -53,6 +53,7 @@
 		return nil, err
 	}
 	c.sends = max(c.sends, readSends(rep.header))
+	c.runsOnceElsewhere = c.runsOnceElsewhere || rep.header.Get(headerRunsOnce) != ""
 	if kind := errkind.Kind(rep.header.Get(headerKind)); kind != "" {
 		defer rep.finish(nil)
 		if !rep.proved {
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -83,6 +83,9 @@
 	// Confirmed reports whether control has confirmed the version in force recently. It may
 	// be false for long in a data centre that is cut off. Nil: each version is confirmed.
 	Confirmed func() bool
+	// Resuming returns for how long a confirmation can still be expected after a suspension
+	// of the process, or 0. Nil: never.
+	Resuming func() time.Duration
 	// NamesServices reports whether requests for a host without routes in snap name their
 	// service. The host is in lower case and has no port. Nil: they always do.
 	NamesServices func(host string, snap *snapshot.Snapshot) bool
@@ -116,8 +119,8 @@
 }
 
 type handlerMetrics struct {
-	requests, forwarded, hedged, retried, suspected tally.Counter
-	latency                                         tally.Histogram
+	requests, unconfirmed, forwarded, hedged, retried, suspected tally.Counter
+	latency                                                      tally.Histogram
 	// errorScope holds one counter per error kind that has occurred, tagged
 	// with the kind.
 	errorScope tally.Scope
@@ -134,6 +137,7 @@
 	scope := cfg.Metrics.SubScope("requests")
 	h := &Handler{Config: cfg, peer: peer}
 	h.metrics.requests = scope.Counter("received")
+	h.metrics.unconfirmed = scope.Counter("unconfirmed")
 	h.metrics.forwarded = scope.Counter("forwarded")
 	h.metrics.hedged = scope.Counter("hedged")
 	h.metrics.retried = scope.Counter("retried")
@@ -224,12 +228,16 @@
 
 // acceptReady is accept while a confirmed version is in force.
 func (h *Handler) acceptReady(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
-	c, err := h.parse(r, h.Store.Load(), now)
+	confirmed := h.awaitConfirmation(r)
+	c, err := h.parse(r, h.Store.Load(), confirmed, now)
+	if !c.confirmed {
+		h.metrics.unconfirmed.Inc(1)
+	}
 	if err != nil {
-		return c, err
+		return c, c.notReadyIfUnconfirmed(err)
 	}
 	if err := c.readBody(w, r, h.Bodies); err != nil {
-		return c, h.stoppedWaiting(r.Context(), err)
+		return c, c.notReadyIfUnconfirmed(h.stoppedWaiting(r.Context(), err))
 	}
 	if err := h.refuseQuarantined(r.Context(), c); err != nil {
 		return c, err
@@ -246,7 +254,7 @@
 		fields["asked"] = c.refusals
 	}
 	if c.service != nil {
-		fields["service"], fields["version"], fields["sends"] = c.service.Name, c.snap.Version, c.sends
+		fields["service"], fields["version"], fields["confirmed"], fields["sends"] = c.service.Name, c.snap.Version, c.confirmed, c.sends
 		fields["wait_ms"], fields["held_ms"] = milliseconds(c.callerTimeout), milliseconds(h.Now().Sub(c.received))
 	}
 	if c.route != nil {
@@ -259,7 +267,12 @@
 // RefuseHead returns the error answer to a request whose request line or header
 // cannot be parsed.
 func (h *Handler) RefuseHead(err error) (status int, header http.Header, body []byte) {
-	rep := h.fail(&call{id: requestID("")}, err)
+	c := &call{id: requestID(""), confirmed: h.isConfirmed()}
+	if snap := h.Store.Load(); snap != nil {
+		c.snap = snap
+		err = c.notReadyIfUnconfirmed(err)
+	}
+	rep := h.fail(c, err)
 	return rep.status, rep.header, rep.buffered
 }
 
@@ -287,12 +300,12 @@
 	}
 }
 
-// serve returns the answer to a parsed request. A request of a route that is not
-// safe first waits until the earlier requests on the caller's connection are
+// serve returns the answer to a parsed request. A request that must not run more than
+// once first waits until the earlier requests on the caller's connection are
 // answered. If one of these answers closed the connection, the caller would assume
 // that the request was not read and send it again.
 func (h *Handler) serve(ctx context.Context, c *call) (*reply, error) {
-	if !c.route.Safe {
+	if !c.repeatable() {
 		if err := caller.AwaitTurn(ctx); err != nil {
 			err = errkind.Wrap(errkind.Cancelled, err, "the caller's connection ended before its earlier requests were answered")
 			return nil, h.stoppedWaiting(ctx, err)
--- a/internal/request/proxy/hedge.go
+++ b/internal/request/proxy/hedge.go
@@ -7,13 +7,13 @@
 	"github.com/fescuejunction/fescuejunction/internal/request/dispatch"
 )
 
-// hedged sends the request to the ticket's target. If the route is safe and no
+// hedged sends the request to the ticket's target. If the request is repeatable and no
 // answer has come after the hedge delay, it also sends the request to a second
 // target. The first answer without an error is used, and the other attempt is
 // cancelled.
 func (h *Handler) hedged(ctx context.Context, c *call, t *dispatch.Ticket, unit CapUnit) (*reply, error) {
 	delay := time.Duration(0)
-	if c.route.Safe && h.targetCrashes(c) == 0 {
+	if c.repeatable() && h.targetCrashes(c) == 0 {
 		delay = t.HedgeDelay()
 	}
 	if delay <= 0 {
--- a/internal/request/proxy/reply.go
+++ b/internal/request/proxy/reply.go
@@ -153,6 +153,7 @@
 	header.Set("Content-Type", "application/json")
 	if h.peer {
 		describeRefusal(header, ref)
+		setFlagHeader(header, headerRunsOnce, c.route != nil && !c.repeatable())
 	}
 	body = append(body, '\n')
 	return &reply{status: h.Dialect.Refusal(header, ref), header: header, buffered: body, length: int64(len(body))}
--- a/internal/request/proxy/roundtrip.go
+++ b/internal/request/proxy/roundtrip.go
@@ -260,6 +260,7 @@
 	h.Set(headerObjective, strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set(headerSends, strconv.Itoa(c.sends))
 	h.Set(headerVersion, strconv.FormatUint(c.snap.Version, 10))
+	h.Set(headerRoute, c.routeToForward().String())
 	h.Set(headerForwardedBy, self)
 	h.Set(headerHops, strconv.Itoa(c.hops+1))
 	setFlagHeader(h, headerRemote, remote)
--- a/internal/request/proxy/send.go
+++ b/internal/request/proxy/send.go
@@ -97,7 +97,7 @@
 	}
 	x := exchange{
 		transport: h.Targets, addr: t.Target.Addr, host: c.targetHost(),
-		header: h.targetHeader(c, t.Target.ID, s.start), allowTransportRetry: c.route.Safe, naming: func(resp *http.Response) naming { return nameOf(h.answerID(resp), c.id) },
+		header: h.targetHeader(c, t.Target.ID, s.start), allowTransportRetry: c.repeatable(), naming: func(resp *http.Response) naming { return nameOf(h.answerID(resp), c.id) },
 		onWritten: func() {
 			if !unit.Valid() || h.Now().After(c.deadline) {
 				s.cancel(errLeaseExpired)
@@ -167,7 +167,7 @@
 // entryOnlyHeaders lists the answer headers that only entries may set. If a
 // target's answer kept them, an entry would mistake it for the refusal of another
 // entry and send the request again.
-var entryOnlyHeaders = []string{headerKind, headerNotRun, headerRetryAfter, headerQueued, headerFree, headerWait}
+var entryOnlyHeaders = []string{headerKind, headerNotRun, headerRetryAfter, headerQueued, headerFree, headerWait, headerRunsOnce}
 
 // finishAttempt releases the slot of a failed attempt and returns its error. The
 // slot of a successful attempt is released at the end of the answer's body.
--- a/internal/request/proxy/starting.go
+++ b/internal/request/proxy/starting.go
@@ -6,9 +6,17 @@
 )
 
 // startWaitShare is the part of its caller's timeout for which a request waits for the end
-// of the start. What is left suffices for a run.
+// of the start, or of a suspension. What is left suffices for a run.
 const startWaitShare = 0.25
 
+// waitShare returns the wait, limited to startWaitShare of the timeout if there is one.
+func waitShare(wait, timeout time.Duration) time.Duration {
+	if timeout > 0 {
+		return min(wait, time.Duration(startWaitShare*float64(timeout)))
+	}
+	return wait
+}
+
 // Start describes the start of an entry, until it has a confirmed version for the first
 // time.
 type Start struct {
@@ -23,10 +31,7 @@
 	if h.Start.Ready == nil {
 		return false
 	}
-	wait := h.Start.Until.Sub(h.Now())
-	if timeout > 0 {
-		wait = min(wait, time.Duration(startWaitShare*float64(timeout)))
-	}
+	wait := waitShare(h.Start.Until.Sub(h.Now()), timeout)
 	if wait <= 0 {
 		return false
 	}
