target: refuse answers that are cut or malformed (MIXED)

Callers saw: a part of an answer as a complete one, if a target answered a long upload at once with a 200 without a length and reset the connection while the upload was still being written; and answers with blanks in the names of fields, with the line passed on or with a body that was not the target's.

Cause: the kernel reports a reset once. The write of the upload got it, and the read behind it found the end of the stream as after a close. And net/http accepts heads that RFC 9112 does not allow.

Now an answer that ends with its connection is whole only if no write of the request got a reset before the end; EPIPE shows that the close came first. The lines of each head, of informational answers too, are checked before net/http parses them, and trailers after it. Probes and the platform's lists need whole and well formed answers as well; a 204 that announces a body ends its connection.

TestOddResponsesAreAccepted shows that unusual answers are still served.

--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -15,6 +15,7 @@
 	"github.com/fescuejunction/fescuejunction/internal/base/jsonstream"
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
 	"github.com/fescuejunction/fescuejunction/internal/version/membership"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxListBytes bounds the size of the list, which is kept in memory twice while it is
@@ -32,6 +33,20 @@
 	return &http.Client{Transport: t}
 }
 
+// CheckHead returns an error unless a response of the platform begins a list: of kind
+// NotFound for a status other than 200, and BadRequest if its header is malformed.
+func CheckHead(resp *http.Response) error {
+	if resp.StatusCode != http.StatusOK {
+		return errkind.New(errkind.NotFound, "read the platform's list: status %s", resp.Status)
+	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) { // net/http accepts blanks, also before the colon of Content-Length
+			return errkind.New(errkind.BadRequest, "read the platform's list: %q is not the name of a field", name)
+		}
+	}
+	return nil
+}
+
 // keyInstances is the key of the instances in the JSON body of the platform's response.
 const keyInstances = "instances"
 
@@ -58,8 +73,8 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errkind.New(errkind.NotFound, "read the platform's list: status %s", resp.Status)
+	if err := CheckHead(resp); err != nil {
+		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
--- a/internal/connection/target/errors.go
+++ b/internal/connection/target/errors.go
@@ -9,6 +9,9 @@
 // above.
 var errProbeServerError = errors.New("the target answered the probe with a server error")
 
+// errProbeTooLong is the result of a probe whose response has more than maxProbeBytes.
+var errProbeTooLong = errors.New("the target answered the probe with too long a body")
+
 // errHeadTooLong is the result of a request whose response head, with the interim
 // responses before it, is longer than maxHeadBytes or has more than maxHeadLines.
 var errHeadTooLong = errors.New("the target sent a response head that is too long")
--- a/internal/connection/target/exchange.go
+++ b/internal/connection/target/exchange.go
@@ -2,15 +2,20 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/fescuejunction/fescuejunction/internal/errkind"
 )
 
 // exchange is a request and its response on a connection.
@@ -22,26 +27,21 @@
 	once           sync.Once
 
 	bodyResult chan error // result of writing the body concurrently; nil if it is not written concurrently
+	writeErr   error      // error of writing the request before the response was read
 	wroteAny   bool       // at least one byte of the request was written
 	reusable   bool
 }
 
 // run writes the request and reads the head of its response.
 func (x *exchange) run() (*http.Response, error) {
-	if err := x.writeRequest(); err != nil {
-		// The target may have rejected the request and closed the connection
-		// before the request was completely written.
-		resp, readErr := x.readHead()
-		if readErr != nil {
-			return nil, err
-		}
-		resp.Close = true
-		return x.wrapResponse(resp), nil
-	}
+	x.writeErr = x.writeRequest()
+	// The target may have rejected the request and closed the connection before the
+	// request was completely written.
 	resp, err := x.readHead()
 	if err != nil {
-		return nil, err
+		return nil, cmp.Or(x.writeErr, err)
 	}
+	resp.Close = resp.Close || x.writeErr != nil
 	return x.wrapResponse(resp), nil
 }
 
@@ -121,12 +121,12 @@
 	x.c.head.arm()
 	defer x.c.head.disarm()
 	for stale := 0; ; {
-		resp, err := http.ReadResponse(x.c.r, x.req)
-		if x.c.head.exceeded { // ReadResponse may take the bytes before the limit for a malformed line
+		resp, err := x.parseHead()
+		if x.c.head.exceeded { // the bytes before the limit may look like a malformed line
 			return nil, errHeadTooLong
 		}
 		if err != nil {
-			return nil, shortError(err)
+			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -144,10 +144,25 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1)); err != nil || n > maxSkippedBytes {
 			return nil, errors.Join(errLateResponses, err)
 		}
+		if err := checkTrailer(resp.Trailer); err != nil {
+			return nil, err
+		}
 		x.c.head.arm()
 	}
 }
 
+// parseHead checks and parses the next response head.
+func (x *exchange) parseHead() (*http.Response, error) {
+	if err := x.c.checkHead(); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(x.c.r, x.req)
+	if err != nil {
+		return nil, shortError(err)
+	}
+	return resp, checkTrailer(resp.Trailer)
+}
+
 // isLate reports whether a response belongs to an earlier request on the
 // connection. A response that names a request which the connection has not
 // carried is not skipped, because the right one may never follow. The caller of
@@ -198,7 +213,7 @@
 		x.release(x.reusable && x.requestWritten())
 		return resp
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, x: x}
+	resp.Body = &responseBody{ReadCloser: resp.Body, x: x, resp: resp}
 	return resp
 }
 
@@ -206,8 +221,19 @@
 // the response. A response without a stated length ends when its connection
 // closes.
 func (x *exchange) reusableAfter(resp *http.Response) bool {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || x.req.Method == http.MethodHead
-	return !resp.Close && framed && resp.ProtoAtLeast(1, 1)
+	return !resp.Close && x.isFramed(resp) && resp.ProtoAtLeast(1, 1) && !announcesForbiddenBody(resp)
+}
+
+// announcesForbiddenBody reports whether a response that has no body, by its status,
+// announces one. Its bytes may follow.
+func announcesForbiddenBody(resp *http.Response) bool {
+	length := resp.Header.Get("Content-Length")
+	return resp.StatusCode == http.StatusNoContent && (len(resp.TransferEncoding) > 0 || length != "" && length != "0")
+}
+
+// isFramed reports whether the head of a response says where its body ends.
+func (x *exchange) isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || x.req.Method == http.MethodHead
 }
 
 // idleTimeout returns how long the connection may stay idle: the timeout in the
@@ -247,7 +273,7 @@
 		// Bytes that have already arrived belong to no request, so a connection
 		// with buffered bytes is closed.
 		x.c.addRequestID(x.id())
-		if reuse && watched && x.c.r.Buffered() == 0 && time.Now().Before(x.c.expires) && len(x.c.earlier) < maxRequests {
+		if reuse && watched && x.c.buffered() == 0 && time.Now().Before(x.c.expires) && len(x.c.earlier) < maxRequests {
 			x.t.putIdle(x.c)
 			return
 		}
@@ -259,18 +285,59 @@
 // body has been read to its end or is closed.
 type responseBody struct {
 	io.ReadCloser
-	x *exchange
+	x    *exchange
+	resp *http.Response
+	err  error // result of the read at which the body ended
 }
 
 // Read reads the body and releases the connection at its end or on an error.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = b.checkEnd()
+	}
 	if err != nil {
-		b.x.release(errors.Is(err, io.EOF) && b.x.reusable && b.x.requestWritten())
+		b.err = err
+		b.x.release(err == io.EOF && b.x.reusable && b.x.requestWritten())
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body is whole and its trailers are well formed.
+func (b *responseBody) checkEnd() error {
+	if !b.x.isFramed(b.resp) {
+		if err := b.x.resetWhileWriting(); err != nil {
+			return errkind.Wrap(errkind.AnswerBroken, err, "the connection was reset before the end of the response")
+		}
+	}
+	if err := checkTrailer(b.resp.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// resetWhileWriting returns the error of writing the request if it shows that the target
+// reset the connection, rather than closing it.
+//
+// The kernel reports a reset once, to a read or a write. After a write has got it, a read
+// finds the end of the stream as after a close. If the close had come first, the write
+// fails with EPIPE.
+func (x *exchange) resetWhileWriting() error {
+	err := x.writeErr
+	if x.bodyResult != nil {
+		_ = x.c.raw.SetWriteDeadline(time.Unix(1, 0)) // the target has closed its side and gets no more
+		err = <-x.bodyResult
+		x.bodyResult <- err
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
+}
+
 // Close closes the connection if the body has not been read to its end.
 func (b *responseBody) Close() error {
 	b.x.release(false)
--- a/internal/connection/target/probe.go
+++ b/internal/connection/target/probe.go
@@ -131,10 +131,16 @@
 		return err
 	}
 	defer resp.Body.Close()
-	body := io.LimitReader(resp.Body, maxProbeBytes)
-	if resp.StatusCode >= http.StatusInternalServerError {
-		_, _ = io.Copy(io.Discard, body) // a body read to its end lets the connection be reused
+	// A response that breaks off proves nothing, even if it begins with a whole JSON value.
+	// Read to its end, it lets the connection be reused.
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode >= http.StatusInternalServerError:
 		return errProbeServerError
+	case len(body) > maxProbeBytes:
+		return errProbeTooLong
 	}
-	return json.NewDecoder(body).Decode(out)
+	return json.Unmarshal(body, out)
 }
--- a/internal/connection/target/transport.go
+++ b/internal/connection/target/transport.go
@@ -74,7 +74,8 @@
 type conn struct {
 	raw     net.Conn
 	addr    string
-	head    *headLimiter // source of r
+	head    *headLimiter
+	source  *replayReader // of r; reads from head
 	r       *bufio.Reader
 	expires time.Time // when the target may close it while it is idle
 	earlier []uint64  // hashes of the identifiers of all earlier requests, at most maxRequests
@@ -144,7 +145,8 @@
 
 func newConn(raw net.Conn, addr string) *conn {
 	head := &headLimiter{raw: raw}
-	return &conn{raw: raw, addr: addr, head: head, r: bufio.NewReaderSize(head, readBufferSize)}
+	source := &replayReader{head: head}
+	return &conn{raw: raw, addr: addr, head: head, source: source, r: bufio.NewReaderSize(source, readBufferSize)}
 }
 
 func traceGotConn(ctx context.Context, c *conn, reused bool) {
