proxy: check the permission to repeat a request when it is used

Callers would see: a request runs twice that was safe when it was read, although its route has become unsafe since, or its entry was suspended or cut off while the request was at its target.

TestPermissionToRepeatIsCheckedWhenUsed; before, 4 of 7 cases ran twice.

--- a/internal/request/proxy/attempts.go
+++ b/internal/request/proxy/attempts.go
@@ -140,10 +140,12 @@
 // mayRetry decides whether another attempt may follow, and waits for its back-off.
 // attempt is the number of attempts so far.
 func (h *Handler) mayRetry(ctx context.Context, c *call, attempt int, err error) bool {
+	mayHaveRun := errkind.Of(err).Response().DidRun != errkind.No
+	repeatable := mayHaveRun && h.mayRepeat(ctx, c)
 	now := h.Now()
 	decision := retry.Decide(retry.FailedRequest{
 		Kind: errkind.Of(err), AtMostOnce: c.atMostOnce(), Attempts: attempt,
-		Safe: c.repeatable(), MaxAttempts: c.route.MaxAttempts, Remaining: c.timeLeft(now), TargetCrashes: h.targetCrashes(c),
+		Safe: repeatable, MaxAttempts: c.route.MaxAttempts, Remaining: c.timeLeft(now), TargetCrashes: h.targetCrashes(c),
 	}, h.stateOf(c.service).retries, now, rand.Float64())
 	h.Log.WithFields(logrus.Fields{
 		"request_id": c.id, "service": c.service.Name, "attempt": attempt, "retry": decision.Retry,
--- a/internal/request/proxy/confirmation.go
+++ b/internal/request/proxy/confirmation.go
@@ -1,12 +1,13 @@
 package proxy
 
 import (
-	"net/http"
+	"context"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/fescuejunction/fescuejunction/internal/errkind"
+	"github.com/fescuejunction/fescuejunction/internal/request/uri"
 )
 
 // An entry that was suspended, or that is cut off from control, handles requests on a
@@ -30,17 +31,17 @@
 // awaitConfirmation reports whether the version in force is confirmed. While the process
 // resumes after a suspension, it waits for the confirmation: requests that arrived during
 // the suspension would otherwise be handled on the version from before. It must be called
-// before the version is loaded, since another one may come into force in between.
-func (h *Handler) awaitConfirmation(r *http.Request) bool {
+// before the version is loaded, since another one may come into force in between. A time
+// left of 0 is unknown.
+func (h *Handler) awaitConfirmation(ctx context.Context, timeLeft time.Duration) bool {
 	if h.isConfirmed() {
 		return true
 	}
 	if h.Resuming == nil {
 		return false
 	}
-	head, _ := h.Dialect.Request(r.Header) // an invalid deadline is refused later
-	end := h.Now().Add(waitShare(h.Resuming(), head.Timeout))
-	for h.Now().Before(end) && sleep(r.Context(), confirmationPollInterval) {
+	end := h.Now().Add(waitShare(h.Resuming(), timeLeft))
+	for h.Now().Before(end) && sleep(ctx, confirmationPollInterval) {
 		if h.isConfirmed() {
 			return true
 		}
@@ -120,6 +121,26 @@
 	return c.confirmed
 }
 
+// mayRepeat reports whether another send of the request may follow one that may have run
+// it. The permission is checked when it is used: since the request was read, the process
+// may have been suspended or cut off, or its route may have become unsafe.
+func (h *Handler) mayRepeat(ctx context.Context, c *call) bool {
+	return c.repeatable() && (h.awaitConfirmation(ctx, c.timeLeft(h.Now())) || c.forwarded.confirmed) && h.isStillSafe(c)
+}
+
+// isStillSafe reports whether the request is on a safe route in the version now in force.
+func (h *Handler) isStillSafe(c *call) bool {
+	snap := h.Store.Load()
+	if snap == c.snap {
+		return c.route.Safe
+	}
+	route := snap.HostRoute(uri.HostName(c.host), uri.Path(c.path))
+	if svc := snap.Services[c.service.Name]; c.route.Host == "" && svc != nil {
+		route = svc.Route(c.method, decodedPath(c.path))
+	}
+	return route != nil && route.Safe
+}
+
 // hasHomes reports whether the route has home regions.
 func (c *call) hasHomes() bool { return len(c.route.HomeRegions) > 0 }
 
--- a/internal/request/proxy/confirmation_test.go
+++ b/internal/request/proxy/confirmation_test.go
@@ -162,6 +162,56 @@
 	}
 }
 
+// Guards against a request that is repeated by a permission from before its first send:
+// meanwhile its route has become unsafe, or its entry was suspended or cut off.
+func TestPermissionToRepeatIsCheckedWhenUsed(t *testing.T) {
+	unsafeNow := func(w *testEntry) { w.useDocument(documentOf(changes["safe route becomes unsafe"].after)) }
+	for name, tc := range map[string]struct {
+		meanwhile func(w *testEntry, confirmed *atomic.Bool)
+		resuming  time.Duration
+		runs      int32
+	}{
+		"nothing":            {func(*testEntry, *atomic.Bool) {}, 0, 2},
+		"another version":    {func(w *testEntry, _ *atomic.Bool) { w.useDocument(documentOf(safeOrder)) }, 0, 2},
+		"unsafe":             {func(w *testEntry, _ *atomic.Bool) { unsafeNow(w) }, 0, 1},
+		"cut off":            {func(_ *testEntry, confirmed *atomic.Bool) { confirmed.Store(false) }, 0, 1},
+		"unsafe and cut off": {func(w *testEntry, confirmed *atomic.Bool) { unsafeNow(w); confirmed.Store(false) }, 0, 1},
+		"suspended":          {func(_ *testEntry, confirmed *atomic.Bool) { confirmed.Store(false) }, time.Second, 2},
+		"suspended, unsafe afterwards": {func(w *testEntry, confirmed *atomic.Bool) {
+			confirmed.Store(false)
+			time.AfterFunc(30*time.Millisecond, func() { unsafeNow(w); confirmed.Store(true) })
+		}, time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			var confirmed atomic.Bool
+			confirmed.Store(true)
+			var w *testEntry
+			lossy := func(rw http.ResponseWriter, _ *http.Request) {
+				if runs.Add(1) > 1 {
+					return
+				}
+				tc.meanwhile(w, &confirmed)
+				if tc.resuming > 0 {
+					time.AfterFunc(100*time.Millisecond, func() { confirmed.Store(true) })
+				}
+				panic(http.ErrAbortHandler)
+			}
+			w = newTestEntry(t, false, target(t, lossy), target(t, lossy))
+			w.useDocument(documentOf(safeOrder))
+			w.h.Confirmed = confirmed.Load
+			w.h.Resuming = func() time.Duration { return tc.resuming }
+			resp, body, err := w.do(w.order(change{}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := runs.Load(); got != tc.runs || (resp.StatusCode == http.StatusOK) != (tc.runs > 1) {
+				t.Errorf("%d runs, want %d; %d %s", got, tc.runs, resp.StatusCode, body)
+			}
+		})
+	}
+}
+
 // Guards against a request that runs twice because one of two entries has a version from
 // before it was unsafe, and repeats it after the other one has sent it.
 func TestRequestBetweenEntriesOfDifferentVersionsRunsOnce(t *testing.T) {
--- a/internal/request/proxy/handler.go
+++ b/internal/request/proxy/handler.go
@@ -228,7 +228,8 @@
 
 // acceptReady is accept while a confirmed version is in force.
 func (h *Handler) acceptReady(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
-	confirmed := h.awaitConfirmation(r)
+	head, _ := h.Dialect.Request(r.Header) // an invalid deadline is refused by parse
+	confirmed := h.awaitConfirmation(r.Context(), head.Timeout)
 	c, err := h.parse(r, h.Store.Load(), confirmed, now)
 	if !c.confirmed {
 		h.metrics.unconfirmed.Inc(1)
--- a/internal/request/proxy/hedge.go
+++ b/internal/request/proxy/hedge.go
@@ -56,6 +56,9 @@
 // additional request in flight. The last result is false if either is not free
 // now.
 func (h *Handler) takeHedge(c *call, t *dispatch.Ticket) (*dispatch.Ticket, CapUnit, bool) {
+	if !h.isConfirmed() && !c.forwarded.confirmed || !h.isStillSafe(c) {
+		return nil, nil, false
+	}
 	unit, ok := h.tryAcquireUnit(c)
 	if !ok {
 		return nil, nil, false
