follow: tests in a synctest bubble use a listener without timers of zero length

A small listener over net.Pipe replaces it. The other users of synctest set none (pipelined_test.go has a pipe of its own).

--- a/internal/process/entry/follow/cutoff_test.go
+++ b/internal/process/entry/follow/cutoff_test.go
@@ -10,7 +10,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 )
 
 // moveWithin is the time in which an entry moves away from a source whose counter
@@ -20,7 +19,7 @@
 // newBubbleFollower returns a follower of two fake sources that uses neither the
 // network nor the machine's clock, so that a synctest bubble controls its time.
 func newBubbleFollower(t *testing.T) (f *Follower, a, b *fakeSource) {
-	listeners := map[string]*bufconn.Listener{"a": bufconn.Listen(64 << 10), "b": bufconn.Listen(64 << 10)}
+	listeners := map[string]*pipeListener{"a": newPipeListener(), "b": newPipeListener()}
 	a, b = newFakeSourceOn(t, listeners["a"], 10, 100), newFakeSourceOn(t, listeners["b"], 10, 100)
 	f = newFollower("entry-1", []string{"a", "b"}, nil)
 	f.now = time.Now
--- a/internal/process/entry/follow/narrow_network_test.go
+++ b/internal/process/entry/follow/narrow_network_test.go
@@ -17,7 +17,6 @@
 	"github.com/fescuejunction/fescuejunction/internal/version/state"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -68,7 +67,7 @@
 // host is a machine with its link.
 type host struct {
 	up, down *link
-	listener *bufconn.Listener
+	listener *pipeListener
 }
 
 // bytes returns the bytes that passed the link in both directions.
@@ -86,7 +85,7 @@
 func (n *network) addHost(name string) *host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hosts[name] = &host{newLink(n.ctx), newLink(n.ctx), bufconn.Listen(64 << 10)}
+	n.hosts[name] = &host{newLink(n.ctx), newLink(n.ctx), newPipeListener()}
 	return n.hosts[name]
 }
 
