--- a/internal/connection/target/head.go
+++ b/internal/connection/target/head.go
@@ -100,7 +100,8 @@
 func clip(text []byte) []byte { return text[:min(len(text), maxHeadErrorBytes/4)] }
 
 // checkTrailer checks the names of trailers that a head announces, or the trailers after a
-// body. Fields that describe the framing cannot follow the body.
+// body. Some fields cannot follow the body (RFC 9110, section 6.5.1), such as those that
+// describe the framing.
 func checkTrailer(trailer http.Header) error {
 	for name, values := range trailer {
 		if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidTrailerHeader(name) {
--- a/internal/request/proxy/confirmation.go
+++ b/internal/request/proxy/confirmation.go
@@ -11,8 +11,8 @@
 )
 
 // An entry that was suspended, or that is cut off from control, handles requests on a
-// version that may not be the newest. What a request may then do does not depend on what a
-// newer version says:
+// version that may not be the newest. That version says where requests go, but gives no
+// permission that a newer one may have withdrawn:
 //
 //   - it is sent to one target at most, because its route may not be safe any more;
 //   - it is refused as not run if its route has home regions, because they may have moved,
