--- a/review/rig3/target.go
+++ b/review/rig3/target.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,14 +15,19 @@
 
 // target is a back end. It follows the users' page on the protocol.
 type target struct {
-	w       *world
-	entry   instance
-	work    time.Duration
-	leaving atomic.Bool
-	running atomic.Int64
-	server  *http.Server
+	w           *world
+	entry       instance
+	work        time.Duration
+	leaving     atomic.Bool
+	running     atomic.Int64
+	server      *http.Server
+	answerBytes int     // size of an answer; 0: a short text
+	breakShare  float64 // share of the answers that the target breaks off
 	// onRun is called when the target begins to work on a request.
 	onRun func(t *target, id string, body []byte)
+	// onAnswered is called when the target has written a whole answer.
+	onAnswered func(id string)
+	broken     atomic.Int64 // answers broken off
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -41,16 +48,25 @@
 		ID: fmt.Sprintf("i-%s-%d-%d", service, zoneIndex, number), Service: service, Address: fmt.Sprintf("%s:%d", ip, w.targetPort()),
 		Zone: zones[zoneIndex].name, Version: "v1", Slots: targetSlots, State: "ready", Born: time.Now().UnixMilli(),
 	}}
-	l, err := net.Listen("tcp", t.entry.Address)
-	if err != nil {
+	if err := t.listen(); err != nil {
 		return nil, err
 	}
-	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
-	go func() { _ = t.server.Serve(l) }()
 	w.cloud.set(t.entry)
 	return t, nil
 }
 
+// listen starts to accept connections.
+func (t *target) listen() error {
+	l, err := net.Listen("tcp", t.entry.Address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(t.serve)}
+	t.server = server
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
 // leave announces in the list that the target will stop.
 func (t *target) leave() {
 	t.leaving.Store(true)
@@ -110,7 +126,19 @@
 		return
 	}
 	h.Set("X-Response-Stamp", "stamp."+id)
-	_, _ = io.WriteString(w, "answer to "+id)
+	answer := "answer to " + id
+	if t.answerBytes > 0 {
+		answer = strings.Repeat(id, t.answerBytes/len(id))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(answer)))
+	if rand.Float64() < t.breakShare {
+		t.broken.Add(1)
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	if _, err := io.WriteString(w, answer); err == nil && t.onAnswered != nil {
+		t.onAnswered(id)
+	}
 }
 
 // arrivedAfter returns the requests that reached the target after a time.
