--- a/review/rig3/restart.go
+++ b/review/rig3/restart.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-var allCases = map[string]func(*world) (bool, error){"restart": runRestart, "pipeline": runPipeline, "upload": runUpload, "recover": runRecover}
+var allCases = map[string]func(*world) (bool, error){"restart": runRestart, "pipeline": runPipeline, "upload": runUpload, "recover": runRecover, "history": runHistory}
 
 const (
 	restartRoutes  = 700 // two times 350 routes
--- a/review/rig3/upload.go
+++ b/review/rig3/upload.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -56,7 +55,7 @@
 	time.Sleep(contactWindow + 2*time.Second)
 	stop := make(chan struct{})
 	var kills, peak atomic.Int64
-	go w.limitMemory(w.fronts[0], stop, &kills, &peak)
+	go w.limitMemory(w.fronts[0], memoryLimit, stop, &kills, &peak)
 	end := time.Now().Add(uploadTime)
 	var wg sync.WaitGroup
 	for range lookupClients {
@@ -152,9 +151,9 @@
 	}
 }
 
-// limitMemory ends the process of a machine when it uses more than memoryLimit, and starts
+// limitMemory ends the process of a machine when it uses more than the limit, and starts
 // it again a moment later, as the platform does.
-func (w *world) limitMemory(m *machine, stop <-chan struct{}, kills, peak *atomic.Int64) {
+func (w *world) limitMemory(m *machine, limit int64, stop <-chan struct{}, kills, peak *atomic.Int64) {
 	for {
 		select {
 		case <-stop:
@@ -165,15 +164,12 @@
 		if used > peak.Load() {
 			peak.Store(used)
 		}
-		if used <= memoryLimit {
+		if used <= limit {
 			continue
 		}
 		w.log("%s uses %d MiB and is ended", m.name, used>>20)
 		kills.Add(1)
-		_ = m.cmd.Process.Signal(syscall.SIGKILL)
-		<-m.exited
-		time.Sleep(500 * time.Millisecond)
-		if err := w.start(m, false); err != nil {
+		if err := w.endForMemory(m); err != nil {
 			w.log("%v", err)
 			return
 		}
