--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -34,6 +37,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	go w.endOnSignalOrTimeout()
 	w.trouble = os.Getenv("TROUBLE") != "0"
 	w.log("disruption: %v", w.trouble)
 	broken, err := run(w)
@@ -48,3 +52,19 @@
 	w.log("result: the rule held")
 	return exitHeld
 }
+
+// longestRun is how long a case may take before it is given up.
+const longestRun = 118 * time.Second
+
+// endOnSignalOrTimeout ends all processes when the case is interrupted or takes too long.
+func (w *world) endOnSignalOrTimeout() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-stop:
+	case <-time.After(longestRun):
+	}
+	w.log("the case was interrupted or took too long")
+	w.close()
+	os.Exit(exitNotRun)
+}
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -50,6 +50,8 @@
 	cloud   *cloud
 	started time.Time
 
+	closing sync.Mutex // held from the beginning of close on, and while a process is started
+
 	mu     sync.Mutex
 	record *os.File
 }
@@ -76,7 +78,7 @@
 // free reports whether nothing listens on the ports of the deployment.
 func (w *world) free() bool {
 	for p := w.port; p < w.port+40; p++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.1.10:%d", w.net, p))
 		if err != nil {
 			return false
 		}
@@ -185,11 +187,16 @@
 	cmd := exec.Command("target/" + m.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.dir, "FESCUEJUNCTION_CONFIG=" + file}
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	w.closing.Lock()
+	err = cmd.Start()
+	exited := make(chan struct{})
+	if err == nil {
+		m.cmd, m.exited = cmd, exited
+	}
+	w.closing.Unlock()
+	if err != nil {
 		return err
 	}
-	exited := make(chan struct{})
-	m.cmd, m.exited = cmd, exited
 	go func() {
 		_ = cmd.Wait()
 		close(exited)
@@ -212,6 +219,7 @@
 
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
+	w.closing.Lock() // a case that is interrupted ends without unlocking
 	for _, m := range append(append([]*machine{}, w.cores...), w.fronts...) {
 		if m.cmd != nil {
 			_ = m.cmd.Process.Signal(syscall.SIGCONT)
