--- a/review/rig3/cloud.go
+++ b/review/rig3/cloud.go
@@ -28,10 +28,9 @@
 	w    *world
 	addr string
 
-	mu     sync.Mutex
-	list   map[string]instance
-	reads  []time.Time // of the first page
-	onRead func(caller string)
+	mu    sync.Mutex
+	list  map[string]instance
+	reads []time.Time // of the first page
 }
 
 const pageSize = 50
@@ -59,7 +58,6 @@
 			all = append(all, i)
 		}
 	}
-	onRead := c.onRead
 	c.mu.Unlock()
 	sort.Slice(all, func(a, b int) bool { return all[a].ID < all[b].ID })
 	from := 0
@@ -77,9 +75,6 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": byZone, "nextToken": next})
-	if onRead != nil {
-		onRead(r.RemoteAddr)
-	}
 }
 
 // set adds an entry to the list or replaces it.
@@ -89,12 +84,6 @@
 	c.list[i.ID] = i
 }
 
-func (c *cloud) remove(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.list, id)
-}
-
 // readsSince returns how often the list was read since a time, and the longest time
 // without a reading until now.
 func (c *cloud) readsSince(since time.Time) (n int, longest time.Duration) {
--- a/review/rig3/history.go
+++ b/review/rig3/history.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -106,11 +105,3 @@
 	}
 	return string(text)
 }
-
-// endForMemory ends a process and starts it again a moment later, as the platform does.
-func (w *world) endForMemory(m *machine) error {
-	_ = m.cmd.Process.Signal(syscall.SIGKILL)
-	<-m.exited
-	time.Sleep(500 * time.Millisecond)
-	return w.start(m, false)
-}
--- a/review/rig3/restart.go
+++ b/review/rig3/restart.go
@@ -7,7 +7,9 @@
 	"time"
 )
 
-var allCases = map[string]func(*world) (bool, error){"restart": runRestart, "pipeline": runPipeline, "upload": runUpload, "recover": runRecover, "history": runHistory}
+var allCases = map[string]func(*world) (bool, error){
+	"recover": runRecover, "restart": runRestart, "history": runHistory,
+}
 
 const (
 	restartRoutes  = 700 // two times 350 routes
--- a/review/rig3/target.go
+++ b/review/rig3/target.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,19 +13,12 @@
 
 // target is a back end. It follows the users' page on the protocol.
 type target struct {
-	w           *world
-	entry       instance
-	work        time.Duration
-	leaving     atomic.Bool
-	running     atomic.Int64
-	server      *http.Server
-	answerBytes int     // size of an answer; 0: a short text
-	breakShare  float64 // share of the answers that the target breaks off
-	// onRun is called when the target begins to work on a request.
-	onRun func(t *target, id string, body []byte)
-	// onAnswered is called when the target has written a whole answer.
-	onAnswered func(id string)
-	broken     atomic.Int64 // answers broken off
+	w       *world
+	entry   instance
+	work    time.Duration
+	leaving atomic.Bool
+	running atomic.Int64
+	server  *http.Server
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -109,13 +100,9 @@
 		return
 	}
 	defer t.running.Add(-1)
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	if t.onRun != nil {
-		t.onRun(t, id, body)
-	}
 	wait := t.work
 	if ms, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err == nil {
 		wait = min(wait, time.Duration(ms)*time.Millisecond)
@@ -126,19 +113,7 @@
 		return
 	}
 	h.Set("X-Response-Stamp", "stamp."+id)
-	answer := "answer to " + id
-	if t.answerBytes > 0 {
-		answer = strings.Repeat(id, t.answerBytes/len(id))
-	}
-	h.Set("Content-Length", strconv.Itoa(len(answer)))
-	if rand.Float64() < t.breakShare {
-		t.broken.Add(1)
-		_, _ = io.WriteString(w, answer[:len(answer)/2])
-		panic(http.ErrAbortHandler) // closes the connection
-	}
-	if _, err := io.WriteString(w, answer); err == nil && t.onAnswered != nil {
-		t.onAnswered(id)
-	}
+	_, _ = io.WriteString(w, "answer to "+id)
 }
 
 // arrivedAfter returns the requests that reached the target after a time.
