--- a/review/rig3/restart.go
+++ b/review/rig3/restart.go
@@ -8,7 +8,7 @@
 )
 
 var allCases = map[string]func(*world) (bool, error){
-	"recover": runRecover, "restart": runRestart, "history": runHistory, "slowbody": runSlowBody,
+	"recover": runRecover, "restart": runRestart, "history": runHistory, "slowbody": runSlowBody, "readback": runReadBack,
 }
 
 const (
